Lay the workspace: base, events, wire, http and the platform's concepts

Cause: there is nothing yet; every later part needs names, errors, a clock, numbered events and frames between processes, so these come first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# A thin layer over CMake: each target is one or two commands.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+ARGS ?=
+SEEDS ?= 10000
+
+.PHONY: all deps configure build test demo format format-check lint clean
+
+all: build
+
+deps:
+	src/build-scripts/install-deps
+
+configure: deps
+	@test -f $(BUILD)/build.ninja || cmake -S . -B $(BUILD) -G Ninja
+
+build: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	cd $(BUILD) && ctest -j 6 --output-on-failure
+
+demo: build
+	$(BUILD)/bin/peridotshelf demo $(ARGS)
+
+format:
+	src/build-scripts/sources | xargs clang-format -i
+
+format-check:
+	src/build-scripts/sources | xargs clang-format --dry-run -Werror
+
+lint: configure
+	src/build-scripts/lint $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/cmake/CompilerCache.cmake
@@ -0,0 +1,8 @@
+# Several work trees share one compiler cache: paths are hashed relative to
+# each tree's root.
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER
+      env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1
+      ${CCACHE_PROGRAM})
+endif()
--- /dev/null
+++ b/src/events/catalogue.cc
@@ -0,0 +1,51 @@
+#include "peridotshelf/events/catalogue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peridotshelf::events {
+namespace {
+
+constexpr std::array kCatalogue = {
+    EventInfo{EventId::kProcessStarted, "process_started", Level::kInfo},
+    EventInfo{EventId::kProcessStopping, "process_stopping", Level::kInfo},
+    EventInfo{EventId::kProcessStopped, "process_stopped", Level::kInfo},
+    EventInfo{EventId::kSettingsInvalid, "settings_invalid", Level::kError},
+    EventInfo{EventId::kRequestAdmitted, "request_admitted", Level::kDebug},
+    EventInfo{EventId::kRequestFinished, "request_finished", Level::kDebug},
+    EventInfo{EventId::kRequestRefused, "request_refused", Level::kInfo},
+    EventInfo{EventId::kAttemptFailed, "attempt_failed", Level::kWarning},
+    EventInfo{EventId::kChunkDropped, "chunk_dropped", Level::kWarning},
+    EventInfo{EventId::kReservationGranted, "reservation_granted",
+              Level::kDebug},
+    EventInfo{EventId::kReservationRefused, "reservation_refused",
+              Level::kInfo},
+    EventInfo{EventId::kAttemptStarted, "attempt_started", Level::kDebug},
+    EventInfo{EventId::kAttemptFinished, "attempt_finished", Level::kDebug},
+    EventInfo{EventId::kAttemptCancelled, "attempt_cancelled", Level::kInfo},
+    EventInfo{EventId::kChangeAccepted, "change_accepted", Level::kInfo},
+    EventInfo{EventId::kChangeRejected, "change_rejected", Level::kWarning},
+    EventInfo{EventId::kRecordSkipped, "record_skipped", Level::kWarning},
+    EventInfo{EventId::kHostListChanged, "host_list_changed", Level::kInfo},
+    EventInfo{EventId::kPlatformCallFailed, "platform_call_failed",
+              Level::kWarning},
+    EventInfo{EventId::kBackendCallFailed, "backend_call_failed",
+              Level::kWarning},
+    EventInfo{EventId::kPeerConnected, "peer_connected", Level::kInfo},
+    EventInfo{EventId::kPeerLost, "peer_lost", Level::kWarning},
+    EventInfo{EventId::kPeerFrameRejected, "peer_frame_rejected",
+              Level::kWarning},
+};
+
+}  // namespace
+
+std::span<const EventInfo> Catalogue() { return kCatalogue; }
+
+const EventInfo& InfoOf(EventId id) {
+  const auto* it = std::lower_bound(
+      kCatalogue.begin(), kCatalogue.end(), id,
+      [](const EventInfo& info, EventId wanted) { return info.id < wanted; });
+  return *it;
+}
+
+}  // namespace peridotshelf::events
--- /dev/null
+++ b/src/events/events_test.cc
@@ -0,0 +1,68 @@
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <regex>
+#include <set>
+#include <string>
+
+#include "peridotshelf/events/log.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::events {
+namespace {
+
+class CatalogueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CatalogueTest);
+  CPPUNIT_TEST(Numbers_InTable_Ascend);
+  CPPUNIT_TEST(Table_AndDocs_Agree);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Numbers_InTable_Ascend() {
+    int last = 0;
+    for (const EventInfo& info : Catalogue()) {
+      CPPUNIT_ASSERT(static_cast<int>(info.id) > last);
+      CPPUNIT_ASSERT(&InfoOf(info.id) == &info);
+      last = static_cast<int>(info.id);
+    }
+  }
+  void Table_AndDocs_Agree() {
+    std::set<std::string> in_code;
+    for (const EventInfo& info : Catalogue()) {
+      in_code.insert(std::to_string(static_cast<int>(info.id)) + " " +
+                     std::string(info.name));
+    }
+    std::set<std::string> in_docs;
+    std::ifstream docs(PERIDOTSHELF_SOURCE_DIR "/docs/events.md");
+    const std::regex row(R"(^\| (\d+) \| `([a-z_]+)` \| .+ \|$)");
+    for (std::string line; std::getline(docs, line);) {
+      std::smatch match;
+      if (std::regex_match(line, match, row)) {
+        in_docs.insert(match[1].str() + " " + match[2].str());
+      }
+    }
+    CPPUNIT_ASSERT(in_code == in_docs);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CatalogueTest);
+
+class FormatLineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FormatLineTest);
+  CPPUNIT_TEST(Line_WithFields_IsOneJsonObject);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Line_WithFields_IsOneJsonObject() {
+    const std::string line =
+        FormatLine(EventId::kPeerLost, "entry-1", "2026-01-01T00:00:00.000Z",
+                   {{"peer", "h1\n"}, {"streams", 3}});
+    CPPUNIT_ASSERT(line.find('\n') == std::string::npos);
+    const auto parsed = nlohmann::json::parse(line);
+    CPPUNIT_ASSERT(parsed.at("event") == 801);
+    CPPUNIT_ASSERT(parsed.at("peer") == "h1\n");
+    CPPUNIT_ASSERT(parsed.at("streams") == 3);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FormatLineTest);
+
+}  // namespace
+}  // namespace peridotshelf::events
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,256 @@
+#include "peridotshelf/http/client.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace peridotshelf::http {
+namespace {
+
+// libcurl's options and readings have this type.
+using CurlLong = long;  // NOLINT(google-runtime-int)
+
+constexpr int kPollMilliseconds = 1000;
+constexpr CurlLong kMaxIdleConnections = 512;
+constexpr CurlLong kBufferBytes = 64 * 1024;
+
+/// One call while it is known to libcurl.
+struct Call {
+  Client::CallId id = 0;
+  ClientRequest request;
+  ClientCallbacks callbacks;
+  CURL* handle = nullptr;
+  curl_slist* headers = nullptr;
+  bool head_reported = false;
+};
+
+void ReportHead(Call& call) {
+  if (call.head_reported) return;
+  call.head_reported = true;
+  if (!call.callbacks.on_head) return;
+  CurlLong status = 0;
+  const char* type = nullptr;
+  curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(call.handle, CURLINFO_CONTENT_TYPE, &type);
+  call.callbacks.on_head(
+      ClientResponseHead{static_cast<int>(status), type ? type : ""});
+}
+
+size_t OnBytes(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  ReportHead(*call);
+  const size_t bytes = size * count;
+  if (call->callbacks.on_data) {
+    call->callbacks.on_data(std::string_view(data, bytes));
+  }
+  return bytes;
+}
+
+CurlLong Millis(Duration span) {
+  return static_cast<CurlLong>(ToMilliseconds(span));
+}
+
+void Configure(Call& call) {
+  CURL* handle = call.handle;
+  const ClientRequest& request = call.request;
+  curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PRIVATE, &call);
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBytes);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kBufferBytes);
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   Millis(request.connect_timeout));
+  if (request.timeout > Duration::zero()) {
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, Millis(request.timeout));
+  }
+  if (request.idle_timeout > Duration::zero()) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(request.idle_timeout);
+    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
+                     static_cast<CurlLong>(seconds.count()));
+  }
+  if (request.method != "GET") {
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+  if (!request.body.empty() || request.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+  }
+  // Without this libcurl waits for "100 Continue" before large bodies.
+  call.headers = curl_slist_append(call.headers, "Expect:");
+  for (const Header& header : request.headers) {
+    call.headers = curl_slist_append(
+        call.headers, (header.name + ": " + header.value).c_str());
+  }
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call.headers);
+}
+
+void Release(CURLM* multi, Call& call) {
+  curl_multi_remove_handle(multi, call.handle);
+  curl_easy_cleanup(call.handle);
+  curl_slist_free_all(call.headers);
+}
+
+Result<int> Outcome(Call& call, CURLcode code) {
+  CurlLong status = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
+  if (code == CURLE_OK) return static_cast<int>(status);
+  Error error;
+  error.code = code == CURLE_OPERATION_TIMEDOUT ? ErrorCode::kOutOfTime
+                                                : ErrorCode::kConnectionLost;
+  error.detail = curl_easy_strerror(code);
+  curl_off_t request_bytes = 0;
+  CurlLong sent = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &sent);
+  curl_easy_getinfo(call.handle, CURLINFO_SIZE_UPLOAD_T, &request_bytes);
+  error.not_run = sent == 0 && request_bytes == 0;
+  return tl::unexpected<Error>(std::move(error));
+}
+
+}  // namespace
+
+struct Client::Impl {
+  CURLM* multi = nullptr;
+  std::mutex mutex;
+  std::vector<std::unique_ptr<Call>> to_start;
+  std::vector<CallId> to_cancel;
+  std::unordered_map<CallId, std::unique_ptr<Call>> active;
+  std::atomic<CallId> next_id{1};
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+
+  void Run();
+  void TakeOrders();
+  void ReapFinished();
+};
+
+void Client::Impl::TakeOrders() {
+  std::vector<std::unique_ptr<Call>> starts;
+  std::vector<CallId> cancels;
+  {
+    std::scoped_lock lock(mutex);
+    starts.swap(to_start);
+    cancels.swap(to_cancel);
+  }
+  for (auto& call : starts) {
+    call->handle = curl_easy_init();
+    Configure(*call);
+    curl_multi_add_handle(multi, call->handle);
+    const CallId id = call->id;
+    active.emplace(id, std::move(call));
+  }
+  for (CallId id : cancels) {
+    auto it = active.find(id);
+    if (it == active.end()) continue;
+    Release(multi, *it->second);
+    active.erase(it);
+  }
+}
+
+void Client::Impl::ReapFinished() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+    if (message->msg != CURLMSG_DONE) continue;
+    void* user = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+    const CURLcode code = message->data.result;
+    auto node = active.extract(static_cast<Call*>(user)->id);
+    Call& call = *node.mapped();
+    if (code == CURLE_OK) ReportHead(call);
+    const Result<int> outcome = Outcome(call, code);
+    Release(multi, call);
+    if (call.callbacks.on_done) call.callbacks.on_done(outcome);
+  }
+}
+
+void Client::Impl::Run() {
+  while (!stopping) {
+    TakeOrders();
+    int running = 0;
+    curl_multi_perform(multi, &running);
+    ReapFinished();
+    curl_multi_poll(multi, nullptr, 0, kPollMilliseconds, nullptr);
+  }
+}
+
+Client::Client() : m_impl(std::make_unique<Impl>()) {
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+  m_impl->multi = curl_multi_init();
+  curl_multi_setopt(m_impl->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  m_impl->thread = std::thread([this] { m_impl->Run(); });
+}
+
+Client::~Client() {
+  m_impl->stopping = true;
+  curl_multi_wakeup(m_impl->multi);
+  m_impl->thread.join();
+  for (auto& [id, call] : m_impl->active) Release(m_impl->multi, *call);
+  curl_multi_cleanup(m_impl->multi);
+}
+
+Client::CallId Client::Start(ClientRequest request, ClientCallbacks callbacks) {
+  auto call = std::make_unique<Call>();
+  call->id = m_impl->next_id++;
+  call->request = std::move(request);
+  call->callbacks = std::move(callbacks);
+  const CallId id = call->id;
+  {
+    std::scoped_lock lock(m_impl->mutex);
+    m_impl->to_start.push_back(std::move(call));
+  }
+  curl_multi_wakeup(m_impl->multi);
+  return id;
+}
+
+void Client::Cancel(CallId call) {
+  {
+    std::scoped_lock lock(m_impl->mutex);
+    m_impl->to_cancel.push_back(call);
+  }
+  curl_multi_wakeup(m_impl->multi);
+}
+
+Client::CallId Client::Fetch(
+    ClientRequest request,
+    std::function<void(Result<ClientResponse>)> on_done) {
+  auto response = std::make_shared<ClientResponse>();
+  ClientCallbacks callbacks;
+  callbacks.on_head = [response](const ClientResponseHead& head) {
+    response->status = head.status;
+    response->content_type = head.content_type;
+  };
+  callbacks.on_data = [response](std::string_view data) {
+    response->body.append(data);
+  };
+  callbacks.on_done =
+      [response, on_done = std::move(on_done)](const Result<int>& outcome) {
+        if (!outcome) {
+          on_done(tl::unexpected<Error>(outcome.error()));
+        } else {
+          on_done(std::move(*response));
+        }
+      };
+  return Start(std::move(request), std::move(callbacks));
+}
+
+Result<ClientResponse> Client::FetchAndWait(ClientRequest request) {
+  auto promise = std::make_shared<std::promise<Result<ClientResponse>>>();
+  auto future = promise->get_future();
+  Fetch(std::move(request), [promise](Result<ClientResponse> result) {
+    promise->set_value(std::move(result));
+  });
+  return future.get();
+}
+
+}  // namespace peridotshelf::http
--- /dev/null
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -0,0 +1,54 @@
+/// The numbered events that processes log. docs/events.md explains each.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace peridotshelf::events {
+
+/// How serious an event is.
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+/// Event numbers. A number is never given a second meaning. By hundreds:
+/// 100 process, 200 entry, 300 side, 400 control, 500 membership, 600 platform,
+/// 700 backend servers, 800 connections between processes.
+enum class EventId : int {
+  kProcessStarted = 100,
+  kProcessStopping = 101,
+  kProcessStopped = 102,
+  kSettingsInvalid = 103,
+  kRequestAdmitted = 200,
+  kRequestFinished = 201,
+  kRequestRefused = 202,
+  kAttemptFailed = 203,
+  kChunkDropped = 204,
+  kReservationGranted = 300,
+  kReservationRefused = 301,
+  kAttemptStarted = 302,
+  kAttemptFinished = 303,
+  kAttemptCancelled = 304,
+  kChangeAccepted = 400,
+  kChangeRejected = 401,
+  kRecordSkipped = 402,
+  kHostListChanged = 500,
+  kPlatformCallFailed = 600,
+  kBackendCallFailed = 700,
+  kPeerConnected = 800,
+  kPeerLost = 801,
+  kPeerFrameRejected = 802,
+};
+
+/// One line of the catalogue.
+struct EventInfo {
+  EventId id;
+  std::string_view name;
+  Level level;
+};
+
+/// All events, by ascending number.
+std::span<const EventInfo> Catalogue();
+
+/// The catalogue's line for `id`.
+const EventInfo& InfoOf(EventId id);
+
+}  // namespace peridotshelf::events
--- /dev/null
+++ b/src/wire/channel.cc
@@ -0,0 +1,324 @@
+#include "peridotshelf/wire/channel.h"
+
+#include <array>
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <deque>
+#include <vector>
+
+namespace peridotshelf::wire {
+namespace {
+
+using asio::ip::tcp;
+
+/// A `Channel` over a TCP socket. All its work runs on one strand.
+class TcpChannel : public Channel,
+                   public std::enable_shared_from_this<TcpChannel> {
+ public:
+  TcpChannel(asio::io_context& context, ChannelOptions options,
+             HelloSource hello, ChannelCallbacks callbacks)
+      : m_strand(asio::make_strand(context)),
+        m_socket(m_strand),
+        m_timer(m_strand),
+        m_options(options),
+        m_hello(std::move(hello)),
+        m_callbacks(std::move(callbacks)) {}
+
+  tcp::socket& socket() { return m_socket; }
+
+  /// Opens a connection to `endpoint`, then runs.
+  void ConnectTo(const tcp::endpoint& endpoint) {
+    auto self = shared_from_this();
+    m_timer.expires_after(m_options.connect_timeout);
+    m_timer.async_wait([self](const asio::error_code& error) {
+      if (!error)
+        self->End({ErrorCode::kConnectionLost, "connect timed out", false, {}});
+    });
+    m_socket.async_connect(endpoint, [self](const asio::error_code& error) {
+      if (error) {
+        self->End({ErrorCode::kConnectionLost, error.message(), false, {}});
+      } else {
+        self->Run();
+      }
+    });
+  }
+
+  /// Sends our Hello and starts reading.
+  void Run() {
+    asio::post(m_strand, [self = shared_from_this()] { self->Begin(); });
+  }
+
+  void Send(const Frame& frame) override {
+    asio::post(m_strand,
+               [self = shared_from_this(), bytes = Encode(frame)]() mutable {
+                 self->Enqueue(std::move(bytes));
+               });
+  }
+
+  void Close(Error reason) override {
+    asio::post(m_strand, [self = shared_from_this(),
+                          reason = std::move(reason)] { self->End(reason); });
+  }
+
+  const Hello& peer() const override { return m_peer; }
+  uint64_t bytes_sent() const override { return m_bytes_sent; }
+  uint64_t bytes_received() const override { return m_bytes_received; }
+
+ private:
+  void Begin() {
+    if (m_ended) return;
+    asio::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_last_heard = std::chrono::steady_clock::now();
+    m_last_sent = m_last_heard;
+    Frame frame;
+    frame.__set_hello(m_hello());
+    Enqueue(Encode(frame));
+    ReadLength();
+    Tick();
+  }
+
+  /// Sends a heartbeat when due and drops the connection when it is silent.
+  void Tick() {
+    m_timer.expires_after(m_options.heartbeat_interval / 2);
+    m_timer.async_wait(
+        [self = shared_from_this()](const asio::error_code& error) {
+          if (error || self->m_ended) return;
+          self->CheckSilence();
+        });
+  }
+
+  void CheckSilence() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now - m_last_heard > m_options.silence_limit) {
+      End({ErrorCode::kConnectionLost, "peer is silent", false, {}});
+      return;
+    }
+    if (now - m_last_sent >= m_options.heartbeat_interval) {
+      Heartbeat heartbeat;
+      heartbeat.control_version = m_hello().control_version;
+      Frame frame;
+      frame.__set_heartbeat(heartbeat);
+      Enqueue(Encode(frame));
+    }
+    Tick();
+  }
+
+  void ReadLength() {
+    asio::async_read(
+        m_socket, asio::buffer(m_length),
+        [self = shared_from_this()](const asio::error_code& error, size_t) {
+          if (self->Failed(error)) return;
+          const Result<size_t> length = DecodeLength(self->m_length);
+          if (!length) {
+            self->End(length.error());
+            return;
+          }
+          self->m_body.resize(*length);
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
+    asio::async_read(
+        m_socket, asio::buffer(m_body),
+        [self = shared_from_this()](const asio::error_code& error, size_t) {
+          if (self->Failed(error)) return;
+          self->m_bytes_received += kLengthBytes + self->m_body.size();
+          self->m_last_heard = std::chrono::steady_clock::now();
+          Result<Frame> frame = Decode(self->m_body);
+          if (!frame) {
+            self->End(frame.error());
+            return;
+          }
+          self->Dispatch(std::move(*frame));
+          if (!self->m_ended) self->ReadLength();
+        });
+  }
+
+  void Dispatch(Frame frame) {
+    if (!m_open) {
+      OpenWith(frame);
+      return;
+    }
+    m_callbacks.on_frame(shared_from_this(), std::move(frame));
+  }
+
+  void OpenWith(const Frame& frame) {
+    if (!frame.__isset.hello) {
+      End({ErrorCode::kProtocol, "the first frame is not a Hello", false, {}});
+      return;
+    }
+    if (frame.hello.protocol_version != kProtocolVersion) {
+      End({ErrorCode::kProtocol,
+           "protocol version " + std::to_string(frame.hello.protocol_version),
+           false,
+           {}});
+      return;
+    }
+    m_peer = frame.hello;
+    m_open = true;
+    m_callbacks.on_open(shared_from_this());
+  }
+
+  void Enqueue(std::string bytes) {
+    if (m_ended) return;
+    m_queued_bytes += bytes.size();
+    if (m_queued_bytes > m_options.max_queued_bytes) {
+      End({ErrorCode::kConnectionLost, "peer reads too slowly", false, {}});
+      return;
+    }
+    m_waiting.push_back(std::move(bytes));
+    if (m_writing.empty()) WriteNext();
+  }
+
+  /// Writes all that waits in one call.
+  void WriteNext() {
+    m_writing.swap(m_waiting);
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(m_writing.size());
+    for (const std::string& bytes : m_writing) {
+      buffers.push_back(asio::buffer(bytes));
+    }
+    m_last_sent = std::chrono::steady_clock::now();
+    asio::async_write(m_socket, buffers,
+                      [self = shared_from_this()](const asio::error_code& error,
+                                                  size_t written) {
+                        if (self->Failed(error)) return;
+                        self->m_bytes_sent += written;
+                        self->m_queued_bytes -= written;
+                        self->m_writing.clear();
+                        if (!self->m_waiting.empty()) self->WriteNext();
+                      });
+  }
+
+  bool Failed(const asio::error_code& error) {
+    if (!error) return m_ended;
+    End({ErrorCode::kConnectionLost, error.message(), false, {}});
+    return true;
+  }
+
+  void End(const Error& reason) {
+    if (m_ended) return;
+    m_ended = true;
+    m_timer.cancel();
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    m_callbacks.on_closed(shared_from_this(), reason);
+  }
+
+  asio::strand<asio::io_context::executor_type> m_strand;
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  ChannelOptions m_options;
+  HelloSource m_hello;
+  ChannelCallbacks m_callbacks;
+  Hello m_peer;
+  std::array<unsigned char, kLengthBytes> m_length{};
+  std::vector<unsigned char> m_body;
+  std::deque<std::string> m_waiting;
+  std::deque<std::string> m_writing;
+  size_t m_queued_bytes = 0;
+  TimePoint m_last_heard;
+  TimePoint m_last_sent;
+  std::atomic<uint64_t> m_bytes_sent{0};
+  std::atomic<uint64_t> m_bytes_received{0};
+  bool m_open = false;
+  bool m_ended = false;
+};
+
+Result<tcp::endpoint> Parse(const Endpoint& endpoint) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    return Fail(ErrorCode::kInternal,
+                endpoint.address + " is not an IP address");
+  }
+  return tcp::endpoint(address, endpoint.port);
+}
+
+}  // namespace
+
+struct Listener::Impl : std::enable_shared_from_this<Listener::Impl> {
+  Impl(asio::io_context& io, ChannelOptions channel_options,
+       HelloSource hello_source, ChannelCallbacks channel_callbacks)
+      : context(io),
+        acceptor(io),
+        options(channel_options),
+        hello(std::move(hello_source)),
+        callbacks(std::move(channel_callbacks)) {}
+
+  void AcceptNext() {
+    auto channel =
+        std::make_shared<TcpChannel>(context, options, hello, callbacks);
+    acceptor.async_accept(
+        channel->socket(),
+        [self = shared_from_this(), channel](const asio::error_code& error) {
+          if (error == asio::error::operation_aborted) return;
+          if (!error) channel->Run();
+          self->AcceptNext();
+        });
+  }
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  ChannelOptions options;
+  HelloSource hello;
+  ChannelCallbacks callbacks;
+};
+
+Listener::Listener(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Listener::~Listener() {
+  asio::error_code ignored;
+  m_impl->acceptor.close(ignored);
+}
+
+Result<std::unique_ptr<Listener>> Listener::Create(io::IoThreads& threads,
+                                                   const Endpoint& endpoint,
+                                                   ChannelOptions options,
+                                                   HelloSource hello,
+                                                   ChannelCallbacks callbacks) {
+  const Result<tcp::endpoint> address = Parse(endpoint);
+  if (!address) return tl::unexpected<Error>(address.error());
+  auto impl = std::make_shared<Impl>(threads.context(), options,
+                                     std::move(hello), std::move(callbacks));
+  asio::error_code error;
+  impl->acceptor.open(address->protocol(), error);
+  // Without SO_REUSEPORT the port stays exclusive to one live process;
+  // SO_REUSEADDR only allows binding over connections that linger.
+  if (!error) {
+    impl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) impl->acceptor.bind(*address, error);
+  if (!error)
+    impl->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Fail(
+        ErrorCode::kInternal,
+        "cannot listen on " + endpoint.ToString() + ": " + error.message());
+  }
+  impl->AcceptNext();
+  return std::unique_ptr<Listener>(new Listener(std::move(impl)));
+}
+
+void Connect(io::IoThreads& threads, const Endpoint& endpoint,
+             ChannelOptions options, HelloSource hello,
+             ChannelCallbacks callbacks) {
+  auto channel = std::make_shared<TcpChannel>(
+      threads.context(), options, std::move(hello), std::move(callbacks));
+  const Result<tcp::endpoint> address = Parse(endpoint);
+  if (!address) {
+    channel->Close(address.error());
+    return;
+  }
+  channel->ConnectTo(*address);
+}
+
+}  // namespace peridotshelf::wire
--- /dev/null
+++ b/src/wire/peridotshelf.thrift
@@ -0,0 +1,181 @@
+// Messages between entries and sides, one Frame at a time. Times are remaining
+// durations in milliseconds; no wall-clock time crosses a connection. Field
+// numbers are never reused.
+namespace cpp peridotshelf.wire
+
+enum Role { ENTRY = 1, SIDE = 2, OPERATOR = 3 }
+
+// How long a request is, which decides the limits it is held to.
+enum SizeClass { SHORT = 1, MEDIUM = 2, LONG = 3, GIANT = 4 }
+
+// First frame in both directions of a connection.
+struct Hello {
+  1: i32 protocol_version
+  2: string process_id        // new at each start of a process
+  3: string host
+  4: Role role
+  5: i64 control_version
+  6: string failure_domain
+}
+
+// Sent when nothing else was for a heartbeat interval.
+struct Heartbeat {
+  1: i64 control_version
+}
+
+// The side's own account of one engine.
+struct EngineLoad {
+  1: string engine
+  2: i64 free_tokens
+  3: i32 free_slots
+  4: i32 queued
+  5: i64 queued_tokens
+  6: bool leaving
+  7: i32 running_long
+}
+
+struct Attempt {
+  1: string request
+  2: i32 number
+}
+
+// Asks for memory and a slot at an engine.
+struct Reserve {
+  1: Attempt attempt
+  2: string engine
+  3: string team
+  4: i32 priority
+  5: i64 prompt_tokens
+  6: i64 max_tokens
+  7: i64 remaining_ms
+  8: SizeClass size_class
+  9: i64 control_version
+  10: list<i64> prefix_hashes
+  11: bool unrepeatable
+  12: string idempotency_key
+  13: i64 issued_at_ms
+}
+
+struct Granted {
+  1: Attempt attempt
+  2: i64 epoch               // the side's incarnation; Start repeats it
+  3: i64 lease_ms
+  4: EngineLoad load
+}
+
+struct Queued {
+  1: Attempt attempt
+  2: i64 estimated_start_ms
+  3: EngineLoad load
+}
+
+// The attempt did not run and, by the side's record, never will.
+struct Refused {
+  1: Attempt attempt
+  2: string code             // an ErrorCode by name
+  3: string detail
+  4: i64 retry_after_ms
+  5: EngineLoad load
+}
+
+// What the backend server is to run. The payload is the JSON value of the
+// prompt for an engine, or the body for a plain service.
+struct Start {
+  1: Attempt attempt
+  2: i64 epoch
+  3: i64 remaining_ms
+  4: string model
+  5: i64 max_tokens
+  6: binary payload
+  7: bool payload_ends       // false while PayloadPart frames follow
+}
+
+struct PayloadPart {
+  1: Attempt attempt
+  2: binary payload
+  3: bool payload_ends
+}
+
+// A call to a plain service.
+struct ServiceCall {
+  1: Attempt attempt
+  2: string backend
+  3: string method
+  4: string target
+  5: string content_type
+  6: binary payload
+  7: i64 remaining_ms
+  8: bool unrepeatable
+  9: string idempotency_key
+  10: i64 issued_at_ms
+  11: i64 control_version
+}
+
+// Part of an answer. Offsets count chunks from 0 within one attempt.
+struct Chunk {
+  1: Attempt attempt
+  2: i64 offset
+  3: binary data
+}
+
+// The answer is whole: `chunks` were sent.
+struct Finished {
+  1: Attempt attempt
+  2: i64 chunks
+  3: i32 http_status         // of a plain service's answer
+  4: string content_type
+  5: i64 prompt_tokens
+  6: i64 cached_tokens
+}
+
+// The attempt ended without a whole answer. not_run is proof.
+struct Failed {
+  1: Attempt attempt
+  2: string code
+  3: string detail
+  4: bool not_run
+  5: i64 retry_after_ms
+}
+
+// Ends an attempt, in whatever state. The side records it so that a Start
+// which arrives later is refused, and answers with Failed.
+struct Cancel {
+  1: Attempt attempt
+  2: string code
+}
+
+// Asks on a new connection for the chunks from an offset on.
+struct Resume {
+  1: Attempt attempt
+  2: i64 from_offset
+}
+
+// Asks for control state newer than a version.
+struct PullControl {
+  1: i64 from_version
+}
+
+// A whole control state, as the JSON that snapshots have on the log.
+struct ControlState {
+  1: i64 version
+  2: binary snapshot
+}
+
+struct Frame {
+  1: optional Hello hello
+  2: optional Heartbeat heartbeat
+  3: optional Reserve reserve
+  4: optional Granted granted
+  5: optional Queued queued
+  6: optional Refused refused
+  7: optional Start start
+  8: optional PayloadPart payload_part
+  9: optional Chunk chunk
+  10: optional Finished finished
+  11: optional Failed failed
+  12: optional Cancel cancel
+  13: optional Resume resume
+  14: optional ServiceCall service_call
+  15: optional PullControl pull_control
+  16: optional ControlState control_state
+}
