--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,205 @@
+#include "peridotshelf/entry/entry.h"
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "entry/answer_writer.h"
+#include "entry/dispatcher.h"
+#include "entry/requests.h"
+#include "entry/side_links.h"
+#include "peridotshelf/http/server.h"
+
+namespace peridotshelf::entry {
+namespace {
+
+using nlohmann::ordered_json;
+
+void ReplyJson(http::Responder& responder, int status,
+               const ordered_json& body) {
+  responder.Reply(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+}  // namespace
+
+struct Entry::Impl : std::enable_shared_from_this<Impl> {
+  Impl(io::IoThreads& io, const EntryOptions& entry_options,
+       ControlSource control_source)
+      : threads(io),
+        options(entry_options),
+        control(std::move(control_source)),
+        process_id(MakeRandomId()),
+        limits{entry_options.default_timeout, entry_options.max_timeout},
+        dispatcher(std::make_shared<Dispatcher>(io)) {}
+
+  wire::Hello MakeHello() const;
+  void Handle(const http::ServerRequest& request,
+              const http::ResponderPtr& responder);
+  void HandleCompletion(const http::ServerRequest& request,
+                        const http::ResponderPtr& responder);
+  void HandleServiceCall(const http::ServerRequest& request,
+                         const http::ResponderPtr& responder);
+  void HandleModels(const http::ResponderPtr& responder);
+  void HandleReady(const http::ResponderPtr& responder);
+  control::ControlStatePtr ReadyState(const http::ResponderPtr& responder);
+
+  io::IoThreads& threads;
+  EntryOptions options;
+  ControlSource control;
+  std::string process_id;
+  ReaderLimits limits;
+  std::shared_ptr<Dispatcher> dispatcher;
+  std::shared_ptr<SideLinks> links;
+  std::atomic<bool> leaving{false};
+  std::unique_ptr<http::Server> server;
+};
+
+wire::Hello Entry::Impl::MakeHello() const {
+  const control::ControlStatePtr state = control();
+  wire::Hello hello;
+  hello.protocol_version = wire::kProtocolVersion;
+  hello.process_id = process_id;
+  hello.host = options.host.value();
+  hello.role = wire::Role::ENTRY;
+  hello.control_version = state ? state->version : 0;
+  hello.failure_domain = options.failure_domain.value();
+  return hello;
+}
+
+control::ControlStatePtr Entry::Impl::ReadyState(
+    const http::ResponderPtr& responder) {
+  control::ControlStatePtr state = control();
+  if (state && state->configuration) return state;
+  http::ReplyError(*responder, {ErrorCode::kNotReady, "no configuration yet",
+                                true, std::chrono::seconds(1)});
+  return nullptr;
+}
+
+void Entry::Impl::HandleCompletion(const http::ServerRequest& request,
+                                   const http::ResponderPtr& responder) {
+  Result<CompletionRequest> completion = ReadCompletion(request, limits);
+  if (!completion) {
+    Error error = completion.error();
+    error.not_run = true;
+    http::ReplyError(*responder, error, IdHeaders(RequestId(MakeRandomId())));
+    return;
+  }
+  const control::ControlStatePtr state = ReadyState(responder);
+  if (!state) return;
+  AnswerCallbacks answer = MakeCompletionWriter(*completion, responder);
+  const RequestId id = completion->id;
+  dispatcher->Submit(state, std::move(*completion), std::move(answer));
+  responder->OnHangUp(
+      [self = shared_from_this(), id] { self->dispatcher->Abandon(id); });
+}
+
+void Entry::Impl::HandleServiceCall(const http::ServerRequest& request,
+                                    const http::ResponderPtr& responder) {
+  Result<ServiceRequest> call = ReadServiceCall(request, limits);
+  if (!call) {
+    Error error = call.error();
+    error.not_run = true;
+    http::ReplyError(*responder, error, IdHeaders(RequestId(MakeRandomId())));
+    return;
+  }
+  const control::ControlStatePtr state = ReadyState(responder);
+  if (!state) return;
+  AnswerCallbacks answer = MakeServiceWriter(call->id, responder);
+  dispatcher->SubmitCall(state, std::move(*call), std::move(answer));
+}
+
+void Entry::Impl::HandleModels(const http::ResponderPtr& responder) {
+  const control::ControlStatePtr state = ReadyState(responder);
+  if (!state) return;
+  std::set<std::string> models;
+  for (const auto& engine : state->configuration->engines) {
+    models.insert(engine.model);
+  }
+  ordered_json data = ordered_json::array();
+  for (const std::string& model : models) {
+    data.push_back({{"id", model}, {"object", "model"}});
+  }
+  ReplyJson(*responder, 200, {{"object", "list"}, {"data", data}});
+}
+
+void Entry::Impl::HandleReady(const http::ResponderPtr& responder) {
+  const control::ControlStatePtr state = control();
+  if (leaving) {
+    ReplyJson(*responder, 503, {{"ready", false}, {"reason", "leaving"}});
+  } else if (!state || !state->configuration) {
+    ReplyJson(*responder, 503,
+              {{"ready", false}, {"reason", "no configuration yet"}});
+  } else {
+    ReplyJson(*responder, 200, {{"ready", true}, {"version", state->version}});
+  }
+}
+
+void Entry::Impl::Handle(const http::ServerRequest& request,
+                         const http::ResponderPtr& responder) {
+  if (request.path == "/v1/completions" && request.method == "POST") {
+    HandleCompletion(request, responder);
+  } else if (request.path == "/v1/models") {
+    HandleModels(responder);
+  } else if (request.path.starts_with("/services/")) {
+    HandleServiceCall(request, responder);
+  } else if (request.path == "/healthz") {
+    ReplyJson(*responder, 200, {{"alive", true}});
+  } else if (request.path == "/readyz") {
+    HandleReady(responder);
+  } else {
+    http::ReplyError(*responder,
+                     {ErrorCode::kUnknownService, request.path, true, {}});
+  }
+}
+
+Entry::Entry(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Entry::~Entry() {
+  m_impl->server.reset();
+  m_impl->links->Update({});
+}
+
+Result<std::unique_ptr<Entry>> Entry::Create(io::IoThreads& threads,
+                                             const EntryOptions& options,
+                                             ControlSource control) {
+  auto impl = std::make_shared<Impl>(threads, options, std::move(control));
+  auto dispatcher = impl->dispatcher;
+  std::weak_ptr<Impl> weak = impl;
+  impl->links = std::make_shared<SideLinks>(
+      threads, options.channel,
+      [weak] {
+        auto alive = weak.lock();
+        return alive ? alive->MakeHello() : wire::Hello();
+      },
+      [dispatcher](const HostId& host, const wire::Frame& frame) {
+        dispatcher->OnFrame(host, frame);
+      },
+      [dispatcher](const HostId& host) { dispatcher->OnLost(host); });
+  dispatcher->SetLinks(impl->links);
+  http::ServerOptions server_options;
+  server_options.address = options.address;
+  server_options.port = options.http_port;
+  server_options.max_body_bytes = options.max_body_bytes;
+  auto server =
+      http::Server::Create(threads, server_options,
+                           [weak](const http::ServerRequest& request,
+                                  const http::ResponderPtr& responder) {
+                             if (auto alive = weak.lock())
+                               alive->Handle(request, responder);
+                           });
+  if (!server) return tl::unexpected<Error>(server.error());
+  impl->server = std::move(*server);
+  return std::unique_ptr<Entry>(new Entry(std::move(impl)));
+}
+
+void Entry::UpdateHosts(std::span<const platform::HostEntry> hosts) {
+  m_impl->links->Update(hosts);
+}
+
+void Entry::StartLeaving() { m_impl->leaving = true; }
+
+size_t Entry::RunningCount() const {
+  return m_impl->dispatcher->RunningCount();
+}
+
+}  // namespace peridotshelf::entry
--- /dev/null
+++ b/src/entry/side_links.cc
@@ -0,0 +1,95 @@
+#include "entry/side_links.h"
+
+#include "peridotshelf/events/log.h"
+
+namespace peridotshelf::entry {
+namespace {
+
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
+
+}  // namespace
+
+SideLinks::SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
+                     wire::HelloSource hello, FrameHandler on_frame,
+                     LossHandler on_lost)
+    : m_threads(threads),
+      m_options(options),
+      m_hello(std::move(hello)),
+      m_on_frame(std::move(on_frame)),
+      m_on_lost(std::move(on_lost)) {}
+
+void SideLinks::Update(std::span<const platform::HostEntry> hosts) {
+  std::map<HostId, Link> wanted;
+  std::vector<std::pair<HostId, wire::Endpoint>> to_open;
+  std::scoped_lock lock(m_mutex);
+  for (const platform::HostEntry& host : hosts) {
+    if (host.role != platform::HostRole::kSide) continue;
+    const wire::Endpoint endpoint{host.address, host.port};
+    auto known = m_links.find(host.host);
+    if (known != m_links.end() && known->second.endpoint == endpoint) {
+      wanted.insert(m_links.extract(known));
+    } else {
+      wanted[host.host] = Link{endpoint, nullptr};
+      to_open.emplace_back(host.host, endpoint);
+    }
+  }
+  m_links.swap(wanted);
+  for (auto& [host, endpoint] : to_open) Open(host, endpoint);
+}
+
+wire::ChannelPtr SideLinks::Find(const HostId& host) const {
+  std::scoped_lock lock(m_mutex);
+  auto it = m_links.find(host);
+  return it == m_links.end() ? nullptr : it->second.channel;
+}
+
+void SideLinks::Open(const HostId& host, const wire::Endpoint& endpoint) {
+  auto self = shared_from_this();
+  wire::ChannelCallbacks callbacks;
+  callbacks.on_open = [self, host, endpoint](const wire::ChannelPtr& channel) {
+    events::Log(events::EventId::kPeerConnected, {{"peer", host.value()}});
+    std::scoped_lock lock(self->m_mutex);
+    auto it = self->m_links.find(host);
+    if (it == self->m_links.end() || it->second.endpoint != endpoint) {
+      channel->Close({ErrorCode::kConnectionLost, "not listed", false, {}});
+      return;
+    }
+    it->second.channel = channel;
+  };
+  callbacks.on_frame = [self, host](const wire::ChannelPtr&,
+                                    wire::Frame frame) {
+    self->m_on_frame(host, std::move(frame));
+  };
+  callbacks.on_closed = [self, host, endpoint](const wire::ChannelPtr&,
+                                               const Error& reason) {
+    self->OnClosed(host, endpoint, reason);
+  };
+  wire::Connect(m_threads, endpoint, m_options, m_hello, std::move(callbacks));
+}
+
+void SideLinks::OnClosed(const HostId& host, const wire::Endpoint& endpoint,
+                         const Error& reason) {
+  bool was_open = false;
+  {
+    std::scoped_lock lock(m_mutex);
+    auto it = m_links.find(host);
+    if (it == m_links.end() || it->second.endpoint != endpoint) return;
+    was_open = it->second.channel != nullptr;
+    it->second.channel = nullptr;
+  }
+  if (was_open) {
+    events::Log(events::EventId::kPeerLost,
+                {{"peer", host.value()}, {"reason", reason.detail}});
+    m_on_lost(host);
+  }
+  m_threads.After(kReconnectDelay, [self = shared_from_this(), host, endpoint] {
+    {
+      std::scoped_lock lock(self->m_mutex);
+      auto it = self->m_links.find(host);
+      if (it == self->m_links.end() || it->second.endpoint != endpoint) return;
+    }
+    self->Open(host, endpoint);
+  });
+}
+
+}  // namespace peridotshelf::entry
--- /dev/null
+++ b/src/entry/side_links.h
@@ -0,0 +1,49 @@
+/// The entry's connections to the sides, one for each host.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+
+#include "peridotshelf/platform/concepts.h"
+#include "peridotshelf/wire/channel.h"
+
+namespace peridotshelf::entry {
+
+/// Keeps a connection to each listed side and opens lost ones again.
+/// Thread-safe.
+class SideLinks : public std::enable_shared_from_this<SideLinks> {
+ public:
+  using FrameHandler = std::function<void(const HostId&, wire::Frame)>;
+  using LossHandler = std::function<void(const HostId&)>;
+
+  SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
+            wire::HelloSource hello, FrameHandler on_frame,
+            LossHandler on_lost);
+
+  /// Connects to the sides that are new in the list.
+  void Update(std::span<const platform::HostEntry> hosts);
+  /// The open connection to a host's side, or null.
+  wire::ChannelPtr Find(const HostId& host) const;
+
+ private:
+  struct Link {
+    wire::Endpoint endpoint;
+    wire::ChannelPtr channel;
+  };
+  void Open(const HostId& host, const wire::Endpoint& endpoint);
+  void OnClosed(const HostId& host, const wire::Endpoint& endpoint,
+                const Error& reason);
+
+  io::IoThreads& m_threads;
+  wire::ChannelOptions m_options;
+  wire::HelloSource m_hello;
+  FrameHandler m_on_frame;
+  LossHandler m_on_lost;
+  mutable std::mutex m_mutex;
+  std::map<HostId, Link> m_links;
+};
+
+}  // namespace peridotshelf::entry
--- a/src/include/peridotshelf/base/ids.h
+++ b/src/include/peridotshelf/base/ids.h
@@ -25,6 +25,8 @@
   /// Whether no identifier was given.
   bool empty() const { return m_value.empty(); }
 
+  // clang-tidy 14 takes the defaulted operator's literal 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Id&, const Id&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Id& id) {
     return out << id.m_value;
@@ -55,6 +57,7 @@
   RequestId request;
   int32_t number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): as for Id
   friend auto operator<=>(const AttemptId&, const AttemptId&) = default;
   /// "REQUEST.NUMBER", the name under which an engine knows the attempt.
   std::string ToString() const {
--- /dev/null
+++ b/src/include/peridotshelf/entry/entry.h
@@ -0,0 +1,58 @@
+/// The process that takes callers' requests on an entry host.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "peridotshelf/base/error.h"
+#include "peridotshelf/base/ids.h"
+#include "peridotshelf/control/configuration.h"
+#include "peridotshelf/io/io_threads.h"
+#include "peridotshelf/platform/concepts.h"
+#include "peridotshelf/wire/channel.h"
+
+namespace peridotshelf::entry {
+
+/// Who the process is, where it listens and the limits for callers.
+struct EntryOptions {
+  HostId host;
+  FailureDomain failure_domain;
+  std::string address = "127.0.0.1";
+  uint16_t http_port = 8080;
+  size_t max_body_bytes = size_t{64} * 1024 * 1024;
+  /// The window of callers that give none.
+  Duration default_timeout = std::chrono::seconds(60);
+  /// The longest window a caller may ask for.
+  Duration max_timeout = std::chrono::hours(1);
+  wire::ChannelOptions channel;
+};
+
+/// Yields the control state in force now; may be null before the first.
+using ControlSource = std::function<control::ControlStatePtr()>;
+
+/// Serves callers until destroyed.
+class Entry {
+ public:
+  static Result<std::unique_ptr<Entry>> Create(io::IoThreads& threads,
+                                               const EntryOptions& options,
+                                               ControlSource control);
+  ~Entry();
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  /// Takes the platform's newest list of hosts.
+  void UpdateHosts(std::span<const platform::HostEntry> hosts);
+  /// Fails the readiness check from now on; requests are still served.
+  void StartLeaving();
+  /// Requests not answered yet.
+  size_t RunningCount() const;
+
+ private:
+  struct Impl;
+  explicit Entry(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace peridotshelf::entry
--- a/src/include/peridotshelf/wire/channel.h
+++ b/src/include/peridotshelf/wire/channel.h
@@ -19,6 +19,7 @@
 struct Endpoint {
   std::string address;
   uint16_t port = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): a fault of clang-tidy 14
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
   /// "ADDRESS:PORT".
   std::string ToString() const { return address + ":" + std::to_string(port); }
--- /dev/null
+++ b/src/side/side.cc
@@ -0,0 +1,179 @@
+#include "peridotshelf/side/side.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include "peridotshelf/events/log.h"
+#include "peridotshelf/http/client.h"
+#include "side/execution.h"
+#include "side/service_calls.h"
+
+namespace peridotshelf::side {
+namespace {
+
+using events::EventId;
+
+/// A number that grows from one start of the process to the next, since the
+/// machine's clock does; engines use it to refuse a predecessor.
+int64_t MakeEpoch() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+struct Side::Impl : std::enable_shared_from_this<Impl> {
+  Impl(io::IoThreads& io, const SideOptions& side_options,
+       ControlSource control_source)
+      : threads(io),
+        options(side_options),
+        control(std::move(control_source)),
+        process_id(MakeRandomId()),
+        executions(
+            std::make_shared<Executions>(io, side_options.lease, MakeEpoch())),
+        calls(std::make_shared<ServiceCalls>(client)) {}
+
+  wire::Hello MakeHello() const;
+  void OnFrame(const wire::ChannelPtr& channel, wire::Frame frame);
+  void OnReserve(const wire::ChannelPtr& channel, const wire::Reserve& reserve);
+  void OnServiceCall(const wire::ChannelPtr& channel, wire::ServiceCall call);
+  EnginePtr FindEngine(const EngineId& id);
+  Result<std::string> FindBackendUrl(const std::string& id) const;
+
+  io::IoThreads& threads;
+  SideOptions options;
+  ControlSource control;
+  std::string process_id;
+  http::Client client;
+  std::shared_ptr<Executions> executions;
+  std::shared_ptr<ServiceCalls> calls;
+  std::atomic<bool> leaving{false};
+  std::mutex engines_mutex;
+  std::map<EngineId, EnginePtr> engines;
+  std::unique_ptr<wire::Listener> listener;
+};
+
+wire::Hello Side::Impl::MakeHello() const {
+  const control::ControlStatePtr state = control();
+  wire::Hello hello;
+  hello.protocol_version = wire::kProtocolVersion;
+  hello.process_id = process_id;
+  hello.host = options.host.value();
+  hello.role = wire::Role::SIDE;
+  hello.control_version = state ? state->version : 0;
+  hello.failure_domain = options.failure_domain.value();
+  return hello;
+}
+
+EnginePtr Side::Impl::FindEngine(const EngineId& id) {
+  const control::ControlStatePtr state = control();
+  if (!state || !state->configuration) return nullptr;
+  const auto& configured = state->configuration->engines;
+  const auto it = std::find_if(
+      configured.begin(), configured.end(), [&](const auto& engine) {
+        return engine.id == id && engine.host == options.host;
+      });
+  if (it == configured.end()) return nullptr;
+  std::scoped_lock lock(engines_mutex);
+  EnginePtr& engine = engines[id];
+  if (!engine) engine = std::make_shared<Engine>(*it, client);
+  return engine;
+}
+
+Result<std::string> Side::Impl::FindBackendUrl(const std::string& id) const {
+  const control::ControlStatePtr state = control();
+  if (!state || !state->configuration) {
+    return Fail(ErrorCode::kNotReady, "no configuration");
+  }
+  for (const auto& backend : state->configuration->backends) {
+    if (backend.id == id && backend.host == options.host) return backend.url;
+  }
+  return Fail(ErrorCode::kNoBackend, id);
+}
+
+void Side::Impl::OnReserve(const wire::ChannelPtr& channel,
+                           const wire::Reserve& reserve) {
+  const EnginePtr engine = FindEngine(EngineId(reserve.engine));
+  if (engine && !leaving) {
+    executions->Reserve(engine, channel, reserve);
+    return;
+  }
+  wire::Refused refused;
+  refused.attempt = reserve.attempt;
+  refused.code =
+      ToString(leaving ? ErrorCode::kLeaving : ErrorCode::kNoBackend);
+  refused.detail = reserve.engine;
+  refused.load.engine = reserve.engine;
+  refused.load.leaving = leaving;
+  wire::Frame frame;
+  frame.__set_refused(refused);
+  channel->Send(frame);
+}
+
+void Side::Impl::OnServiceCall(const wire::ChannelPtr& channel,
+                               wire::ServiceCall call) {
+  const Result<std::string> url = FindBackendUrl(call.backend);
+  if (leaving || !url) {
+    const ErrorCode code = leaving ? ErrorCode::kLeaving : url.error().code;
+    SendFailed(*channel, call.attempt, {code, call.backend, true, {}});
+    return;
+  }
+  calls->Start(*url, channel, std::move(call));
+}
+
+void Side::Impl::OnFrame(const wire::ChannelPtr& channel, wire::Frame frame) {
+  if (frame.__isset.reserve) {
+    OnReserve(channel, frame.reserve);
+  } else if (frame.__isset.start) {
+    executions->Start(channel, frame.start);
+  } else if (frame.__isset.payload_part) {
+    executions->AddPayload(channel, frame.payload_part);
+  } else if (frame.__isset.cancel) {
+    executions->Cancel(channel, frame.cancel);
+  } else if (frame.__isset.resume) {
+    executions->Resume(channel, frame.resume);
+  } else if (frame.__isset.service_call) {
+    OnServiceCall(channel, std::move(frame.service_call));
+  }
+}
+
+Side::Side(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Side::~Side() { m_impl->listener.reset(); }
+
+Result<std::unique_ptr<Side>> Side::Create(io::IoThreads& threads,
+                                           const SideOptions& options,
+                                           ControlSource control) {
+  auto impl = std::make_shared<Impl>(threads, options, std::move(control));
+  wire::ChannelCallbacks callbacks;
+  callbacks.on_open = [](const wire::ChannelPtr& channel) {
+    events::Log(EventId::kPeerConnected, {{"peer", channel->peer().host}});
+  };
+  callbacks.on_frame = [impl](const wire::ChannelPtr& channel,
+                              wire::Frame frame) {
+    impl->OnFrame(channel, std::move(frame));
+  };
+  callbacks.on_closed = [impl](const wire::ChannelPtr& channel,
+                               const Error& reason) {
+    events::Log(EventId::kPeerLost,
+                {{"peer", channel->peer().host}, {"reason", reason.detail}});
+    impl->executions->Detach(channel);
+  };
+  auto listener = wire::Listener::Create(
+      threads, options.listen, options.channel,
+      [impl] { return impl->MakeHello(); }, std::move(callbacks));
+  if (!listener) return tl::unexpected<Error>(listener.error());
+  impl->listener = std::move(*listener);
+  return std::unique_ptr<Side>(new Side(std::move(impl)));
+}
+
+void Side::StartLeaving() { m_impl->leaving = true; }
+
+size_t Side::RunningCount() const {
+  return m_impl->executions->RunningCount() + m_impl->calls->RunningCount();
+}
+
+}  // namespace peridotshelf::side
--- /dev/null
+++ b/src/standin/engine_standin.cc
@@ -0,0 +1,375 @@
+#include "peridotshelf/standin/engine_standin.h"
+
+#include <xxhash.h>
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridotshelf::standin {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kKeepAliveInterval = std::chrono::milliseconds(500);
+constexpr Duration kFinishedRunKept = std::chrono::seconds(30);
+constexpr int64_t kBytesPerToken = 4;
+constexpr std::string_view kRunsPath = "/v1/engine/runs";
+
+/// What one POST asks for.
+struct RunOrder {
+  std::string attempt;
+  int64_t epoch = 0;
+  std::string model;
+  int64_t max_tokens = 0;
+  uint64_t prompt_hash = 0;
+  int64_t prompt_tokens = 0;
+};
+
+/// One attempt that the engine knows.
+struct Run {
+  RunOrder order;
+  int64_t chunks = 0;
+  bool finished = false;
+  bool cancelled = false;
+  /// The consumer, if one is connected, and the next offset it is owed.
+  http::ResponderPtr consumer;
+  int64_t consumer_offset = 0;
+
+  int64_t MemoryTokens() const {
+    return finished ? 0 : order.prompt_tokens + order.max_tokens;
+  }
+};
+
+using RunPtr = std::shared_ptr<Run>;
+
+Result<uint64_t> HashOf(const json& prompt) {
+  if (prompt.is_string()) {
+    const auto& text = prompt.get_ref<const std::string&>();
+    return XXH64(text.data(), text.size(), 0);
+  }
+  if (!prompt.is_array()) return Fail(ErrorCode::kBadField, "prompt");
+  std::string joined;
+  for (const json& token : prompt) {
+    if (!token.is_number_integer()) return Fail(ErrorCode::kBadField, "prompt");
+    if (!joined.empty()) joined += ',';
+    joined += std::to_string(token.get<int64_t>());
+  }
+  return XXH64(joined.data(), joined.size(), 0);
+}
+
+int64_t CountTokens(const json& prompt) {
+  if (prompt.is_array()) return static_cast<int64_t>(prompt.size());
+  const auto bytes =
+      static_cast<int64_t>(prompt.get_ref<const std::string&>().size());
+  return (bytes + kBytesPerToken - 1) / kBytesPerToken;
+}
+
+Result<RunOrder> ReadOrder(std::string_view body) {
+  const json message = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!message.is_object() || !message.contains("prompt")) {
+    return Fail(ErrorCode::kBadField, "body");
+  }
+  Result<uint64_t> hash = HashOf(message["prompt"]);
+  if (!hash) return tl::unexpected<Error>(hash.error());
+  RunOrder order;
+  order.attempt = message.value("attempt", std::string());
+  order.epoch = message.value("epoch", int64_t{0});
+  order.model = message.value("model", std::string());
+  order.max_tokens = message.value("max_tokens", int64_t{1});
+  order.prompt_hash = *hash;
+  order.prompt_tokens = CountTokens(message["prompt"]);
+  return order;
+}
+
+Error Refusal(ErrorCode code, std::string detail) {
+  return Error{code, std::move(detail), /*not_run=*/true, {}};
+}
+
+}  // namespace
+
+std::string AnswerText(uint64_t prompt_hash, int64_t index) {
+  char text[40];
+  std::snprintf(text, sizeof(text), "%016llx-%lld ",
+                static_cast<unsigned long long>(prompt_hash),  // NOLINT
+                static_cast<long long>(index));                // NOLINT
+  return text;
+}
+
+Result<uint64_t> HashPrompt(std::string_view prompt_json) {
+  return HashOf(json::parse(prompt_json, nullptr, /*allow_exceptions=*/false));
+}
+
+struct EngineStandin::Impl : std::enable_shared_from_this<Impl> {
+  Impl(io::IoThreads& io, EngineStandinOptions engine_options)
+      : threads(io), options(std::move(engine_options)) {}
+
+  void Handle(const http::ServerRequest& request,
+              const http::ResponderPtr& responder);
+  void Start(const http::ServerRequest& request,
+             const http::ResponderPtr& responder);
+  Result<RunPtr> Accept(RunOrder order, const http::ResponderPtr& responder);
+  void Resume(std::string_view attempt, int64_t from,
+              const http::ResponderPtr& responder);
+  void Cancel(std::string_view attempt, const http::ResponderPtr& responder);
+  void List(const http::ResponderPtr& responder);
+  void ListExecutions(const http::ResponderPtr& responder);
+  void Report(const http::ResponderPtr& responder);
+  void Attach(const RunPtr& run, const http::ResponderPtr& responder,
+              int64_t from);
+  void Generate(const RunPtr& run);
+  void Serve(Run& run);
+  void KeepAlive(const RunPtr& run);
+  Duration PrefillTime(int64_t tokens) const;
+
+  io::IoThreads& threads;
+  EngineStandinOptions options;
+  std::mutex mutex;
+  std::unordered_map<std::string, RunPtr> runs;
+  std::vector<std::string> executions;
+  int64_t used_tokens = 0;
+  int32_t used_slots = 0;
+  int64_t newest_epoch = 0;
+  std::unique_ptr<http::Server> server;
+};
+
+Duration EngineStandin::Impl::PrefillTime(int64_t tokens) const {
+  const double quadratic = options.prefill_quadratic_ns *
+                           static_cast<double>(tokens) *
+                           static_cast<double>(tokens);
+  return options.prefill_per_token * tokens +
+         Duration{static_cast<int64_t>(quadratic)};
+}
+
+Result<RunPtr> EngineStandin::Impl::Accept(
+    RunOrder order, const http::ResponderPtr& responder) {
+  std::scoped_lock lock(mutex);
+  const int64_t tokens = order.prompt_tokens + order.max_tokens;
+  if (order.model != options.model) {
+    return tl::unexpected<Error>(
+        Refusal(ErrorCode::kUnknownModel, order.model));
+  }
+  if (options.checks_fencing && order.epoch < newest_epoch) {
+    return tl::unexpected<Error>(
+        Refusal(ErrorCode::kVersionConflict, "older epoch"));
+  }
+  if (runs.contains(order.attempt)) {
+    return Fail(ErrorCode::kKeyInUse, order.attempt);
+  }
+  if (used_slots >= options.slots ||
+      used_tokens + tokens > options.memory_tokens) {
+    return tl::unexpected<Error>(
+        Refusal(ErrorCode::kOverloaded, "no slot or memory"));
+  }
+  newest_epoch = std::max(newest_epoch, order.epoch);
+  used_slots += 1;
+  used_tokens += tokens;
+  executions.push_back(order.attempt);
+  auto run = std::make_shared<Run>();
+  run->order = std::move(order);
+  run->consumer = responder;
+  runs.emplace(run->order.attempt, run);
+  return run;
+}
+
+void EngineStandin::Impl::Start(const http::ServerRequest& request,
+                                const http::ResponderPtr& responder) {
+  Result<RunOrder> order = ReadOrder(request.body);
+  if (!order) {
+    http::ReplyError(*responder, order.error());
+    return;
+  }
+  Result<RunPtr> run = Accept(std::move(*order), responder);
+  if (!run) {
+    http::ReplyError(*responder, run.error());
+    return;
+  }
+  responder->BeginStream(200, {{"Content-Type", "application/x-ndjson"}});
+  KeepAlive(*run);
+  const Duration prefill = PrefillTime((*run)->order.prompt_tokens);
+  auto self = shared_from_this();
+  if (prefill == Duration::zero()) {
+    Generate(*run);
+  } else {
+    threads.After(prefill, [self, run = *run] { self->Generate(run); });
+  }
+}
+
+/// Sends an empty line now and then, so that a long prefill is told from
+/// death.
+void EngineStandin::Impl::KeepAlive(const RunPtr& run) {
+  threads.After(kKeepAliveInterval, [self = shared_from_this(), run] {
+    std::scoped_lock lock(self->mutex);
+    if (run->finished || run->cancelled) return;
+    if (run->consumer) run->consumer->Write("\n");
+    self->KeepAlive(run);
+  });
+}
+
+/// Generates the next token, or all when tokens take no time.
+void EngineStandin::Impl::Generate(const RunPtr& run) {
+  std::scoped_lock lock(mutex);
+  if (run->cancelled || run->finished) return;
+  const bool at_once = options.token_interval == Duration::zero();
+  run->chunks = at_once ? run->order.max_tokens : run->chunks + 1;
+  const bool ends = run->chunks >= run->order.max_tokens;
+  if (ends) {
+    used_tokens -= run->MemoryTokens();
+    used_slots -= 1;
+    run->finished = true;
+    threads.After(kFinishedRunKept, [self = shared_from_this(), run] {
+      std::scoped_lock inner(self->mutex);
+      self->runs.erase(run->order.attempt);
+    });
+  }
+  Serve(*run);
+  if (ends) return;
+  threads.After(options.token_interval,
+                [self = shared_from_this(), run] { self->Generate(run); });
+}
+
+/// Sends the consumer what it is owed. The caller holds the lock.
+void EngineStandin::Impl::Serve(Run& run) {
+  if (!run.consumer) return;
+  std::string lines;
+  for (; run.consumer_offset < run.chunks; ++run.consumer_offset) {
+    lines +=
+        json{{"offset", run.consumer_offset},
+             {"text", AnswerText(run.order.prompt_hash, run.consumer_offset)}}
+            .dump();
+    lines += '\n';
+  }
+  if (run.finished) {
+    lines += json{{"done", true},
+                  {"chunks", run.chunks},
+                  {"prompt_tokens", run.order.prompt_tokens},
+                  {"cached_tokens", 0}}
+                 .dump() +
+             '\n';
+  }
+  run.consumer->Write(std::move(lines));
+  if (!run.finished) return;
+  run.consumer->EndStream();
+  run.consumer.reset();
+}
+
+void EngineStandin::Impl::Resume(std::string_view attempt, int64_t from,
+                                 const http::ResponderPtr& responder) {
+  std::scoped_lock lock(mutex);
+  auto it = runs.find(std::string(attempt));
+  if (it == runs.end()) {
+    http::ReplyError(
+        *responder, {ErrorCode::kUnknownService, "unknown attempt", false, {}});
+    return;
+  }
+  Run& run = *it->second;
+  if (run.consumer) run.consumer->EndStream();
+  responder->BeginStream(200, {{"Content-Type", "application/x-ndjson"}});
+  run.consumer = responder;
+  run.consumer_offset = from;
+  Serve(run);
+}
+
+void EngineStandin::Impl::Cancel(std::string_view attempt,
+                                 const http::ResponderPtr& responder) {
+  {
+    std::scoped_lock lock(mutex);
+    auto it = runs.find(std::string(attempt));
+    if (it != runs.end()) {
+      Run& run = *it->second;
+      if (!run.finished) {
+        used_tokens -= run.MemoryTokens();
+        used_slots -= 1;
+      }
+      run.cancelled = true;
+      if (run.consumer) run.consumer->EndStream();
+      runs.erase(it);
+    }
+  }
+  responder->Reply(200, {{"Content-Type", "application/json"}}, "{}");
+}
+
+void EngineStandin::Impl::List(const http::ResponderPtr& responder) {
+  json streams = json::array();
+  {
+    std::scoped_lock lock(mutex);
+    for (const auto& [attempt, run] : runs) {
+      streams.push_back({{"attempt", attempt},
+                         {"epoch", run->order.epoch},
+                         {"memory_tokens", run->MemoryTokens()},
+                         {"chunks", run->chunks},
+                         {"finished", run->finished}});
+    }
+  }
+  responder->Reply(200, {{"Content-Type", "application/json"}},
+                   json{{"streams", streams}}.dump());
+}
+
+void EngineStandin::Impl::ListExecutions(const http::ResponderPtr& responder) {
+  std::scoped_lock lock(mutex);
+  responder->Reply(200, {{"Content-Type", "application/json"}},
+                   json{{"executions", executions}}.dump());
+}
+
+void EngineStandin::Impl::Report(const http::ResponderPtr& responder) {
+  std::scoped_lock lock(mutex);
+  responder->Reply(200, {{"Content-Type", "application/json"}},
+                   json{{"memory_tokens", options.memory_tokens},
+                        {"used_tokens", used_tokens},
+                        {"slots", options.slots},
+                        {"used_slots", used_slots}}
+                       .dump());
+}
+
+void EngineStandin::Impl::Handle(const http::ServerRequest& request,
+                                 const http::ResponderPtr& responder) {
+  const std::string_view path = request.path;
+  const bool names_run =
+      path.starts_with(kRunsPath) && path.size() > kRunsPath.size() + 1;
+  const std::string_view attempt =
+      names_run ? path.substr(kRunsPath.size() + 1) : std::string_view();
+  if (path == kRunsPath && request.method == "POST") {
+    Start(request, responder);
+  } else if (path == kRunsPath) {
+    List(responder);
+  } else if (names_run && request.method == "DELETE") {
+    Cancel(attempt, responder);
+  } else if (names_run) {
+    const std::string from(request.FindQuery("from").value_or("0"));
+    Resume(attempt, std::strtoll(from.c_str(), nullptr, 10), responder);
+  } else if (path == "/v1/engine/report") {
+    Report(responder);
+  } else if (path == "/executions") {
+    ListExecutions(responder);
+  } else {
+    http::ReplyError(*responder,
+                     {ErrorCode::kUnknownService, request.path, true, {}});
+  }
+}
+
+EngineStandin::EngineStandin(std::shared_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+
+EngineStandin::~EngineStandin() { m_impl->server.reset(); }
+
+Result<std::unique_ptr<EngineStandin>> EngineStandin::Create(
+    io::IoThreads& threads, const EngineStandinOptions& options) {
+  auto impl = std::make_shared<Impl>(threads, options);
+  http::ServerOptions server_options;
+  server_options.address = options.address;
+  server_options.port = options.port;
+  // The server belongs to the implementation, so a plain pointer is enough.
+  auto server = http::Server::Create(
+      threads, server_options,
+      [engine = impl.get()](const http::ServerRequest& request,
+                            const http::ResponderPtr& responder) {
+        engine->Handle(request, responder);
+      });
+  if (!server) return tl::unexpected<Error>(server.error());
+  impl->server = std::move(*server);
+  return std::unique_ptr<EngineStandin>(new EngineStandin(std::move(impl)));
+}
+
+}  // namespace peridotshelf::standin
