Declare the settings of daemons and stand-ins once each, typed

One declaration gives a setting's flag, environment variable, range, default and help; the default is the member's initial value, so it stands once. Values with two meanings (an integer with a unit suffix, host names as addresses) were left out: each setting has one unit, in its flag.

--- /dev/null
+++ b/src/include/peridotshelf/settings/daemon_settings.h
@@ -0,0 +1,65 @@
+/// The settings of the two daemons, `entry` and `side`.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "peridotshelf/base/clock.h"
+#include "peridotshelf/events/catalogue.h"
+#include "peridotshelf/settings/schema.h"
+
+namespace peridotshelf::settings {
+
+/// What `peridotshelf entry` is told.
+struct EntrySettings {
+  /// Name of this host, as the platform's list has it.
+  std::string host;
+  std::string failure_domain;
+  /// Address to listen on.
+  std::string address = "127.0.0.1";
+  /// Port for callers, health and metrics.
+  uint16_t http_port = 8080;
+  /// Base URLs of the platform's log service and host list.
+  std::string log_url;
+  std::string hosts_url;
+  /// Threads for sockets and timers.
+  int32_t threads = 2;
+  /// Time between failing readiness and refusing new connections.
+  Duration drain_delay = std::chrono::seconds(5);
+  events::Level log_level = events::Level::kInfo;
+  /// Largest request body, in bytes.
+  int64_t max_body_bytes = int64_t{64} << 20;
+  /// A request's time when the caller names none.
+  Duration default_timeout = std::chrono::seconds(60);
+  /// The most that a caller may ask for.
+  Duration max_timeout = std::chrono::hours(1);
+};
+
+/// What `peridotshelf side` is told.
+struct SideSettings {
+  /// Name of this host, as the platform's list and the configuration have it.
+  std::string host;
+  std::string failure_domain;
+  /// Address to listen on.
+  std::string address = "127.0.0.1";
+  /// Port for connections from entries.
+  uint16_t port = 7400;
+  /// Port for health and metrics.
+  uint16_t http_port = 7480;
+  /// Base URLs of the platform's log service and host list.
+  std::string log_url;
+  std::string hosts_url;
+  /// Threads for sockets and timers.
+  int32_t threads = 2;
+  events::Level log_level = events::Level::kInfo;
+  /// Time that a reservation or a running attempt is kept without its entry.
+  Duration lease = std::chrono::seconds(5);
+};
+
+/// How `entry` is configured.
+const Schema<EntrySettings>& EntrySchema();
+/// How `side` is configured.
+const Schema<SideSettings>& SideSchema();
+
+}  // namespace peridotshelf::settings
--- /dev/null
+++ b/src/include/peridotshelf/settings/standin_settings.h
@@ -0,0 +1,63 @@
+/// The settings of the small stand-ins for the platform and the backend
+/// servers, which serve tests and demonstrations.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "peridotshelf/base/clock.h"
+#include "peridotshelf/settings/schema.h"
+
+namespace peridotshelf::settings {
+
+/// What `peridotshelf standin engine` is told.
+struct EngineStandinSettings {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  std::string model = "demo";
+  /// KV cache size, in tokens.
+  int64_t memory_tokens = 400'000;
+  /// Streams batched at once.
+  int32_t slots = 16;
+  /// Prompt tokens read a second; 0 for at once.
+  int64_t prefill_tokens_per_second = 0;
+  /// Time between two pieces of an answer.
+  Duration chunk_interval{};
+  /// Whether an order with an older fencing number is refused.
+  bool checks_fencing = false;
+};
+
+/// What `peridotshelf standin service` is told.
+struct ServiceStandinSettings {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  /// Time before each answer.
+  Duration delay{};
+};
+
+/// What `peridotshelf standin log` is told.
+struct LogStandinSettings {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  /// Records kept; older ones expire.
+  int64_t max_records = 100'000;
+  /// Appends taken a second; more are refused.
+  int64_t appends_per_second = 400;
+};
+
+/// What `peridotshelf standin hosts` is told.
+struct HostsStandinSettings {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  /// How far the list lags behind what it was told.
+  Duration lag{};
+};
+
+/// How each stand-in is configured.
+const Schema<EngineStandinSettings>& EngineStandinSchema();
+const Schema<ServiceStandinSettings>& ServiceStandinSchema();
+const Schema<LogStandinSettings>& LogStandinSchema();
+const Schema<HostsStandinSettings>& HostsStandinSchema();
+
+}  // namespace peridotshelf::settings
--- /dev/null
+++ b/src/settings/setting.cc
@@ -0,0 +1,88 @@
+#include "peridotshelf/settings/setting.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iomanip>
+#include <ostream>
+
+namespace peridotshelf::settings {
+namespace {
+
+std::string Subject(const SettingFault& fault) {
+  if (fault.value.source == Source::kEnvironment) {
+    return fault.variable + " (" + fault.flag + ")";
+  }
+  return fault.flag;
+}
+
+}  // namespace
+
+Environment ProcessEnvironment() {
+  return [](std::string_view name) -> std::optional<std::string> {
+    const char* value = std::getenv(std::string(name).c_str());
+    if (value == nullptr) return std::nullopt;
+    return value;
+  };
+}
+
+std::string_view ToString(Source source) {
+  switch (source) {
+    case Source::kFlag:
+      return "flag";
+    case Source::kEnvironment:
+      return "environment";
+    case Source::kDefault:
+      return "default";
+  }
+  return "default";
+}
+
+std::string SettingFault::ToString() const {
+  std::string subject = Subject(*this);
+  const std::string quoted = "\"" + value.text + "\"";
+  switch (kind) {
+    case FaultKind::kUnknownArgument:
+      return "unknown argument " + quoted;
+    case FaultKind::kMissing: {
+      const std::string or_variable =
+          variable.empty() ? "" : " (or " + variable + ")";
+      return subject + or_variable + " is required; allowed: " + allowed;
+    }
+    case FaultKind::kMissingValue:
+      return subject + " needs a value; allowed: " + allowed;
+    case FaultKind::kRepeated:
+      return subject + " is given more than once, last as " + quoted +
+             "; allowed: once";
+    case FaultKind::kNotAllowed:
+    case FaultKind::kConflict:
+      return subject + " is " + quoted + "; allowed: " + allowed;
+  }
+  return subject;
+}
+
+void PrintSettings(std::ostream& out,
+                   std::span<const SettingInForce> settings) {
+  size_t flag_width = 0;
+  size_t value_width = 0;
+  for (const SettingInForce& setting : settings) {
+    flag_width = std::max(flag_width, setting.flag.size());
+    value_width = std::max(value_width, setting.value.text.size());
+  }
+  constexpr int kSourceWidth = 12;
+  for (const SettingInForce& setting : settings) {
+    out << std::left << std::setw(static_cast<int>(flag_width) + 2)
+        << setting.flag << std::setw(static_cast<int>(value_width) + 2)
+        << setting.value.text << std::setw(kSourceWidth)
+        << ToString(setting.value.source) << setting.variable << "\n";
+  }
+}
+
+void PrintFaults(std::ostream& out, std::string_view command,
+                 std::span<const SettingFault> faults) {
+  for (const SettingFault& fault : faults) {
+    out << "peridotshelf " << command << ": " << fault.ToString() << "\n";
+  }
+  out << "See: peridotshelf " << command << " --help\n";
+}
+
+}  // namespace peridotshelf::settings
--- /dev/null
+++ b/src/settings/standin_settings.cc
@@ -0,0 +1,106 @@
+#include "peridotshelf/settings/standin_settings.h"
+
+namespace peridotshelf::settings {
+namespace {
+
+constexpr Range<int64_t> kTokens{1, 1'000'000'000};
+constexpr Range<int64_t> kSlots{1, 4096};
+constexpr Range<int64_t> kRate{0, 1'000'000'000};
+constexpr Range<int64_t> kDelayMs{0, 600'000};
+constexpr Range<int64_t> kRecords{1, 100'000'000};
+
+/// Where a stand-in listens.
+template <class S>
+void AddListener(SettingsBuilder<S>& builder) {
+  builder.Address(&S::address, {"--address", "Address to listen on."})
+      .Port(&S::port, {"--port", "Port to listen on; 0: any."});
+}
+
+Schema<EngineStandinSettings> MakeEngineSchema() {
+  using S = EngineStandinSettings;
+  SettingsBuilder<S> builder("standin engine",
+                             "Stands in for a model engine in tests.");
+  AddListener(builder);
+  builder.Name(&S::model, {"--model", "Model that is served."})
+      .Integer(&S::memory_tokens, {"--memory-tokens", "Size of the KV cache."},
+               kTokens, "TOKENS")
+      .Integer(&S::slots, {"--slots", "Streams batched at once."}, kSlots,
+               "COUNT")
+      .Integer(&S::prefill_tokens_per_second,
+               {"--prefill-tokens-per-second",
+                "Prompt tokens read a second; 0: at once."},
+               kRate, "TOKENS")
+      .Milliseconds(
+          &S::chunk_interval,
+          {"--chunk-interval-ms", "Time between two pieces of an answer."},
+          kDelayMs)
+      .Switch(
+          &S::checks_fencing,
+          {"--checks-fencing", "Refuse orders with an older fencing number."})
+      .Example("peridotshelf standin engine --port 9100");
+  return builder.Build();
+}
+
+Schema<ServiceStandinSettings> MakeServiceSchema() {
+  using S = ServiceStandinSettings;
+  SettingsBuilder<S> builder("standin service",
+                             "Stands in for a plain service in tests.");
+  AddListener(builder);
+  builder
+      .Milliseconds(&S::delay, {"--delay-ms", "Time before each answer."},
+                    kDelayMs)
+      .Example("peridotshelf standin service --port 9200");
+  return builder.Build();
+}
+
+Schema<LogStandinSettings> MakeLogSchema() {
+  using S = LogStandinSettings;
+  SettingsBuilder<S> builder("standin log",
+                             "Stands in for the platform's log in tests.");
+  AddListener(builder);
+  builder
+      .Integer(&S::max_records,
+               {"--max-records", "Records kept; older ones expire."}, kRecords,
+               "COUNT")
+      .Integer(&S::appends_per_second,
+               {"--appends-per-second", "Appends taken a second."}, kRate,
+               "COUNT")
+      .Example("peridotshelf standin log --port 9000");
+  return builder.Build();
+}
+
+Schema<HostsStandinSettings> MakeHostsSchema() {
+  using S = HostsStandinSettings;
+  SettingsBuilder<S> builder(
+      "standin hosts", "Stands in for the platform's host list in tests.");
+  AddListener(builder);
+  builder
+      .Milliseconds(&S::lag, {"--lag-ms", "Age of the list that is given."},
+                    kDelayMs)
+      .Example("peridotshelf standin hosts --port 9001");
+  return builder.Build();
+}
+
+}  // namespace
+
+const Schema<EngineStandinSettings>& EngineStandinSchema() {
+  static const Schema<EngineStandinSettings> schema = MakeEngineSchema();
+  return schema;
+}
+
+const Schema<ServiceStandinSettings>& ServiceStandinSchema() {
+  static const Schema<ServiceStandinSettings> schema = MakeServiceSchema();
+  return schema;
+}
+
+const Schema<LogStandinSettings>& LogStandinSchema() {
+  static const Schema<LogStandinSettings> schema = MakeLogSchema();
+  return schema;
+}
+
+const Schema<HostsStandinSettings>& HostsStandinSchema() {
+  static const Schema<HostsStandinSettings> schema = MakeHostsSchema();
+  return schema;
+}
+
+}  // namespace peridotshelf::settings
