Add gossip membership in virtual time

Cause: at 390 daemons a full mesh of health checks does not fit 3 KB a second, and the platform's list lags.

--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -77,6 +77,70 @@
   }
 }
 
+int _kMemberStateValues[] = {
+  MemberState::ALIVE,
+  MemberState::SUSPECT,
+  MemberState::DEAD,
+  MemberState::LEAVING
+};
+const char* _kMemberStateNames[] = {
+  "ALIVE",
+  "SUSPECT",
+  "DEAD",
+  "LEAVING"
+};
+const std::map<int, const char*> _MemberState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kMemberStateValues, _kMemberStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const MemberState::type& val) {
+  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
+  if (it != _MemberState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const MemberState::type& val) {
+  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
+  if (it != _MemberState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kGossipKindValues[] = {
+  GossipKind::PING,
+  GossipKind::ACK,
+  GossipKind::PING_REQUEST
+};
+const char* _kGossipKindNames[] = {
+  "PING",
+  "ACK",
+  "PING_REQUEST"
+};
+const std::map<int, const char*> _GossipKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kGossipKindValues, _kGossipKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const GossipKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GossipKind_VALUES_TO_NAMES.find(val);
+  if (it != _GossipKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const GossipKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GossipKind_VALUES_TO_NAMES.find(val);
+  if (it != _GossipKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Hello::~Hello() noexcept {
 }
@@ -3350,6 +3414,432 @@
 }
 
 
+MemberUpdate::~MemberUpdate() noexcept {
+}
+
+
+void MemberUpdate::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void MemberUpdate::__set_state(const MemberState::type val) {
+  this->state = val;
+}
+
+void MemberUpdate::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast80;
+          xfer += iprot->readI32(ecast80);
+          this->state = static_cast<MemberState::type>(ecast80);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberUpdate");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberUpdate &a, MemberUpdate &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.state, b.state);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+MemberUpdate::MemberUpdate(const MemberUpdate& other81) {
+  host = other81.host;
+  state = other81.state;
+  incarnation = other81.incarnation;
+  __isset = other81.__isset;
+}
+MemberUpdate::MemberUpdate(MemberUpdate&& other82) noexcept {
+  host = std::move(other82.host);
+  state = other82.state;
+  incarnation = other82.incarnation;
+  __isset = other82.__isset;
+}
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other83) {
+  host = other83.host;
+  state = other83.state;
+  incarnation = other83.incarnation;
+  __isset = other83.__isset;
+  return *this;
+}
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other84) noexcept {
+  host = std::move(other84.host);
+  state = other84.state;
+  incarnation = other84.incarnation;
+  __isset = other84.__isset;
+  return *this;
+}
+void MemberUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberUpdate(";
+  out << "host=" << to_string(host);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+Gossip::~Gossip() noexcept {
+}
+
+
+void Gossip::__set_kind(const GossipKind::type val) {
+  this->kind = val;
+}
+
+void Gossip::__set_sequence(const int32_t val) {
+  this->sequence = val;
+}
+
+void Gossip::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void Gossip::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void Gossip::__set_control_version(const int64_t val) {
+  this->control_version = val;
+}
+
+void Gossip::__set_subject(const std::string& val) {
+  this->subject = val;
+}
+
+void Gossip::__set_updates(const std::vector<MemberUpdate> & val) {
+  this->updates = val;
+}
+
+void Gossip::__set_sender_state(const MemberState::type val) {
+  this->sender_state = val;
+}
+std::ostream& operator<<(std::ostream& out, const Gossip& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Gossip::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast85;
+          xfer += iprot->readI32(ecast85);
+          this->kind = static_cast<GossipKind::type>(ecast85);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->control_version);
+          this->__isset.control_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->subject);
+          this->__isset.subject = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->updates.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->updates.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += this->updates[_i90].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.updates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast91;
+          xfer += iprot->readI32(ecast91);
+          this->sender_state = static_cast<MemberState::type>(ecast91);
+          this->__isset.sender_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Gossip::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Gossip");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->control_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->subject);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
+    std::vector<MemberUpdate> ::const_iterator _iter92;
+    for (_iter92 = this->updates.begin(); _iter92 != this->updates.end(); ++_iter92)
+    {
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender_state", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->sender_state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Gossip &a, Gossip &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.sequence, b.sequence);
+  swap(a.sender, b.sender);
+  swap(a.incarnation, b.incarnation);
+  swap(a.control_version, b.control_version);
+  swap(a.subject, b.subject);
+  swap(a.updates, b.updates);
+  swap(a.sender_state, b.sender_state);
+  swap(a.__isset, b.__isset);
+}
+
+Gossip::Gossip(const Gossip& other93) {
+  kind = other93.kind;
+  sequence = other93.sequence;
+  sender = other93.sender;
+  incarnation = other93.incarnation;
+  control_version = other93.control_version;
+  subject = other93.subject;
+  updates = other93.updates;
+  sender_state = other93.sender_state;
+  __isset = other93.__isset;
+}
+Gossip::Gossip(Gossip&& other94) noexcept {
+  kind = other94.kind;
+  sequence = other94.sequence;
+  sender = std::move(other94.sender);
+  incarnation = other94.incarnation;
+  control_version = other94.control_version;
+  subject = std::move(other94.subject);
+  updates = std::move(other94.updates);
+  sender_state = other94.sender_state;
+  __isset = other94.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other95) {
+  kind = other95.kind;
+  sequence = other95.sequence;
+  sender = other95.sender;
+  incarnation = other95.incarnation;
+  control_version = other95.control_version;
+  subject = other95.subject;
+  updates = other95.updates;
+  sender_state = other95.sender_state;
+  __isset = other95.__isset;
+  return *this;
+}
+Gossip& Gossip::operator=(Gossip&& other96) noexcept {
+  kind = other96.kind;
+  sequence = other96.sequence;
+  sender = std::move(other96.sender);
+  incarnation = other96.incarnation;
+  control_version = other96.control_version;
+  subject = std::move(other96.subject);
+  updates = std::move(other96.updates);
+  sender_state = other96.sender_state;
+  __isset = other96.__isset;
+  return *this;
+}
+void Gossip::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Gossip(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "control_version=" << to_string(control_version);
+  out << ", " << "subject=" << to_string(subject);
+  out << ", " << "updates=" << to_string(updates);
+  out << ", " << "sender_state=" << to_string(sender_state);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -3712,82 +4202,82 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other80) {
-  hello = other80.hello;
-  heartbeat = other80.heartbeat;
-  reserve = other80.reserve;
-  granted = other80.granted;
-  queued = other80.queued;
-  refused = other80.refused;
-  start = other80.start;
-  payload_part = other80.payload_part;
-  chunk = other80.chunk;
-  finished = other80.finished;
-  failed = other80.failed;
-  cancel = other80.cancel;
-  resume = other80.resume;
-  service_call = other80.service_call;
-  pull_control = other80.pull_control;
-  control_state = other80.control_state;
-  __isset = other80.__isset;
-}
-Frame::Frame(Frame&& other81) noexcept {
-  hello = std::move(other81.hello);
-  heartbeat = std::move(other81.heartbeat);
-  reserve = std::move(other81.reserve);
-  granted = std::move(other81.granted);
-  queued = std::move(other81.queued);
-  refused = std::move(other81.refused);
-  start = std::move(other81.start);
-  payload_part = std::move(other81.payload_part);
-  chunk = std::move(other81.chunk);
-  finished = std::move(other81.finished);
-  failed = std::move(other81.failed);
-  cancel = std::move(other81.cancel);
-  resume = std::move(other81.resume);
-  service_call = std::move(other81.service_call);
-  pull_control = std::move(other81.pull_control);
-  control_state = std::move(other81.control_state);
-  __isset = other81.__isset;
-}
-Frame& Frame::operator=(const Frame& other82) {
-  hello = other82.hello;
-  heartbeat = other82.heartbeat;
-  reserve = other82.reserve;
-  granted = other82.granted;
-  queued = other82.queued;
-  refused = other82.refused;
-  start = other82.start;
-  payload_part = other82.payload_part;
-  chunk = other82.chunk;
-  finished = other82.finished;
-  failed = other82.failed;
-  cancel = other82.cancel;
-  resume = other82.resume;
-  service_call = other82.service_call;
-  pull_control = other82.pull_control;
-  control_state = other82.control_state;
-  __isset = other82.__isset;
+Frame::Frame(const Frame& other97) {
+  hello = other97.hello;
+  heartbeat = other97.heartbeat;
+  reserve = other97.reserve;
+  granted = other97.granted;
+  queued = other97.queued;
+  refused = other97.refused;
+  start = other97.start;
+  payload_part = other97.payload_part;
+  chunk = other97.chunk;
+  finished = other97.finished;
+  failed = other97.failed;
+  cancel = other97.cancel;
+  resume = other97.resume;
+  service_call = other97.service_call;
+  pull_control = other97.pull_control;
+  control_state = other97.control_state;
+  __isset = other97.__isset;
+}
+Frame::Frame(Frame&& other98) noexcept {
+  hello = std::move(other98.hello);
+  heartbeat = std::move(other98.heartbeat);
+  reserve = std::move(other98.reserve);
+  granted = std::move(other98.granted);
+  queued = std::move(other98.queued);
+  refused = std::move(other98.refused);
+  start = std::move(other98.start);
+  payload_part = std::move(other98.payload_part);
+  chunk = std::move(other98.chunk);
+  finished = std::move(other98.finished);
+  failed = std::move(other98.failed);
+  cancel = std::move(other98.cancel);
+  resume = std::move(other98.resume);
+  service_call = std::move(other98.service_call);
+  pull_control = std::move(other98.pull_control);
+  control_state = std::move(other98.control_state);
+  __isset = other98.__isset;
+}
+Frame& Frame::operator=(const Frame& other99) {
+  hello = other99.hello;
+  heartbeat = other99.heartbeat;
+  reserve = other99.reserve;
+  granted = other99.granted;
+  queued = other99.queued;
+  refused = other99.refused;
+  start = other99.start;
+  payload_part = other99.payload_part;
+  chunk = other99.chunk;
+  finished = other99.finished;
+  failed = other99.failed;
+  cancel = other99.cancel;
+  resume = other99.resume;
+  service_call = other99.service_call;
+  pull_control = other99.pull_control;
+  control_state = other99.control_state;
+  __isset = other99.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other83) noexcept {
-  hello = std::move(other83.hello);
-  heartbeat = std::move(other83.heartbeat);
-  reserve = std::move(other83.reserve);
-  granted = std::move(other83.granted);
-  queued = std::move(other83.queued);
-  refused = std::move(other83.refused);
-  start = std::move(other83.start);
-  payload_part = std::move(other83.payload_part);
-  chunk = std::move(other83.chunk);
-  finished = std::move(other83.finished);
-  failed = std::move(other83.failed);
-  cancel = std::move(other83.cancel);
-  resume = std::move(other83.resume);
-  service_call = std::move(other83.service_call);
-  pull_control = std::move(other83.pull_control);
-  control_state = std::move(other83.control_state);
-  __isset = other83.__isset;
+Frame& Frame::operator=(Frame&& other100) noexcept {
+  hello = std::move(other100.hello);
+  heartbeat = std::move(other100.heartbeat);
+  reserve = std::move(other100.reserve);
+  granted = std::move(other100.granted);
+  queued = std::move(other100.queued);
+  refused = std::move(other100.refused);
+  start = std::move(other100.start);
+  payload_part = std::move(other100.payload_part);
+  chunk = std::move(other100.chunk);
+  finished = std::move(other100.finished);
+  failed = std::move(other100.failed);
+  cancel = std::move(other100.cancel);
+  resume = std::move(other100.resume);
+  service_call = std::move(other100.service_call);
+  pull_control = std::move(other100.pull_control);
+  control_state = std::move(other100.control_state);
+  __isset = other100.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -50,6 +50,35 @@
 
 std::string to_string(const SizeClass::type& val);
 
+struct MemberState {
+  enum type {
+    ALIVE = 1,
+    SUSPECT = 2,
+    DEAD = 3,
+    LEAVING = 4
+  };
+};
+
+extern const std::map<int, const char*> _MemberState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const MemberState::type& val);
+
+std::string to_string(const MemberState::type& val);
+
+struct GossipKind {
+  enum type {
+    PING = 1,
+    ACK = 2,
+    PING_REQUEST = 3
+  };
+};
+
+extern const std::map<int, const char*> _GossipKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const GossipKind::type& val);
+
+std::string to_string(const GossipKind::type& val);
+
 class Hello;
 
 class Heartbeat;
@@ -86,6 +115,10 @@
 
 class ControlState;
 
+class MemberUpdate;
+
+class Gossip;
+
 class Frame;
 
 typedef struct _Hello__isset {
@@ -1345,6 +1378,170 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlState& obj);
 
+typedef struct _MemberUpdate__isset {
+  _MemberUpdate__isset() : host(false), state(false), incarnation(false) {}
+  bool host :1;
+  bool state :1;
+  bool incarnation :1;
+} _MemberUpdate__isset;
+
+class MemberUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberUpdate(const MemberUpdate&);
+  MemberUpdate(MemberUpdate&&) noexcept;
+  MemberUpdate& operator=(const MemberUpdate&);
+  MemberUpdate& operator=(MemberUpdate&&) noexcept;
+  MemberUpdate() noexcept
+               : host(),
+                 state(static_cast<MemberState::type>(0)),
+                 incarnation(0) {
+  }
+
+  virtual ~MemberUpdate() noexcept;
+  std::string host;
+  /**
+   * 
+   * @see MemberState
+   */
+  MemberState::type state;
+  int64_t incarnation;
+
+  _MemberUpdate__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_state(const MemberState::type val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const MemberUpdate & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberUpdate &a, MemberUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
+
+typedef struct _Gossip__isset {
+  _Gossip__isset() : kind(false), sequence(false), sender(false), incarnation(false), control_version(false), subject(false), updates(false), sender_state(false) {}
+  bool kind :1;
+  bool sequence :1;
+  bool sender :1;
+  bool incarnation :1;
+  bool control_version :1;
+  bool subject :1;
+  bool updates :1;
+  bool sender_state :1;
+} _Gossip__isset;
+
+class Gossip : public virtual ::apache::thrift::TBase {
+ public:
+
+  Gossip(const Gossip&);
+  Gossip(Gossip&&) noexcept;
+  Gossip& operator=(const Gossip&);
+  Gossip& operator=(Gossip&&) noexcept;
+  Gossip() noexcept
+         : kind(static_cast<GossipKind::type>(0)),
+           sequence(0),
+           sender(),
+           incarnation(0),
+           control_version(0),
+           subject(),
+           sender_state(static_cast<MemberState::type>(0)) {
+  }
+
+  virtual ~Gossip() noexcept;
+  /**
+   * 
+   * @see GossipKind
+   */
+  GossipKind::type kind;
+  int32_t sequence;
+  std::string sender;
+  int64_t incarnation;
+  int64_t control_version;
+  std::string subject;
+  std::vector<MemberUpdate>  updates;
+  /**
+   * 
+   * @see MemberState
+   */
+  MemberState::type sender_state;
+
+  _Gossip__isset __isset;
+
+  void __set_kind(const GossipKind::type val);
+
+  void __set_sequence(const int32_t val);
+
+  void __set_sender(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_control_version(const int64_t val);
+
+  void __set_subject(const std::string& val);
+
+  void __set_updates(const std::vector<MemberUpdate> & val);
+
+  void __set_sender_state(const MemberState::type val);
+
+  bool operator == (const Gossip & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(control_version == rhs.control_version))
+      return false;
+    if (!(subject == rhs.subject))
+      return false;
+    if (!(updates == rhs.updates))
+      return false;
+    if (!(sender_state == rhs.sender_state))
+      return false;
+    return true;
+  }
+  bool operator != (const Gossip &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Gossip & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Gossip &a, Gossip &b);
+
+std::ostream& operator<<(std::ostream& out, const Gossip& obj);
+
 typedef struct _Frame__isset {
   _Frame__isset() : hello(false), heartbeat(false), reserve(false), granted(false), queued(false), refused(false), start(false), payload_part(false), chunk(false), finished(false), failed(false), cancel(false), resume(false), service_call(false), pull_control(false), control_state(false) {}
   bool hello :1;
