--- /dev/null
+++ b/src/include/peridotshelf/attempts/retry_budget.h
@@ -0,0 +1,60 @@
+/// Limits on retries: a budget per service and the delay before each.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <random>
+
+#include "peridotshelf/base/clock.h"
+
+namespace peridotshelf::attempts {
+
+/// A token bucket filled by first attempts and emptied by retries, so that
+/// retries stay a fraction of the traffic however much fails. Thread-safe.
+class RetryBudget {
+ public:
+  /// `fraction` tokens come with each first attempt; at most `burst` are kept.
+  explicit RetryBudget(double fraction, double burst = kDefaultBurst);
+
+  /// Notes a request's first attempt.
+  void NoteFirstAttempt();
+  /// Takes one retry's token; false if there is none.
+  bool TrySpend();
+  /// Tokens left.
+  double tokens() const;
+
+  /// Retries that a service may do at once after a quiet time.
+  static constexpr double kDefaultBurst = 10.0;
+
+ private:
+  const double m_fraction;
+  const double m_burst;
+  mutable std::mutex m_mutex;
+  double m_tokens;
+};
+
+/// Bounds of the delay before a retry.
+struct BackoffOptions {
+  Duration base = std::chrono::milliseconds(10);
+  Duration cap = std::chrono::milliseconds(500);
+};
+
+/// A delay drawn evenly from zero to min(cap, base * 2^retry), or nothing if
+/// it would not end within `remaining`.
+template <std::uniform_random_bit_generator Random>
+std::optional<Duration> FullJitterDelay(const BackoffOptions& options,
+                                        int32_t retry, Duration remaining,
+                                        Random& random) {
+  constexpr int32_t kMaxDoublings = 20;
+  const int32_t doublings = std::clamp(retry, 0, kMaxDoublings);
+  const Duration ceiling =
+      std::min(options.cap, options.base * (int64_t{1} << doublings));
+  std::uniform_int_distribution<int64_t> draw(0, ceiling.count());
+  const Duration delay(draw(random));
+  if (delay >= remaining) return std::nullopt;
+  return delay;
+}
+
+}  // namespace peridotshelf::attempts
