Record histories and check them by one rule for each invariant

Every proof needs one account of what callers, backend servers and operators saw, and one judge of it.

The relay stops forwarding on open connections without closing them, cuts and delays. Stopping by no longer reading was ruled out: TCP's buffers would tell the sender in the end.

--- /dev/null
+++ b/src/history/checker.cc
@@ -0,0 +1,51 @@
+#include "peridotshelf/history/checker.h"
+
+#include "peridotshelf/history/rules.h"
+
+namespace peridotshelf::history {
+
+std::string_view ToString(Invariant invariant) {
+  switch (invariant) {
+    case Invariant::kAnsweredInTime:
+      return "answered_in_time";
+    case Invariant::kWholeAnswer:
+      return "whole_answer";
+    case Invariant::kNotRunTrue:
+      return "not_run_true";
+    case Invariant::kAtMostOnce:
+      return "at_most_once";
+    case Invariant::kNoMemoryHeld:
+      return "no_memory_held";
+    case Invariant::kOrphansReleased:
+      return "orphans_released";
+    case Invariant::kLeavingTakesNoWork:
+      return "leaving_takes_no_work";
+    case Invariant::kStopCutsNothing:
+      return "stop_cuts_nothing";
+    case Invariant::kOneControlOrder:
+      return "one_control_order";
+    case Invariant::kChangeInForce:
+      return "change_in_force";
+    case Invariant::kShortNotStarved:
+      return "short_not_starved";
+    case Invariant::kGivenUpAtOnce:
+      return "given_up_at_once";
+  }
+  return "unknown";
+}
+
+std::ostream& operator<<(std::ostream& out, const Violation& violation) {
+  return out << ToString(violation.invariant) << " at "
+             << ToMilliseconds(violation.time.time_since_epoch())
+             << " ms: " << violation.subject << ": " << violation.detail;
+}
+
+std::vector<Violation> CheckAll(std::span<const HistoryEvent> events,
+                                const Limits& limits) {
+  return CheckRules<AnsweredInTime, WholeAnswer, NotRunTrue, AtMostOnce,
+                    NoMemoryHeld, OrphansReleased, LeavingTakesNoWork,
+                    StopCutsNothing, OneControlOrder, ChangeInForce,
+                    ShortNotStarved, GivenUpAtOnce>(events, limits);
+}
+
+}  // namespace peridotshelf::history
--- /dev/null
+++ b/src/history/index.cc
@@ -0,0 +1,136 @@
+#include "peridotshelf/history/index.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotshelf::history {
+
+/// Takes in the events one by one; `time` is the current event's.
+struct Index::Builder {
+  Index& index;
+  TimePoint time;
+  /// Positions of executions that have begun and not ended.
+  std::multimap<std::pair<AttemptId, BackendId>, size_t> running;
+
+  void operator()(const Invocation& body) {
+    Call& call = index.m_calls[body.call];
+    call.begin = time;
+    call.invocation = body;
+  }
+  void operator()(const Admission& body) {
+    index.m_calls[body.call].request = body.request;
+    index.m_call_of_request[body.request] = body.call;
+  }
+  void operator()(const ChunkReceived& body) {
+    index.m_calls[body.call].chunks.push_back(body);
+  }
+  void operator()(const Answer& body) {
+    End(body.call, {time, CallOutcome::kAnswered});
+  }
+  void operator()(const Refusal& body) {
+    End(body.call, {time, CallOutcome::kRefused, body.code, body.not_run});
+  }
+  void operator()(const CallerConnectionLost& body) {
+    End(body.call, {time, CallOutcome::kConnectionLost});
+  }
+  void operator()(const HangUp& body) {
+    End(body.call, {time, CallOutcome::kHungUp});
+  }
+  void operator()(const ExecutionBegin& body) {
+    const size_t position = index.m_executions.size();
+    index.m_executions.push_back(
+        {body.attempt, body.backend, body.idempotency_key, time, {}});
+    running.emplace(std::pair(body.attempt, body.backend), position);
+    index.m_executions_of_request[body.attempt.request].push_back(position);
+  }
+  void operator()(const ExecutionEnd& body) {
+    const auto [first, last] =
+        running.equal_range(std::pair(body.attempt, body.backend));
+    for (auto it = first; it != last; ++it) {
+      index.m_executions[it->second].end = time;
+    }
+    running.erase(first, last);
+  }
+  void operator()(const ProcessKilled& body) {
+    index.m_disturbances.push_back({time, {}, body.process, body.backends});
+  }
+  void operator()(const ProcessFrozen& body) {
+    index.m_disturbances.push_back({time, {}, body.process, body.backends});
+  }
+  void operator()(const ProcessThawed& body) { EndDisturbance(body.process); }
+  void operator()(const ProcessStarted& body) { EndDisturbance(body.process); }
+  template <class Other>
+  void operator()(const Other&) {}
+
+ private:
+  void End(const CallId& call, CallEnd end) {
+    index.m_calls[call].ends.push_back(end);
+  }
+  void EndDisturbance(const ProcessId& process) {
+    for (Disturbance& disturbance : index.m_disturbances) {
+      if (disturbance.process == process && !disturbance.end) {
+        disturbance.end = time;
+      }
+    }
+  }
+};
+
+namespace {
+
+bool Touches(const Disturbance& disturbance, TimePoint from, TimePoint to) {
+  return disturbance.begin <= to &&
+         (!disturbance.end || *disturbance.end >= from);
+}
+
+}  // namespace
+
+Index::Index(std::span<const HistoryEvent> events) : m_events(events) {
+  Builder builder{*this, {}, {}};
+  for (const HistoryEvent& event : events) {
+    builder.time = event.time;
+    std::visit(builder, event.body);
+  }
+}
+
+TimePoint Index::end() const {
+  return m_events.empty() ? TimePoint{} : m_events.back().time;
+}
+
+const Call* Index::CallOf(const RequestId& request) const {
+  const auto found = m_call_of_request.find(request);
+  if (found == m_call_of_request.end()) return nullptr;
+  return &m_calls.at(found->second);
+}
+
+std::vector<const Execution*> Index::ExecutionsOf(
+    const RequestId& request) const {
+  std::vector<const Execution*> executions;
+  const auto found = m_executions_of_request.find(request);
+  if (found == m_executions_of_request.end()) return executions;
+  for (const size_t position : found->second) {
+    executions.push_back(&m_executions[position]);
+  }
+  return executions;
+}
+
+bool Index::Disturbed(const ProcessId& process, TimePoint from,
+                      TimePoint to) const {
+  return std::any_of(m_disturbances.begin(), m_disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       return disturbance.process == process &&
+                              Touches(disturbance, from, to);
+                     });
+}
+
+bool Index::Disturbed(const BackendId& backend, TimePoint from,
+                      TimePoint to) const {
+  return std::any_of(m_disturbances.begin(), m_disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       const auto& backends = disturbance.backends;
+                       return Touches(disturbance, from, to) &&
+                              std::find(backends.begin(), backends.end(),
+                                        backend) != backends.end();
+                     });
+}
+
+}  // namespace peridotshelf::history
--- /dev/null
+++ b/src/history/rules_backends.cc
@@ -0,0 +1,182 @@
+// Rules on what backend servers run and hold.
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "peridotshelf/history/rules.h"
+
+namespace peridotshelf::history {
+namespace {
+
+/// For each backend server, when long executions began, ascending.
+using LongBegins = std::map<BackendId, std::vector<TimePoint>>;
+
+LongBegins FindLongBegins(const Index& index) {
+  LongBegins begins;
+  for (const Execution& execution : index.executions()) {
+    auto& of_backend = begins[execution.backend];
+    const Call* call = index.CallOf(execution.attempt.request);
+    if (call != nullptr && call->invocation.size == RequestSize::kLong) {
+      of_backend.push_back(execution.begin);
+    }
+  }
+  return begins;
+}
+
+/// How many of `begins` lie within (from, to).
+int64_t CountWithin(const std::vector<TimePoint>& begins, TimePoint from,
+                    TimePoint to) {
+  const auto first = std::upper_bound(begins.begin(), begins.end(), from);
+  const auto last = std::lower_bound(begins.begin(), begins.end(), to);
+  return std::max<int64_t>(0, last - first);
+}
+
+/// Long executions that overtook `call` while it waited for its first begin.
+int64_t Bypasses(const Index& index, const Call& call,
+                 const LongBegins& begins) {
+  if (call.request) {
+    const auto executions = index.ExecutionsOf(*call.request);
+    if (!executions.empty()) {
+      const Execution& own = *executions.front();
+      return CountWithin(begins.at(own.backend), call.begin, own.begin);
+    }
+  }
+  const TimePoint to = call.ends.empty() ? index.end() : call.ends[0].time;
+  std::optional<int64_t> fewest;
+  for (const auto& [backend, of_backend] : begins) {
+    const int64_t count = CountWithin(of_backend, call.begin, to);
+    fewest = std::min(fewest.value_or(count), count);
+  }
+  return fewest.value_or(0);
+}
+
+/// Whether a fault or the caller itself explains that `call` got no answer.
+bool Excused(const Index& index, const Call& call) {
+  if (call.ends.empty()) return false;
+  const CallEnd& end = call.ends.front();
+  if (end.outcome == CallOutcome::kHungUp) return true;
+  if (end.time >= call.deadline()) return true;
+  if (index.Disturbed(call.invocation.entry, call.begin, end.time)) return true;
+  if (!call.request) return false;
+  const auto executions = index.ExecutionsOf(*call.request);
+  return std::any_of(
+      executions.begin(), executions.end(), [&](const Execution* execution) {
+        return index.Disturbed(execution->backend, execution->begin, end.time);
+      });
+}
+
+/// Whether a stop of `stop.process` at `time` finds `call` in its hands.
+bool InFlightAt(const Index& index, const Call& call, const PlannedStop& stop,
+                TimePoint time) {
+  if (call.begin > time || call.EndedBy(time)) return false;
+  if (call.invocation.entry == stop.process) return true;
+  if (!call.request) return false;
+  for (const Execution* execution : index.ExecutionsOf(*call.request)) {
+    const bool running =
+        execution->begin <= time && !(execution->end && *execution->end < time);
+    const bool served = std::find(stop.backends.begin(), stop.backends.end(),
+                                  execution->backend) != stop.backends.end();
+    if (running && served) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+void NoMemoryHeld::Check(const Index& index, const Limits&,
+                         std::vector<Violation>& found) {
+  std::map<BackendId, std::pair<TimePoint, int64_t>> last;
+  ForEach<MemoryHeld>(index.events(),
+                      [&](const HistoryEvent& event, const MemoryHeld& body) {
+                        last[body.backend] = {event.time, body.tokens};
+                      });
+  // What an engine held dies with it; its process bears its name.
+  ForEach<ProcessKilled>(
+      index.events(), [&](const HistoryEvent& event, const auto& body) {
+        const auto report = last.find(BackendId(body.process.value()));
+        if (report != last.end() && report->second.first <= event.time) {
+          last.erase(report);
+        }
+      });
+  for (const auto& [backend, report] : last) {
+    if (report.second == 0) continue;
+    found.push_back({kInvariant, report.first, backend.value(),
+                     std::to_string(report.second) + " tokens are still held"});
+  }
+}
+
+void OrphansReleased::Check(const Index& index, const Limits& limits,
+                            std::vector<Violation>& found) {
+  ForEach<ProcessKilled>(index.events(), [&](const HistoryEvent& event,
+                                             const ProcessKilled& body) {
+    const TimePoint latest = event.time + limits.orphan_bound;
+    if (index.end() <= latest) return;
+    for (const Execution& execution : index.executions()) {
+      const Call* call = index.CallOf(execution.attempt.request);
+      const bool orphan = call != nullptr &&
+                          call->invocation.entry == body.process &&
+                          execution.begin <= event.time;
+      const bool ended = execution.end && *execution.end <= latest;
+      if (!orphan || ended ||
+          index.Disturbed(execution.backend, execution.begin, latest)) {
+        continue;
+      }
+      found.push_back({kInvariant, latest, execution.attempt.ToString(),
+                       "still runs at " + execution.backend.value()});
+    }
+  });
+}
+
+void LeavingTakesNoWork::Check(const Index& index, const Limits& limits,
+                               std::vector<Violation>& found) {
+  ForEach<LeaveMark>(index.events(), [&](const HistoryEvent& event,
+                                         const LeaveMark& body) {
+    const TimePoint latest = event.time + limits.leave_bound;
+    for (const Execution& execution : index.executions()) {
+      if (execution.backend != body.backend || execution.begin <= latest) {
+        continue;
+      }
+      found.push_back(
+          {kInvariant, execution.begin, body.backend.value(),
+           "begins " + execution.attempt.ToString() + " " +
+               std::to_string(ToMilliseconds(execution.begin - event.time)) +
+               " ms after its leave mark"});
+    }
+  });
+}
+
+void StopCutsNothing::Check(const Index& index, const Limits&,
+                            std::vector<Violation>& found) {
+  for (const auto& [id, call] : index.calls()) {
+    if (call.ends.empty() || Excused(index, call)) continue;
+    if (call.ends.front().outcome == CallOutcome::kConnectionLost) {
+      found.push_back({kInvariant, call.ends.front().time, id.value(),
+                       "lost its connection without a fault"});
+    }
+  }
+  ForEach<PlannedStop>(
+      index.events(), [&](const HistoryEvent& event, const PlannedStop& stop) {
+        for (const auto& [id, call] : index.calls()) {
+          if (call.ends.empty() || Excused(index, call)) continue;
+          const CallEnd& end = call.ends.front();
+          if (end.outcome != CallOutcome::kRefused || end.not_run) continue;
+          if (!InFlightAt(index, call, stop, event.time)) continue;
+          found.push_back({kInvariant, end.time, id.value(),
+                           "was cut by the stop of " + stop.process.value()});
+        }
+      });
+}
+
+void ShortNotStarved::Check(const Index& index, const Limits& limits,
+                            std::vector<Violation>& found) {
+  const LongBegins begins = FindLongBegins(index);
+  for (const auto& [id, call] : index.calls()) {
+    if (call.invocation.size != RequestSize::kShort) continue;
+    const int64_t bypasses = Bypasses(index, call, begins);
+    if (bypasses <= limits.max_bypasses) continue;
+    found.push_back({kInvariant, call.begin, id.value(),
+                     std::to_string(bypasses) + " long requests overtook it"});
+  }
+}
+
+}  // namespace peridotshelf::history
--- /dev/null
+++ b/src/history/rules_backends_test.cc
@@ -0,0 +1,184 @@
+#include "history/history_builder.h"
+#include "peridotshelf/history/rules.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::history {
+namespace {
+
+constexpr size_t kOne = 1;
+
+class NoMemoryHeldTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NoMemoryHeldTest);
+  CPPUNIT_TEST(Engine_ThatEndsEmpty_Passes);
+  CPPUNIT_TEST(Engine_ThatDied_HoldsNothing);
+  CPPUNIT_TEST(Engine_ThatEndsHolding_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Engine_ThatEndsEmpty_Passes() {
+    HistoryBuilder history;
+    history.Add(MemoryHeld{BackendId("m1"), 40});
+    history.At(1).Add(MemoryHeld{BackendId("m1"), 0});
+    CPPUNIT_ASSERT(history.Check<NoMemoryHeld>().empty());
+  }
+  void Engine_ThatDied_HoldsNothing() {
+    HistoryBuilder history;
+    history.Add(MemoryHeld{BackendId("m1"), 40});
+    history.At(1).Add(ProcessKilled{ProcessId("m1"), {BackendId("m1")}});
+    CPPUNIT_ASSERT(history.Check<NoMemoryHeld>().empty());
+  }
+  void Engine_ThatEndsHolding_Fails() {
+    HistoryBuilder history;
+    history.Add(MemoryHeld{BackendId("m1"), 0});
+    history.At(1).Add(MemoryHeld{BackendId("m1"), 40});
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<NoMemoryHeld>().size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(NoMemoryHeldTest);
+
+class OrphansReleasedTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OrphansReleasedTest);
+  CPPUNIT_TEST(Execution_EndedWithinTheBound_Passes);
+  CPPUNIT_TEST(Execution_ThatOutlivesItsEntry_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Execution_EndedWithinTheBound_Passes() {
+    CPPUNIT_ASSERT(EndedAt(5'900).Check<OrphansReleased>().empty());
+  }
+  void Execution_ThatOutlivesItsEntry_Fails() {
+    CPPUNIT_ASSERT_EQUAL(kOne, EndedAt(6'100).Check<OrphansReleased>().size());
+  }
+
+ private:
+  /// The entry dies after a second.
+  static HistoryBuilder EndedAt(int64_t milliseconds) {
+    HistoryBuilder history;
+    history.Call("a").Begin("a", "m1");
+    history.At(1'000).Add(ProcessKilled{ProcessId("e1"), {}});
+    history.At(milliseconds).End("a", "m1").At(9'000).Call("b");
+    return history;
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OrphansReleasedTest);
+
+class LeavingTakesNoWorkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeavingTakesNoWorkTest);
+  CPPUNIT_TEST(Begin_WithinTheBoundOrElsewhere_Passes);
+  CPPUNIT_TEST(Begin_AfterTheBound_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Begin_WithinTheBoundOrElsewhere_Passes() {
+    HistoryBuilder history;
+    history.Call("a").Call("b").Add(LeaveMark{BackendId("m1")});
+    history.At(2'900).Begin("a", "m1").At(3'100).Begin("b", "m2");
+    CPPUNIT_ASSERT(history.Check<LeavingTakesNoWork>().empty());
+  }
+  void Begin_AfterTheBound_Fails() {
+    HistoryBuilder history;
+    history.Call("a").Add(LeaveMark{BackendId("m1")});
+    history.At(3'100).Begin("a", "m1");
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<LeavingTakesNoWork>().size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTakesNoWorkTest);
+
+class StopCutsNothingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopCutsNothingTest);
+  CPPUNIT_TEST(Call_AnsweredThroughTheStop_Passes);
+  CPPUNIT_TEST(Call_CutByAKillDuringTheStop_Passes);
+  CPPUNIT_TEST(Call_RefusedWhileItsSideStops_Fails);
+  CPPUNIT_TEST(Call_RefusedWhileItsEntryStops_Fails);
+  CPPUNIT_TEST(Connection_LostWithoutAFault_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Call_AnsweredThroughTheStop_Passes() {
+    HistoryBuilder history = Stopping("s1");
+    history.At(2'000).Add(Answer{CallId("a")});
+    CPPUNIT_ASSERT(history.Check<StopCutsNothing>().empty());
+  }
+  void Call_CutByAKillDuringTheStop_Passes() {
+    HistoryBuilder history = Stopping("s1");
+    history.Add(ProcessKilled{ProcessId("s1"), {BackendId("m1")}});
+    Cut(history);
+    CPPUNIT_ASSERT(history.Check<StopCutsNothing>().empty());
+  }
+  void Call_RefusedWhileItsSideStops_Fails() {
+    HistoryBuilder history = Stopping("s1");
+    Cut(history);
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<StopCutsNothing>().size());
+  }
+  void Call_RefusedWhileItsEntryStops_Fails() {
+    HistoryBuilder history = Stopping("e1");
+    Cut(history);
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<StopCutsNothing>().size());
+  }
+  void Connection_LostWithoutAFault_Fails() {
+    HistoryBuilder history;
+    history.Call("a").At(5).Add(CallerConnectionLost{CallId("a")});
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<StopCutsNothing>().size());
+  }
+
+ private:
+  /// `process` is told to stop while m1 runs call "a" for entry e1.
+  static HistoryBuilder Stopping(const std::string& process) {
+    HistoryBuilder history;
+    history.Call("a").At(100).Begin("a", "m1").At(1'000);
+    std::vector<BackendId> backends;
+    if (process == "s1") backends.emplace_back("m1");
+    history.Add(PlannedStop{ProcessId(process), backends});
+    return history;
+  }
+  static void Cut(HistoryBuilder& history) {
+    history.At(2'000);
+    history.Add(Refusal{CallId("a"), ErrorCode::kConnectionLost, false});
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StopCutsNothingTest);
+
+class ShortNotStarvedTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShortNotStarvedTest);
+  CPPUNIT_TEST(Short_OvertakenAFewTimes_Passes);
+  CPPUNIT_TEST(Short_OvertakenBeyondTheBound_Fails);
+  CPPUNIT_TEST(Short_ThatNeverRanWhileLongOnesBegan_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Short_OvertakenAFewTimes_Passes() {
+    HistoryBuilder history = Overtaken(2);
+    history.Begin("short", "m1");
+    CPPUNIT_ASSERT(history.Check<ShortNotStarved>(kTwo).empty());
+  }
+  void Short_OvertakenBeyondTheBound_Fails() {
+    HistoryBuilder history = Overtaken(3);
+    history.Begin("short", "m1");
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<ShortNotStarved>(kTwo).size());
+  }
+  void Short_ThatNeverRanWhileLongOnesBegan_Fails() {
+    HistoryBuilder history = Overtaken(3);
+    history.Add(Refusal{CallId("short"), ErrorCode::kOutOfTime, true});
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<ShortNotStarved>(kTwo).size());
+  }
+
+ private:
+  static constexpr Limits kTwo{.max_bypasses = 2};
+
+  static HistoryBuilder Overtaken(int64_t times) {
+    HistoryBuilder history;
+    history.Call("short");
+    Invocation invocation;
+    invocation.size = RequestSize::kLong;
+    for (int64_t i = 1; i <= times; ++i) {
+      const std::string name = "long" + std::to_string(i);
+      history.At(i).Call(name, invocation).Begin(name, "m1");
+    }
+    history.At(times + 1);
+    return history;
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ShortNotStarvedTest);
+
+}  // namespace
+}  // namespace peridotshelf::history
--- /dev/null
+++ b/src/standin/relay_test.cc
@@ -0,0 +1,102 @@
+#include "peridotshelf/standin/relay.h"
+
+#include "peridotshelf/http/client.h"
+#include "peridotshelf/http/server.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::standin {
+namespace {
+
+constexpr uint16_t kTargetPort = 24010;
+constexpr uint16_t kRelayPort = 24011;
+constexpr uint16_t kControlPort = 24012;
+
+std::string Url(uint16_t port, const std::string& path) {
+  return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+/// An HTTP server that answers at once, reached through a relay by a client
+/// that keeps its connection open between calls.
+class RelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(Call_ThroughTheRelay_IsAnswered);
+  CPPUNIT_TEST(OpenConnection_Silenced_StaysOpenWhileNewOnesWork);
+  CPPUNIT_TEST(OpenConnection_Cut_IsReplaced);
+  CPPUNIT_TEST(Order_Unknown_IsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_threads = std::make_unique<io::IoThreads>(2);
+    http::ServerOptions options;
+    options.port = kTargetPort;
+    auto target = http::Server::Create(
+        *m_threads, options,
+        [](const http::ServerRequest&, const http::ResponderPtr& responder) {
+          responder->Reply(200, {}, "ok");
+        });
+    CPPUNIT_ASSERT(target.has_value());
+    m_target = std::move(*target);
+    RelayOptions relay_options;
+    relay_options.port = kRelayPort;
+    relay_options.target_port = kTargetPort;
+    relay_options.control_port = kControlPort;
+    auto relay = Relay::Create(*m_threads, relay_options);
+    CPPUNIT_ASSERT(relay.has_value());
+    m_relay = std::move(*relay);
+  }
+  void tearDown() override {
+    m_relay.reset();
+    m_target.reset();
+    m_threads.reset();
+  }
+
+  void Call_ThroughTheRelay_IsAnswered() {
+    http::Client client;
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Call(client)->body);
+  }
+  void OpenConnection_Silenced_StaysOpenWhileNewOnesWork() {
+    http::Client old_client;
+    CPPUNIT_ASSERT(Call(old_client).has_value());
+    CPPUNIT_ASSERT_EQUAL(200, Order(R"({"action":"silence"})"));
+    const auto silent = Call(old_client);
+    CPPUNIT_ASSERT(!silent.has_value());
+    CPPUNIT_ASSERT(silent.error().code == ErrorCode::kOutOfTime);
+    http::Client new_client;
+    CPPUNIT_ASSERT(Call(new_client).has_value());
+  }
+  void OpenConnection_Cut_IsReplaced() {
+    http::Client client;
+    CPPUNIT_ASSERT(Call(client).has_value());
+    CPPUNIT_ASSERT_EQUAL(200, Order(R"({"action":"cut"})"));
+    CPPUNIT_ASSERT(Call(client).has_value());
+  }
+  void Order_Unknown_IsRefused() {
+    CPPUNIT_ASSERT_EQUAL(400, Order(R"({"action":"mend"})"));
+    CPPUNIT_ASSERT_EQUAL(400, Order("[]"));
+  }
+
+ private:
+  static Result<http::ClientResponse> Call(http::Client& client) {
+    http::ClientRequest request;
+    request.url = Url(kRelayPort, "/");
+    request.timeout = std::chrono::seconds(2);
+    return client.FetchAndWait(request);
+  }
+  static int Order(const std::string& body) {
+    http::Client client;
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = Url(kControlPort, "/control");
+    request.body = body;
+    return client.FetchAndWait(request)->status;
+  }
+
+  std::unique_ptr<io::IoThreads> m_threads;
+  std::unique_ptr<http::Server> m_target;
+  std::unique_ptr<Relay> m_relay;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+}  // namespace
+}  // namespace peridotshelf::standin
