--- /dev/null
+++ b/src/peridotshelf/command.h
@@ -0,0 +1,19 @@
+/// The program's subcommands. Each takes its arguments without its own name.
+#pragma once
+
+#include <span>
+#include <string>
+
+#include "peridotshelf/settings/exit_code.h"
+
+namespace peridotshelf::program {
+
+using Arguments = std::span<const std::string>;
+using settings::ExitCode;
+
+ExitCode RunEntry(Arguments args);
+ExitCode RunSide(Arguments args);
+/// `standin KIND`: engine, service, log or hosts.
+ExitCode RunStandin(Arguments args);
+
+}  // namespace peridotshelf::program
--- /dev/null
+++ b/src/peridotshelf/main.cc
@@ -0,0 +1,67 @@
+// Finds the subcommand and runs it.
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "peridotshelf/command.h"
+
+namespace peridotshelf::program {
+namespace {
+
+struct Command {
+  std::string_view name;
+  std::string_view summary;
+  ExitCode (*run)(Arguments);
+};
+
+ExitCode PrintVersion(Arguments /*args*/) {
+  std::cout << "peridotshelf " << PERIDOTSHELF_VERSION << "\n";
+  return ExitCode::kSuccess;
+}
+
+constexpr std::array kCommands = {
+    Command{"entry", "serve callers on an entry host", &RunEntry},
+    Command{"side", "serve entries beside backend servers", &RunSide},
+    Command{"standin", "stand in for engine, service, log or hosts",
+            &RunStandin},
+    Command{"version", "print the version", &PrintVersion},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "usage: peridotshelf COMMAND [FLAGS]; COMMAND --help explains\n\n";
+  for (const Command& command : kCommands) {
+    out << "  " << command.name << std::string(12 - command.name.size(), ' ')
+        << command.summary << "\n";
+  }
+}
+
+ExitCode Run(Arguments args) {
+  if (args.empty()) {
+    PrintUsage(std::cerr);
+    return ExitCode::kBadSettings;
+  }
+  if (args[0] == "--help" || args[0] == "help") {
+    PrintUsage(std::cout);
+    return ExitCode::kSuccess;
+  }
+  const auto* command = std::find_if(
+      kCommands.begin(), kCommands.end(),
+      [&](const Command& candidate) { return candidate.name == args[0]; });
+  if (command == kCommands.end()) {
+    std::cerr << "peridotshelf: no command " << args[0] << "\n\n";
+    PrintUsage(std::cerr);
+    return ExitCode::kBadSettings;
+  }
+  return command->run(args.subspan(1));
+}
+
+}  // namespace
+}  // namespace peridotshelf::program
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> args(argv + 1, argv + argc);
+  return peridotshelf::settings::ToStatus(peridotshelf::program::Run(args));
+}
--- /dev/null
+++ b/src/peridotshelf/platform_link.cc
@@ -0,0 +1,60 @@
+#include "peridotshelf/platform_link.h"
+
+#include "peridotshelf/events/log.h"
+
+namespace peridotshelf::program {
+namespace {
+
+constexpr Duration kHostsInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+/// Asks for the list again and again; outlives its owner while a call runs.
+struct PlatformLink::HostPoll
+    : std::enable_shared_from_this<PlatformLink::HostPoll> {
+  HostPoll(io::IoThreads& io, platform::HttpHostList& list,
+           HostsHandler handler)
+      : threads(io), hosts(list), on_hosts(std::move(handler)) {}
+
+  void Fetch() {
+    std::weak_ptr<HostPoll> weak = weak_from_this();
+    hosts.Fetch([weak](Result<std::vector<platform::HostEntry>> list) {
+      if (auto self = weak.lock()) self->Take(std::move(list));
+    });
+  }
+
+  void Take(Result<std::vector<platform::HostEntry>> list) {
+    if (!list) {
+      events::Log(events::EventId::kPlatformCallFailed,
+                  {{"call", "hosts"}, {"reason", list.error().detail}});
+    } else if (*list != last) {
+      events::Log(events::EventId::kHostListChanged, {{"hosts", list->size()}});
+      last = std::move(*list);
+      on_hosts(last);
+    }
+    std::weak_ptr<HostPoll> weak = weak_from_this();
+    threads.After(kHostsInterval, [weak] {
+      if (auto self = weak.lock()) self->Fetch();
+    });
+  }
+
+  io::IoThreads& threads;
+  platform::HttpHostList& hosts;
+  HostsHandler on_hosts;
+  std::vector<platform::HostEntry> last;
+};
+
+PlatformLink::PlatformLink(io::IoThreads& threads, const std::string& log_url,
+                           const std::string& hosts_url)
+    : m_threads(threads),
+      m_log(log_url, m_client),
+      m_hosts(hosts_url, m_client),
+      m_follower(threads, m_log) {}
+
+void PlatformLink::Start(HostsHandler on_hosts) {
+  m_follower.Start();
+  m_poll = std::make_shared<HostPoll>(m_threads, m_hosts, std::move(on_hosts));
+  m_poll->Fetch();
+}
+
+}  // namespace peridotshelf::program
--- /dev/null
+++ b/src/peridotshelf/platform_link.h
@@ -0,0 +1,45 @@
+/// A daemon's connection to the platform: control state and list of hosts.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "peridotshelf/control/follower.h"
+#include "peridotshelf/http/client.h"
+#include "peridotshelf/io/io_threads.h"
+#include "peridotshelf/platform/host_list.h"
+#include "peridotshelf/platform/log_client.h"
+
+namespace peridotshelf::program {
+
+using HostsHandler = std::function<void(std::vector<platform::HostEntry>)>;
+
+/// Follows the log and asks for the list of hosts at an interval. Must be
+/// destroyed before `threads`.
+class PlatformLink {
+ public:
+  PlatformLink(io::IoThreads& threads, const std::string& log_url,
+               const std::string& hosts_url);
+
+  /// Begins; `on_hosts` is called with each list that differs from the last.
+  void Start(HostsHandler on_hosts);
+  /// The state in force, or null.
+  control::ControlStatePtr Current() const { return m_follower.Current(); }
+  control::Follower<platform::HttpLogClient>& follower() { return m_follower; }
+  platform::HttpLogClient& log() { return m_log; }
+
+ private:
+  struct HostPoll;
+
+  io::IoThreads& m_threads;
+  http::Client m_client;
+  platform::HttpLogClient m_log;
+  platform::HttpHostList m_hosts;
+  control::Follower<platform::HttpLogClient> m_follower;
+  std::shared_ptr<HostPoll> m_poll;
+};
+
+}  // namespace peridotshelf::program
