--- a/src/settings/collect.cc
+++ b/src/settings/collect.cc
@@ -37,10 +37,11 @@
 std::string Describe(const SettingInfo& info) {
   std::string text = info.help;
   if (info.form == Form::kPositional) return text;
-  if (info.form == Form::kOption) text += " Allowed: " + info.allowed + ".";
-  if (info.required) text += " Required.";
+  if (info.form == Form::kOption) text += "\nAllowed: " + info.allowed + ".";
+  text += "\n";
+  if (info.required) text += "Required. ";
   if (!info.default_text.empty())
-    text += " Default: " + info.default_text + ".";
+    text += "Default: " + info.default_text + ". ";
   return text + " [" + info.variable + "]";
 }
 
@@ -50,7 +51,8 @@
   constexpr size_t kColumnWidth = 32;
   m_app.allow_extras();
   m_app.get_formatter()->column_width(kColumnWidth);
-  if (!command.example.empty()) m_app.footer("Example:\n  " + command.example);
+  if (!command.example.empty())
+    m_app.footer("Example:\n  " + command.example + "\n");
   for (const SettingInfo& info : settings) Add(info);
   const std::string purpose =
       "Show each setting in force and its source, then exit.";
