--- /dev/null
+++ b/src/control/fold.cc
@@ -0,0 +1,369 @@
+#include "peridotshelf/control/fold.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "control/json_fields.h"
+
+namespace peridotshelf::control {
+namespace {
+
+using detail::JsonFields;
+using detail::Presence;
+using nlohmann::json;
+
+/// The envelope adds two levels around a document.
+constexpr int kMaxRecordDepth = kMaxDocumentDepth + 2;
+constexpr detail::Range<int64_t> kOffsets{0, INT64_MAX};
+
+constexpr std::array<std::pair<RecordOutcome, std::string_view>, 8> kOutcomes =
+    {{
+        {RecordOutcome::kAccepted, "accepted"},
+        {RecordOutcome::kLostToVersion, "lost_to_version"},
+        {RecordOutcome::kInvalid, "invalid"},
+        {RecordOutcome::kUnknownVersion, "unknown_version"},
+        {RecordOutcome::kOversize, "oversize"},
+        {RecordOutcome::kTorn, "torn"},
+        {RecordOutcome::kDuplicate, "duplicate"},
+        {RecordOutcome::kNotAChange, "not_a_change"},
+    }};
+
+/// A record whose JSON could be read.
+struct ParsedRecord {
+  RecordHeader header;
+  json value;
+};
+
+json ParseBounded(std::string_view text) {
+  if (!NestsAtMost(text, kMaxRecordDepth))
+    return json(json::value_t::discarded);
+  return json::parse(text, nullptr, false);
+}
+
+bool IsChange(RecordKind kind) {
+  return kind == RecordKind::kConfig || kind == RecordKind::kPreset ||
+         kind == RecordKind::kDrain || kind == RecordKind::kUndrain;
+}
+
+bool NeedsBase(RecordKind kind) {
+  return kind == RecordKind::kConfig || kind == RecordKind::kPreset;
+}
+
+/// Whether `text` may be a change id or host: such names stand in snapshots,
+/// whose size is bounded because they need no escapes.
+bool IsPlainName(std::string_view text) {
+  return text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return c > ' ' && c < 0x7F && c != '"' && c != '\\';
+         });
+}
+
+/// A name that is printable ASCII and not too long; "" after noting a fault.
+std::string ReadPlainName(JsonFields& fields, const std::string& name) {
+  std::string text = fields.Text(name);
+  if (IsPlainName(text)) return text;
+  fields.AddFault(fields.PathOf(name),
+                  "must be printable ASCII without quotes, at most " +
+                      std::to_string(kMaxNameBytes) + " bytes");
+  return {};
+}
+
+/// Reads the header's fields into `result`, with faults.
+void ReadHeader(const json& value, RecordResult& result) {
+  JsonFields fields(value, "", result.faults);
+  RecordHeader& header = result.header;
+  header.change_id = ReadPlainName(fields, "change_id");
+  header.operator_name = fields.Text("operator", Presence::kOptional);
+  if (header.operator_name.size() > kMaxNameBytes) {
+    fields.AddFault("/operator", "is too long");
+  }
+  if (const json* time = fields.Find("time", Presence::kOptional)) {
+    if (time->is_string()) header.time = time->get<std::string>();
+  }
+  header.base_version = fields.Integer(
+      "base_version",
+      NeedsBase(header.kind) ? Presence::kRequired : Presence::kOptional, 0,
+      kOffsets);
+  const json* body = fields.Find("body", Presence::kRequired);
+  if (body != nullptr && !body->is_object()) {
+    fields.AddFault("/body", "must be an object");
+  }
+}
+
+const Preset* FindPreset(const Configuration& configuration,
+                         const std::string& name) {
+  for (const Preset& preset : configuration.presets) {
+    if (preset.name == name) return &preset;
+  }
+  return nullptr;
+}
+
+/// Puts the document in force if it is valid.
+void ApplyConfig(FoldState& state, const json& body,
+                 ConfigurationFaults& faults) {
+  auto document = std::make_shared<const std::string>(body.dump());
+  ConfigurationResult read = ReadConfiguration(*document);
+  if (!read) {
+    for (const ConfigurationFault& fault : read.error()) {
+      faults.push_back({"/body" + fault.path, fault.message});
+    }
+    return;
+  }
+  ControlState& control = state.control;
+  if (!control.preset.empty() && !FindPreset(**read, control.preset)) {
+    faults.push_back(
+        {"/body/presets", "lacks the preset in force: " + control.preset});
+    return;
+  }
+  if (control.preset.empty()) control.preset = (*read)->initial_preset;
+  control.configuration = std::move(*read);
+  state.document = std::move(document);
+}
+
+void ApplyPreset(FoldState& state, const json& body,
+                 ConfigurationFaults& faults) {
+  JsonFields fields(body, "/body", faults);
+  const std::string name = fields.Text("name");
+  fields.RejectUnknown();
+  if (!faults.empty()) return;
+  ControlState& control = state.control;
+  if (!control.configuration || !FindPreset(*control.configuration, name)) {
+    fields.AddFault("/body/name", "names a preset that is not configured");
+    return;
+  }
+  control.preset = name;
+}
+
+void ApplyDrain(FoldState& state, RecordKind kind, const json& body,
+                ConfigurationFaults& faults) {
+  JsonFields fields(body, "/body", faults);
+  const std::string name = ReadPlainName(fields, "host");
+  fields.RejectUnknown();
+  if (!faults.empty()) return;
+  std::set<HostId>& draining = state.control.draining;
+  const HostId host(name);
+  if (kind == RecordKind::kUndrain) {
+    if (draining.erase(host) == 0) {
+      fields.AddFault("/body/host", "is not draining");
+    }
+    return;
+  }
+  if (draining.size() >= kMaxDraining && !draining.contains(host)) {
+    fields.AddFault("/body/host", "too many hosts are draining");
+    return;
+  }
+  draining.insert(host);
+}
+
+void ApplyBody(FoldState& state, const json& value, RecordResult& result) {
+  const json& body = value.at("body");
+  switch (result.header.kind) {
+    case RecordKind::kConfig:
+      return ApplyConfig(state, body, result.faults);
+    case RecordKind::kPreset:
+      return ApplyPreset(state, body, result.faults);
+    default:
+      return ApplyDrain(state, result.header.kind, body, result.faults);
+  }
+}
+
+const RememberedChange* FindRemembered(const FoldState& state,
+                                       const std::string& change_id) {
+  const auto it = std::find_if(state.recent.begin(), state.recent.end(),
+                               [&](const RememberedChange& change) {
+                                 return change.change_id == change_id;
+                               });
+  return it == state.recent.end() ? nullptr : &*it;
+}
+
+void Remember(FoldState& state, const std::string& change_id, int64_t offset) {
+  state.recent.push_back({change_id, offset});
+  if (state.recent.size() > kRememberedChanges) state.recent.pop_front();
+}
+
+/// Judges a change whose header is valid against the state.
+RecordOutcome JudgeChange(FoldState& state, const json& value,
+                          RecordResult& result) {
+  const RecordHeader& header = result.header;
+  ControlState& control = state.control;
+  if (const RememberedChange* first = FindRemembered(state, header.change_id)) {
+    result.first_offset = first->offset;
+    return RecordOutcome::kDuplicate;
+  }
+  Remember(state, header.change_id, result.offset);
+  if (NeedsBase(header.kind)) {
+    if (header.base_version > control.version) {
+      result.faults.push_back(
+          {"/base_version", "is newer than the version in force"});
+      return RecordOutcome::kInvalid;
+    }
+    if (header.base_version < control.settings_version) {
+      return RecordOutcome::kLostToVersion;
+    }
+  }
+  ApplyBody(state, value, result);
+  if (!result.faults.empty()) return RecordOutcome::kInvalid;
+  control.version = result.offset;
+  if (NeedsBase(header.kind)) control.settings_version = result.offset;
+  return RecordOutcome::kAccepted;
+}
+
+RecordOutcome Judge(FoldState& state, const std::string& payload,
+                    RecordResult& result) {
+  if (payload.size() > kMaxRecordBytes) return RecordOutcome::kOversize;
+  const json value = ParseBounded(payload);
+  if (!value.is_object()) return RecordOutcome::kTorn;
+  const auto version = value.find("v");
+  if (version == value.end() || *version != kRecordVersion) {
+    return RecordOutcome::kUnknownVersion;
+  }
+  const auto kind = value.find("kind");
+  const std::optional<RecordKind> known =
+      kind != value.end() && kind->is_string()
+          ? ParseRecordKind(kind->get_ref<const std::string&>())
+          : std::nullopt;
+  if (!known) return RecordOutcome::kUnknownVersion;
+  result.header.kind = *known;
+  if (IsChange(*known) && payload.size() > kMaxChangeBytes) {
+    return RecordOutcome::kOversize;
+  }
+  ReadHeader(value, result);
+  if (!IsChange(*known)) return RecordOutcome::kNotAChange;
+  if (!result.faults.empty()) return RecordOutcome::kInvalid;
+  return JudgeChange(state, value, result);
+}
+
+/// Reads the parts of a snapshot that are not the document.
+void ReadSnapshotFields(JsonFields& fields, FoldState& state) {
+  ControlState& control = state.control;
+  state.folded_offset =
+      fields.Integer("folded_offset", Presence::kRequired, 0, kOffsets);
+  state.rejected_count =
+      fields.Integer("rejected_count", Presence::kRequired, 0, kOffsets);
+  control.version = fields.Integer("version", Presence::kRequired, 0,
+                                   {0, state.folded_offset});
+  control.settings_version = fields.Integer(
+      "settings_version", Presence::kRequired, 0, {0, control.version});
+  control.preset = fields.Text("preset", Presence::kOptional);
+  for (const std::string& host : fields.Texts("draining")) {
+    control.draining.emplace(host);
+  }
+}
+
+void ReadRecent(JsonFields& fields, FoldState& state) {
+  size_t index = 0;
+  for (const json* element : fields.Elements("recent", Presence::kRequired)) {
+    const std::string path =
+        fields.PathOf("recent") + "/" + std::to_string(index++);
+    JsonFields change(*element, path, fields.faults());
+    RememberedChange remembered;
+    remembered.change_id = change.Text("change_id");
+    remembered.offset =
+        change.Integer("offset", Presence::kRequired, 0, kOffsets);
+    state.recent.push_back(std::move(remembered));
+  }
+}
+
+void ReadDocument(JsonFields& fields, FoldState& state) {
+  const json* document = fields.Find("configuration", Presence::kOptional);
+  if (document == nullptr) return;
+  auto text = std::make_shared<const std::string>(document->dump());
+  ConfigurationResult read = ReadConfiguration(*text);
+  if (!read) {
+    fields.AddFault("/configuration", "is not valid");
+    return;
+  }
+  if (!FindPreset(**read, state.control.preset)) {
+    fields.AddFault("/preset", "is not configured");
+  }
+  state.control.configuration = std::move(*read);
+  state.document = std::move(text);
+}
+
+Result<FoldState> ReadSnapshotValue(const json& body) {
+  ConfigurationFaults faults;
+  JsonFields fields(body, "", faults);
+  FoldState state;
+  ReadSnapshotFields(fields, state);
+  ReadRecent(fields, state);
+  ReadDocument(fields, state);
+  fields.RejectUnknown();
+  if (faults.empty()) return state;
+  return Fail(ErrorCode::kBadConfiguration,
+              "snapshot" + faults.front().path + " " + faults.front().message);
+}
+
+}  // namespace
+
+std::string_view ToString(RecordOutcome outcome) {
+  for (const auto& [value, name] : kOutcomes) {
+    if (value == outcome) return name;
+  }
+  return "unknown";
+}
+
+std::optional<RecordOutcome> ParseRecordOutcome(std::string_view name) {
+  for (const auto& [value, outcome_name] : kOutcomes) {
+    if (outcome_name == name) return value;
+  }
+  return std::nullopt;
+}
+
+RecordResult FoldRecord(FoldState& state, const platform::LogRecord& record) {
+  RecordResult result;
+  result.offset = record.offset;
+  result.outcome = Judge(state, record.payload, result);
+  result.version = state.control.version;
+  state.folded_offset = record.offset;
+  if (result.outcome != RecordOutcome::kAccepted &&
+      result.outcome != RecordOutcome::kNotAChange) {
+    ++state.rejected_count;
+  }
+  return result;
+}
+
+std::string WriteSnapshot(const FoldState& state) {
+  const ControlState& control = state.control;
+  json body = {{"folded_offset", state.folded_offset},
+               {"rejected_count", state.rejected_count},
+               {"version", control.version},
+               {"settings_version", control.settings_version}};
+  if (!control.preset.empty()) body["preset"] = control.preset;
+  json draining = json::array();
+  for (const HostId& host : control.draining) draining.push_back(host.value());
+  body["draining"] = std::move(draining);
+  json recent = json::array();
+  for (const RememberedChange& change : state.recent) {
+    recent.push_back(
+        {{"change_id", change.change_id}, {"offset", change.offset}});
+  }
+  body["recent"] = std::move(recent);
+  if (state.document) body["configuration"] = json::parse(*state.document);
+  return body.dump();
+}
+
+Result<FoldState> ReadSnapshot(std::string_view body) {
+  const json value = ParseBounded(body);
+  if (!value.is_object()) return Fail(ErrorCode::kProtocol, "snapshot");
+  return ReadSnapshotValue(value);
+}
+
+Result<FoldState> ReadSnapshotRecord(const platform::LogRecord& record) {
+  if (record.payload.size() > kMaxRecordBytes) {
+    return Fail(ErrorCode::kProtocol, "snapshot too large");
+  }
+  const json value = ParseBounded(record.payload);
+  const bool is_snapshot = value.is_object() && value.contains("body") &&
+                           value.value("v", json()) == kRecordVersion &&
+                           value.value("kind", json()) == "snapshot";
+  if (!is_snapshot) return Fail(ErrorCode::kProtocol, "not a snapshot");
+  Result<FoldState> state = ReadSnapshotValue(value.at("body"));
+  if (state && state->folded_offset >= record.offset) {
+    return Fail(ErrorCode::kProtocol, "snapshot covers its own offset");
+  }
+  return state;
+}
+
+}  // namespace peridotshelf::control
--- a/src/include/peridotshelf/control/configuration.h
+++ b/src/include/peridotshelf/control/configuration.h
@@ -107,6 +107,9 @@
 struct ControlState {
   /// The log offset of the newest accepted change; 0 before any.
   ControlVersion version = 0;
+  /// The version of the newest accepted configuration or preset; a later
+  /// version differs from it by drains only.
+  ControlVersion settings_version = 0;
   std::shared_ptr<const Configuration> configuration;
   /// The name of the preset in force.
   std::string preset;
--- /dev/null
+++ b/src/include/peridotshelf/platform/log_client.h
@@ -0,0 +1,47 @@
+/// The platform's log over HTTP. Its wire format is in log_client.cc alone.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "peridotshelf/base/clock.h"
+#include "peridotshelf/base/error.h"
+#include "peridotshelf/http/client.h"
+#include "peridotshelf/platform/concepts.h"
+
+namespace peridotshelf::platform {
+
+/// Timing of calls to the log.
+struct LogClientOptions {
+  /// An append that is not answered within this time has an unknown outcome.
+  Duration append_timeout = std::chrono::seconds(2);
+  /// Added to a read's own wait, to tell a slow answer from a dead connection.
+  Duration read_grace = std::chrono::milliseconds(700);
+};
+
+/// A `LogClient`. Callbacks run on the HTTP client's thread. Thread-safe.
+class HttpLogClient {
+ public:
+  /// `base_url` has no trailing slash; `client` outlives this object.
+  HttpLogClient(std::string base_url, http::Client& client,
+                LogClientOptions options = {});
+
+  /// Appends `payload` and yields its offset. The error's `not_run` is true
+  /// only if the record cannot have been appended.
+  void Append(std::string payload,
+              std::function<void(Result<int64_t>)> on_appended);
+  /// Reads from offset `from` on; the log holds the answer back for up to
+  /// `wait` while it has nothing.
+  void Read(int64_t from, Duration wait,
+            std::function<void(Result<LogPage>)> on_read);
+
+ private:
+  std::string m_base_url;
+  http::Client* m_client;
+  LogClientOptions m_options;
+};
+
+static_assert(LogClient<HttpLogClient>);
+
+}  // namespace peridotshelf::platform
--- /dev/null
+++ b/src/platform/log_client.cc
@@ -0,0 +1,96 @@
+#include "peridotshelf/platform/log_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace peridotshelf::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
+
+/// The failure of a call: the log is out of reach, whatever the cause.
+tl::unexpected<Error> Unavailable(std::string detail, bool not_run) {
+  return tl::unexpected<Error>(
+      Error{ErrorCode::kPlatformUnavailable, std::move(detail), not_run, {}});
+}
+
+/// The answer's JSON, or kPlatformUnavailable.
+Result<json> ReadAnswer(const Result<http::ClientResponse>& response) {
+  if (!response) {
+    return Unavailable("log: " + response.error().detail,
+                       response.error().not_run);
+  }
+  if (response->status != kOk) {
+    return Unavailable("log: HTTP status " + std::to_string(response->status),
+                       response->status == kTooManyRequests);
+  }
+  json answer = json::parse(response->body, nullptr, false);
+  if (!answer.is_object()) return Unavailable("log: malformed answer", false);
+  return answer;
+}
+
+Result<int64_t> ReadOffset(const Result<http::ClientResponse>& response) {
+  const Result<json> answer = ReadAnswer(response);
+  if (!answer) return tl::unexpected<Error>(answer.error());
+  const auto offset = answer->find("offset");
+  if (offset == answer->end() || !offset->is_number_integer()) {
+    return Unavailable("log: answer without offset", false);
+  }
+  return offset->get<int64_t>();
+}
+
+Result<LogPage> ReadPage(const Result<http::ClientResponse>& response) {
+  const Result<json> answer = ReadAnswer(response);
+  if (!answer) return tl::unexpected<Error>(answer.error());
+  try {
+    LogPage page;
+    page.first_offset = answer->at("first_offset").get<int64_t>();
+    page.next_offset = answer->at("next_offset").get<int64_t>();
+    for (const json& record : answer->at("records")) {
+      page.records.push_back({record.at("offset").get<int64_t>(),
+                              record.at("payload").get<std::string>()});
+    }
+    return page;
+  } catch (const json::exception& e) {
+    return Unavailable(std::string("log: malformed page: ") + e.what(), false);
+  }
+}
+
+}  // namespace
+
+HttpLogClient::HttpLogClient(std::string base_url, http::Client& client,
+                             LogClientOptions options)
+    : m_base_url(std::move(base_url)), m_client(&client), m_options(options) {}
+
+void HttpLogClient::Append(std::string payload,
+                           std::function<void(Result<int64_t>)> on_appended) {
+  http::ClientRequest request;
+  request.method = "POST";
+  request.url = m_base_url + "/v1/log";
+  request.headers = {{"Content-Type", "application/octet-stream"}};
+  request.body = std::move(payload);
+  request.timeout = m_options.append_timeout;
+  m_client->Fetch(std::move(request),
+                  [on_appended = std::move(on_appended)](
+                      const Result<http::ClientResponse>& response) {
+                    on_appended(ReadOffset(response));
+                  });
+}
+
+void HttpLogClient::Read(int64_t from, Duration wait,
+                         std::function<void(Result<LogPage>)> on_read) {
+  http::ClientRequest request;
+  request.url = m_base_url + "/v1/log?from=" + std::to_string(from) +
+                "&wait_ms=" + std::to_string(ToMilliseconds(wait));
+  request.timeout = wait + m_options.read_grace;
+  m_client->Fetch(std::move(request),
+                  [on_read = std::move(on_read)](
+                      const Result<http::ClientResponse>& response) {
+                    on_read(ReadPage(response));
+                  });
+}
+
+}  // namespace peridotshelf::platform
