--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -7,6 +7,8 @@
 
 using events::EventId;
 
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 wire::SizeClass::type ClassOf(int64_t prompt_tokens) {
@@ -69,19 +71,25 @@
   return open;
 }
 
+Reachable Dispatcher::IsReachable() const {
+  return [this](const HostId& host) { return m_links->Find(host) != nullptr; };
+}
+
 void Dispatcher::Submit(const control::ControlStatePtr& state,
                         CompletionRequest request, AnswerCallbacks answer) {
-  const Result<Candidate> candidate = PlaceCompletion(*state, request);
+  const Result<Candidate> candidate =
+      PlaceCompletion(*state, request, IsReachable());
   if (!candidate) {
     Error error = candidate.error();
     error.not_run = true;
+    if (error.code == ErrorCode::kNoBackend) error.retry_after = kRetryAfter;
     answer.on_failed(error);
     return;
   }
   const wire::ChannelPtr channel = m_links->Find(candidate->host);
   if (!channel) {
-    answer.on_failed({ErrorCode::kNoBackend, "no connection", true,
-                      std::chrono::seconds(1)});
+    answer.on_failed(
+        {ErrorCode::kNoBackend, "no connection", true, kRetryAfter});
     return;
   }
   wire::Reserve reserve;
@@ -106,17 +114,19 @@
 
 void Dispatcher::SubmitCall(const control::ControlStatePtr& state,
                             ServiceRequest request, AnswerCallbacks answer) {
-  const Result<Candidate> candidate = PlaceServiceCall(*state, request);
+  const Result<Candidate> candidate =
+      PlaceServiceCall(*state, request, IsReachable());
   if (!candidate) {
     Error error = candidate.error();
     error.not_run = true;
+    if (error.code == ErrorCode::kNoBackend) error.retry_after = kRetryAfter;
     answer.on_failed(error);
     return;
   }
   const wire::ChannelPtr channel = m_links->Find(candidate->host);
   if (!channel) {
-    answer.on_failed({ErrorCode::kNoBackend, "no connection", true,
-                      std::chrono::seconds(1)});
+    answer.on_failed(
+        {ErrorCode::kNoBackend, "no connection", true, kRetryAfter});
     return;
   }
   OpenPtr open =
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -54,6 +54,7 @@
   };
   using OpenPtr = std::shared_ptr<Open>;
 
+  Reachable IsReachable() const;
   OpenPtr Add(const RequestId& id, const CallerTerms& terms, const HostId& host,
               AnswerCallbacks answer);
   void OnGranted(const OpenPtr& open, const wire::Granted& granted);
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -15,23 +15,29 @@
 }  // namespace
 
 Result<Candidate> PlaceCompletion(const control::ControlState& state,
-                                  const CompletionRequest& request) {
+                                  const CompletionRequest& request,
+                                  const Reachable& reachable) {
   const int64_t tokens = request.prompt_tokens + request.max_tokens;
   bool known = false;
+  bool large_enough = false;
   std::vector<const control::EngineConfig*> fitting;
   for (const control::EngineConfig& engine : state.configuration->engines) {
     if (engine.model != request.model) continue;
     known = true;
-    if (tokens <= engine.memory_tokens) fitting.push_back(&engine);
+    if (tokens > engine.memory_tokens) continue;
+    large_enough = true;
+    if (reachable(engine.host)) fitting.push_back(&engine);
   }
   if (!known) return Fail(ErrorCode::kUnknownModel, request.model);
-  if (fitting.empty()) return Fail(ErrorCode::kTooLarge, "prompt");
+  if (!large_enough) return Fail(ErrorCode::kTooLarge, "prompt");
+  if (fitting.empty()) return Fail(ErrorCode::kNoBackend, request.model);
   const control::EngineConfig& chosen = *fitting[RandomBelow(fitting.size())];
   return Candidate{chosen.host, chosen.id.value()};
 }
 
 Result<Candidate> PlaceServiceCall(const control::ControlState& state,
-                                   const ServiceRequest& request) {
+                                   const ServiceRequest& request,
+                                   const Reachable& reachable) {
   const auto& services = state.configuration->services;
   const auto service =
       std::find_if(services.begin(), services.end(), [&](const auto& s) {
@@ -41,15 +47,16 @@
   if (service == services.end()) {
     return Fail(ErrorCode::kUnknownService, request.service);
   }
-  if (service->backends.empty()) {
-    return Fail(ErrorCode::kNoBackend, request.service);
-  }
-  const std::string& id =
-      service->backends[RandomBelow(service->backends.size())];
+  std::vector<Candidate> candidates;
   for (const auto& backend : state.configuration->backends) {
-    if (backend.id == id) return Candidate{backend.host, id};
+    const auto& listed = service->backends;
+    if (std::find(listed.begin(), listed.end(), backend.id) != listed.end() &&
+        reachable(backend.host)) {
+      candidates.push_back({backend.host, backend.id});
+    }
   }
-  return Fail(ErrorCode::kNoBackend, id);
+  if (candidates.empty()) return Fail(ErrorCode::kNoBackend, request.service);
+  return candidates[RandomBelow(candidates.size())];
 }
 
 }  // namespace peridotshelf::entry
--- a/testsuite/whole_path/run.py
+++ b/testsuite/whole_path/run.py
@@ -64,6 +64,8 @@
             fleet.wait_ready(port)
             f.wait_for("a first answer comes",
                        lambda port=port: complete(port, "x", False)[0] == 200)
+        f.wait_for("the service answers", lambda: f.call(
+            entry_0, "GET", "/services/approvals/")[0] == 200)
 
         status, headers, body = complete(entry_0, "one beam", True)
         assert status == 200, body
