Add the side's ledger, fair queue and admission

Cause: memory and slots of an engine need one owner that grants, queues, refuses and ends by its own clock. The ledger keeps held + free = capacity; admission adds leases, tombstones, a reserve for short prompts, a cap on long prefills, a bound on what may pass a blocked request, and refusal once the predicted end passes the budget. Ruled out: freeing memory when a lease ends; it stays held until the engine confirms the cancel.

--- /dev/null
+++ b/src/ledger/admission.cc
@@ -0,0 +1,260 @@
+#include "peridotshelf/ledger/admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotshelf::ledger {
+
+namespace {
+
+/// Bounds of what may start past a blocked request, in engine memories.
+constexpr double kMinBypassFraction = 0.25;
+constexpr double kMaxBypassFraction = 4;
+
+Error NotRun(ErrorCode code, const AttemptId& attempt) {
+  return Error{code, attempt.ToString(), true, {}};
+}
+
+}  // namespace
+
+Admission::Admission(AdmissionOptions options, bool rebuilding)
+    : m_options(options),
+      m_ledger(options.capacity),
+      m_tombstones(options.tombstone_lifetime),
+      m_times(options.costs),
+      m_rebuilding(rebuilding) {}
+
+void Admission::ApplyPreset(const control::Preset& preset,
+                            std::span<const control::TeamConfig> teams) {
+  std::scoped_lock lock(m_mutex);
+  m_limits = {preset.short_reserve, preset.max_long_prefills};
+  m_bypass_fraction = std::clamp(preset.short_weight / preset.long_weight,
+                                 kMinBypassFraction, kMaxBypassFraction);
+  m_priority_offsets = preset.priority_offsets;
+  for (FairQueue& lane : m_lanes) {
+    for (const control::TeamConfig& team : teams) {
+      lane.SetShare(team.id, team.share);
+    }
+  }
+}
+
+void Admission::Rebuild(std::span<const backend::EngineStream> streams,
+                        TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  for (const backend::EngineStream& stream : streams) {
+    Hold hold;
+    hold.attempt = stream.attempt;
+    hold.tokens = stream.memory_tokens;
+    hold.size_class =
+        policy::ClassOf(stream.memory_tokens, 0, m_options.capacity.tokens);
+    hold.prefilling = stream.chunks == 0;
+    hold.lease_end = now + m_options.owner_lease;
+    m_ledger.Adopt(std::move(hold));
+    Progress progress;
+    progress.prompt_tokens = stream.memory_tokens;
+    progress.started = now;
+    m_progress.try_emplace(stream.attempt, progress);
+  }
+  m_rebuilding = false;
+}
+
+std::vector<Outcome> Admission::Leave(TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  m_leaving = true;
+  std::vector<Outcome> outcomes;
+  RefuseWaiting(ErrorCode::kLeaving, now, outcomes,
+                [](const WaitingRequest&) { return true; });
+  return outcomes;
+}
+
+std::optional<Decision> Admission::Repeated(const ReserveRequest& request,
+                                            TimePoint now) {
+  const AttemptId& attempt = request.attempt;
+  if (const auto started = m_tombstones.Started(attempt)) {
+    Refused refused{attempt, request.owner,
+                    NotRun(ErrorCode::kCancelled, attempt)};
+    refused.error.not_run = !*started;
+    return refused;
+  }
+  if (const Hold* hold = m_ledger.Find(attempt)) {
+    if (hold->state == HoldState::kReserved) {
+      return Granted{attempt, hold->owner, m_options.epoch,
+                     hold->lease_end - now};
+    }
+    return Refused{attempt, request.owner,
+                   Error{ErrorCode::kKeyInUse, attempt.ToString(), false, {}}};
+  }
+  if (m_waiting.contains(attempt)) {
+    return Queued{attempt, PredictWait(request, now)};
+  }
+  return std::nullopt;
+}
+
+Decision Admission::Reserve(const ReserveRequest& request, TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  m_tombstones.Expire(now);
+  m_owner_leases[request.owner] = now + m_options.owner_lease;
+  if (m_rebuilding) return Refuse(request, ErrorCode::kNotReady, now);
+  if (auto decision = Repeated(request, now)) return *decision;
+  if (m_leaving) return Refuse(request, ErrorCode::kLeaving, now);
+  if (request.tokens() > m_options.capacity.tokens) {
+    return Refuse(request, ErrorCode::kTooLarge, now);
+  }
+  ReserveRequest weighted = request;
+  auto offset = m_priority_offsets.find(request.team);
+  if (offset != m_priority_offsets.end()) weighted.priority += offset->second;
+  return GrantOrQueue(weighted, now);
+}
+
+Decision Admission::GrantOrQueue(const ReserveRequest& request, TimePoint now) {
+  const Duration service = ServiceTime(request);
+  const Duration remaining = request.budget.Remaining(now);
+  if (service > remaining) return Refuse(request, ErrorCode::kOutOfTime, now);
+  const size_t lane_index = LaneOf(request.size_class);
+  FairQueue& lane = m_lanes.at(lane_index);
+  const bool first =
+      lane.size() == 0 || lane.Peek()->request.priority < request.priority;
+  if (first && MayStart(request)) return Grant(request, now);
+  const Duration wait = PredictWait(request, now);
+  if (wait + service > remaining) {
+    return Refuse(request, ErrorCode::kOverloaded, now);
+  }
+  const TimePoint latest_start = request.budget.deadline() - service;
+  lane.Push({request, now, wait, latest_start});
+  m_waiting.emplace(request.attempt, lane_index);
+  return Queued{request.attempt, wait};
+}
+
+Result<void> Admission::Commit(const AttemptId& attempt, int64_t epoch,
+                               TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  if (epoch != m_options.epoch) {
+    return Fail(ErrorCode::kConnectionLost, "epoch of " + attempt.ToString());
+  }
+  const Hold* hold = m_ledger.Find(attempt);
+  if (hold == nullptr) {
+    Error error = NotRun(ErrorCode::kOutOfTime, attempt);
+    error.not_run = m_tombstones.Started(attempt) == false;
+    return tl::unexpected(error);
+  }
+  if (hold->state != HoldState::kReserved) {
+    return Fail(ErrorCode::kKeyInUse, attempt.ToString());
+  }
+  if (hold->lease_end <= now) {
+    m_ledger.Release(attempt);
+    m_progress.erase(attempt);
+    m_tombstones.Add(attempt, false, now);
+    return tl::unexpected(NotRun(ErrorCode::kOutOfTime, attempt));
+  }
+  m_progress[attempt].started = now;
+  m_owner_leases[hold->owner] = now + m_options.owner_lease;
+  return m_ledger.Commit(attempt, now + m_options.owner_lease);
+}
+
+void Admission::EndPrefill(const AttemptId& attempt, TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  const Hold* hold = m_ledger.Find(attempt);
+  if (hold == nullptr || !hold->prefilling) return;
+  Progress& progress = m_progress[attempt];
+  progress.first_token = now;
+  if (hold->state == HoldState::kRunning && progress.max_tokens > 0) {
+    m_times.ObservePrefill(progress.prompt_tokens, hold->size_class,
+                           now - progress.started);
+  }
+  m_ledger.EndPrefill(attempt);
+}
+
+void Admission::Release(const AttemptId& attempt, TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  const std::optional<Hold> hold = m_ledger.Release(attempt);
+  if (!hold) return;
+  const Progress progress = m_progress[attempt];
+  m_progress.erase(attempt);
+  m_tombstones.Add(attempt, hold->state != HoldState::kReserved, now);
+  const bool whole = hold->state == HoldState::kRunning && !hold->prefilling;
+  if (whole && progress.max_tokens > 0) {
+    m_times.ObserveDecode(progress.max_tokens, now - progress.first_token);
+  }
+}
+
+CancelResult Admission::Cancel(const AttemptId& attempt, TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  if (const auto started = m_tombstones.Started(attempt)) {
+    return *started ? CancelResult::kEnded : CancelResult::kNeverStarted;
+  }
+  if (EngineHolds(attempt)) {
+    m_ledger.BeginCancel(attempt);
+    m_progress[attempt].cancel_sent = now;
+    return CancelResult::kRunning;
+  }
+  const bool known =
+      m_waiting.contains(attempt) || m_ledger.Find(attempt) != nullptr;
+  StopWaiting(attempt);
+  m_ledger.Release(attempt);
+  m_progress.erase(attempt);
+  m_tombstones.Add(attempt, false, now);
+  return known ? CancelResult::kNeverStarted : CancelResult::kUnknown;
+}
+
+void Admission::Extend(const ProcessId& owner, TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  auto lease = m_owner_leases.find(owner);
+  // A lease that has ended stays ended, also when Tick has not met it yet.
+  if (lease == m_owner_leases.end() || lease->second <= now) return;
+  lease->second = now + m_options.owner_lease;
+  m_ledger.Extend(owner, now + m_options.owner_lease);
+}
+
+bool Admission::Claim(const AttemptId& attempt, const ProcessId& owner,
+                      TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  const TimePoint lease_end = now + m_options.owner_lease;
+  if (!m_ledger.Claim(attempt, owner, lease_end)) return false;
+  m_owner_leases[owner] = lease_end;
+  return true;
+}
+
+std::vector<Outcome> Admission::Tick(TimePoint now) {
+  std::scoped_lock lock(m_mutex);
+  std::vector<Outcome> outcomes;
+  EndLapsed(now, outcomes);
+  RepeatCancels(now, outcomes);
+  RefuseWaiting(ErrorCode::kOverloaded, now, outcomes,
+                [now](const WaitingRequest& waiting) {
+                  return waiting.latest_start <= now;
+                });
+  GrantWaiting(now, outcomes);
+  return outcomes;
+}
+
+LoadReport Admission::Load() const {
+  std::scoped_lock lock(m_mutex);
+  const Capacity free = m_ledger.free();
+  LoadReport load;
+  load.free_tokens = free.tokens;
+  load.free_slots = free.slots;
+  for (const FairQueue& lane : m_lanes) {
+    load.queued += static_cast<int32_t>(lane.size());
+    load.queued_tokens += lane.tokens();
+  }
+  load.running_long = m_ledger.long_prefills();
+  load.leaving = m_leaving;
+  return load;
+}
+
+Capacity Admission::Held() const {
+  std::scoped_lock lock(m_mutex);
+  return m_ledger.held();
+}
+
+WaitRecord Admission::Waits() const {
+  std::scoped_lock lock(m_mutex);
+  return m_waits;
+}
+
+bool Admission::Balanced() const {
+  std::scoped_lock lock(m_mutex);
+  return m_ledger.Balanced();
+}
+
+}  // namespace peridotshelf::ledger
--- /dev/null
+++ b/src/ledger/admission_queue.cc
@@ -0,0 +1,254 @@
+// The part of Admission that predicts waits and moves requests out of its
+// lanes. Callers hold the lock.
+#include <algorithm>
+#include <utility>
+
+#include "peridotshelf/ledger/admission.h"
+
+namespace peridotshelf::ledger {
+
+using policy::IsLong;
+using policy::SizeClass;
+
+namespace {
+
+/// Bounds of what a refused caller is told about coming back.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
+/// What adopted work is taken to need, since its request is not known.
+constexpr Duration kAdoptedWorkTime = std::chrono::seconds(1);
+
+}  // namespace
+
+size_t Admission::LaneOf(SizeClass size_class) {
+  if (size_class == SizeClass::kShort) return 0;
+  return size_class == SizeClass::kMedium ? 1 : 2;
+}
+
+Refused Admission::Refuse(const ReserveRequest& request, ErrorCode code,
+                          TimePoint now) {
+  m_tombstones.Add(request.attempt, false, now);
+  Refused refused{request.attempt, request.owner,
+                  Error{code, request.attempt.ToString(), true, {}}};
+  if (code == ErrorCode::kOverloaded) {
+    refused.error.retry_after =
+        std::clamp(PredictWait(request, now), kMinRetryAfter, kMaxRetryAfter);
+  }
+  return refused;
+}
+
+Granted Admission::Grant(const ReserveRequest& request, TimePoint now) {
+  Hold hold;
+  hold.attempt = request.attempt;
+  hold.owner = request.owner;
+  hold.team = request.team;
+  hold.size_class = request.size_class;
+  hold.tokens = request.tokens();
+  hold.lease_end = now + m_options.reservation_lease;
+  Progress progress;
+  progress.prompt_tokens = request.prompt_tokens;
+  progress.max_tokens = request.max_tokens;
+  progress.started = now;
+  m_progress[request.attempt] = progress;
+  // Reserve cannot fail: the attempt was looked up before.
+  (void)m_ledger.Reserve(std::move(hold));
+  if (m_blocked == request.attempt) {
+    m_blocked = {};
+    m_bypassed_tokens = 0;
+  } else if (!m_blocked.request.empty()) {
+    m_bypassed_tokens += request.tokens();
+  }
+  return {request.attempt, request.owner, m_options.epoch,
+          m_options.reservation_lease};
+}
+
+bool Admission::MayStart(const ReserveRequest& request) const {
+  const Obstacle obstacle =
+      m_ledger.WhyNot(request.tokens(), request.size_class, m_limits);
+  return obstacle == Obstacle::kNone && PassesBlocked(request);
+}
+
+bool Admission::PassesBlocked(const ReserveRequest& request) const {
+  if (m_blocked.request.empty() || m_blocked == request.attempt) return true;
+  const auto memory = static_cast<double>(m_options.capacity.tokens);
+  const auto bypassed = static_cast<double>(m_bypassed_tokens);
+  if (bypassed < m_bypass_fraction * memory) return true;
+  if (request.size_class != SizeClass::kShort) return false;
+  const Capacity held = m_ledger.held_by_short();
+  const auto tokens = static_cast<double>(held.tokens + request.tokens());
+  return tokens <= m_limits.short_reserve * memory &&
+         held.slots < m_limits.short_reserve * m_options.capacity.slots;
+}
+
+void Admission::StopWaiting(const AttemptId& attempt) {
+  auto it = m_waiting.find(attempt);
+  if (it == m_waiting.end()) return;
+  m_lanes.at(it->second).Remove(attempt);
+  m_waiting.erase(it);
+  if (m_blocked == attempt) m_blocked = {};
+}
+
+bool Admission::EngineHolds(const AttemptId& attempt) const {
+  const Hold* hold = m_ledger.Find(attempt);
+  return hold != nullptr && hold->state != HoldState::kReserved;
+}
+
+Duration Admission::ServiceTime(const ReserveRequest& request) const {
+  return m_times.Prefill(request.prompt_tokens, request.size_class) +
+         m_times.Decode(request.max_tokens);
+}
+
+Duration Admission::PredictedEnd(const Hold& hold, TimePoint now) const {
+  if (hold.state == HoldState::kCancelling) return Duration::zero();
+  auto it = m_progress.find(hold.attempt);
+  if (it == m_progress.end() || it->second.max_tokens == 0) {
+    return kAdoptedWorkTime;
+  }
+  const Progress& progress = it->second;
+  const Duration decode = m_times.Decode(progress.max_tokens);
+  if (!hold.prefilling) return progress.first_token + decode - now;
+  const Duration prefill =
+      m_times.Prefill(progress.prompt_tokens, hold.size_class);
+  return std::max(Duration::zero(), progress.started + prefill - now) + decode;
+}
+
+Duration Admission::PredictWait(const ReserveRequest& request,
+                                TimePoint now) const {
+  Duration wait = MemoryWait(request, now);
+  if (IsLong(request.size_class)) {
+    wait = std::max(wait, PrefillLimitWait(request, now));
+  }
+  return m_waits.Correct(wait);
+}
+
+Duration Admission::MemoryWait(const ReserveRequest& request,
+                               TimePoint now) const {
+  const bool is_short = request.size_class == SizeClass::kShort;
+  std::vector<PlannedWork> running;
+  for (const auto& [attempt, hold] : m_ledger.holds()) {
+    // Other classes wait for each other's memory only: the rest is reserved.
+    if (!is_short && hold.size_class == SizeClass::kShort) continue;
+    running.push_back({hold.tokens, PredictedEnd(hold, now)});
+  }
+  std::vector<PlannedWork> ahead;
+  const FairQueue& lane = m_lanes.at(LaneOf(request.size_class));
+  lane.ForEach([&](const WaitingRequest& waiting) {
+    const ReserveRequest& other = waiting.request;
+    if (other.priority < request.priority) return;
+    const bool earlier = other.priority > request.priority ||
+                         other.budget.deadline() <= request.budget.deadline();
+    if (earlier) ahead.push_back({other.tokens(), ServiceTime(other)});
+  });
+  Capacity free = m_ledger.free();
+  if (!is_short) {
+    const double part = 1.0 - m_limits.short_reserve;
+    const Capacity total = m_ledger.capacity();
+    const Capacity held = m_ledger.held_by_others();
+    free.tokens =
+        static_cast<int64_t>(part * static_cast<double>(total.tokens)) -
+        held.tokens;
+    free.slots = static_cast<int32_t>(part * total.slots) - held.slots;
+  }
+  return EstimateWait(running, ahead, free.tokens, free.slots,
+                      request.tokens());
+}
+
+Duration Admission::PrefillLimitWait(const ReserveRequest& request,
+                                     TimePoint now) const {
+  Duration work{};
+  for (const auto& [attempt, hold] : m_ledger.holds()) {
+    if (!IsLong(hold.size_class) || !hold.prefilling) continue;
+    auto it = m_progress.find(attempt);
+    if (it == m_progress.end()) continue;
+    const Duration prefill =
+        m_times.Prefill(it->second.prompt_tokens, hold.size_class);
+    work += std::max(Duration::zero(), it->second.started + prefill - now);
+  }
+  if (m_ledger.long_prefills() < m_limits.max_long_prefills) work = {};
+  m_lanes.at(LaneOf(request.size_class))
+      .ForEach([&](const WaitingRequest& waiting) {
+        const ReserveRequest& other = waiting.request;
+        if (other.budget.deadline() > request.budget.deadline()) return;
+        work += m_times.Prefill(other.prompt_tokens, other.size_class);
+      });
+  return work / std::max(1, m_limits.max_long_prefills);
+}
+
+void Admission::GrantWaiting(TimePoint now, std::vector<Outcome>& outcomes) {
+  for (FairQueue& lane : m_lanes) {
+    while (GrantHead(lane, now, outcomes)) {
+    }
+  }
+}
+
+bool Admission::GrantHead(FairQueue& lane, TimePoint now,
+                          std::vector<Outcome>& outcomes) {
+  const WaitingRequest* head = lane.Peek();
+  if (head == nullptr) return false;
+  const ReserveRequest& request = head->request;
+  if (!MayStart(request)) {
+    const Obstacle obstacle =
+        m_ledger.WhyNot(request.tokens(), request.size_class, m_limits);
+    const bool blocks = obstacle == Obstacle::kMemory &&
+                        request.size_class != SizeClass::kShort;
+    if (blocks && m_blocked.request.empty()) {
+      m_blocked = request.attempt;
+      m_bypassed_tokens = 0;
+    }
+    return false;
+  }
+  const WaitingRequest taken = *lane.Pop();
+  m_waiting.erase(taken.request.attempt);
+  m_waits.Add(taken.predicted_wait, now - taken.queued_at);
+  outcomes.emplace_back(Grant(taken.request, now));
+  return true;
+}
+
+void Admission::RefuseWaiting(
+    ErrorCode code, TimePoint now, std::vector<Outcome>& outcomes,
+    const std::function<bool(const WaitingRequest&)>& condition) {
+  for (FairQueue& lane : m_lanes) {
+    for (const WaitingRequest& waiting : lane.RemoveIf(condition)) {
+      const AttemptId& attempt = waiting.request.attempt;
+      m_waiting.erase(attempt);
+      if (m_blocked == attempt) m_blocked = {};
+      outcomes.emplace_back(Refuse(waiting.request, code, now));
+    }
+  }
+}
+
+void Admission::EndLapsed(TimePoint now, std::vector<Outcome>& outcomes) {
+  for (const Hold& hold : m_ledger.Lapsed(now)) {
+    if (hold.state == HoldState::kReserved) {
+      m_ledger.Release(hold.attempt);
+      m_progress.erase(hold.attempt);
+      m_tombstones.Add(hold.attempt, false, now);
+      outcomes.emplace_back(Refused{
+          hold.attempt, hold.owner,
+          Error{ErrorCode::kOutOfTime, hold.attempt.ToString(), true, {}}});
+    } else {
+      m_ledger.BeginCancel(hold.attempt);
+      m_progress[hold.attempt].cancel_sent = now;
+      outcomes.emplace_back(CancelAtEngine{hold.attempt, hold.owner});
+    }
+  }
+  RefuseWaiting(ErrorCode::kConnectionLost, now, outcomes,
+                [&](const WaitingRequest& waiting) {
+                  auto lease = m_owner_leases.find(waiting.request.owner);
+                  return lease == m_owner_leases.end() || lease->second <= now;
+                });
+  std::erase_if(m_owner_leases,
+                [now](const auto& lease) { return lease.second <= now; });
+}
+
+void Admission::RepeatCancels(TimePoint now, std::vector<Outcome>& outcomes) {
+  for (const auto& [attempt, hold] : m_ledger.holds()) {
+    if (hold.state != HoldState::kCancelling) continue;
+    Progress& progress = m_progress[attempt];
+    if (now - progress.cancel_sent < m_options.cancel_retry) continue;
+    progress.cancel_sent = now;
+    outcomes.emplace_back(CancelAtEngine{attempt, hold.owner});
+  }
+}
+
+}  // namespace peridotshelf::ledger
