Add placement by prefix, load and domain, and team limits

Cause: an entry needs a first engine to ask from hints alone, at a cost that does not grow with the fleet. A ring with bounded load stands for rendezvous hashing, which visits every engine; two choices on fading hints otherwise. A report older than a refusal is ignored. Found by the test of a joining engine: XXH3 with small seeds gives names of up to three bytes that differ in low bits the same set of ring points; the point's number is now hashed as data.

--- a/src/include/peridotshelf/ledger/admission.h
+++ b/src/include/peridotshelf/ledger/admission.h
@@ -19,6 +19,7 @@
 #include "peridotshelf/ledger/ledger.h"
 #include "peridotshelf/ledger/service_times.h"
 #include "peridotshelf/ledger/tombstones.h"
+#include "peridotshelf/policy/engine_load.h"
 
 namespace peridotshelf::ledger {
 
@@ -64,16 +65,6 @@
   kUnknown,       ///< No record; it can no longer start here.
 };
 
-/// What entries are told with each reply.
-struct LoadReport {
-  int64_t free_tokens = 0;
-  int32_t free_slots = 0;
-  int32_t queued = 0;
-  int64_t queued_tokens = 0;
-  int32_t running_long = 0;
-  bool leaving = false;
-};
-
 /// The side's configuration of one engine's admission.
 struct AdmissionOptions {
   Capacity capacity;
@@ -124,7 +115,7 @@
   std::vector<Outcome> Tick(TimePoint now);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
-  LoadReport Load() const;
+  policy::EngineLoad Load() const;
   /// Held memory and slots.
   Capacity Held() const;
   /// Predicted against actual waits, all classes together.
--- a/src/ledger/admission.cc
+++ b/src/ledger/admission.cc
@@ -227,10 +227,10 @@
   return outcomes;
 }
 
-LoadReport Admission::Load() const {
+policy::EngineLoad Admission::Load() const {
   std::scoped_lock lock(m_mutex);
   const Capacity free = m_ledger.free();
-  LoadReport load;
+  policy::EngineLoad load;
   load.free_tokens = free.tokens;
   load.free_slots = free.slots;
   for (const FairQueue& lane : m_lanes) {
--- /dev/null
+++ b/src/policy/placement.cc
@@ -0,0 +1,66 @@
+#include "peridotshelf/policy/placement.h"
+
+#include <utility>
+
+#include "policy/engine_pool.h"
+
+namespace peridotshelf::policy {
+
+Placement::Placement(FailureDomain own_domain, PlacementMechanisms mechanisms)
+    : m_own_domain(std::move(own_domain)), m_mechanisms(mechanisms) {}
+
+Placement::~Placement() = default;
+
+void Placement::Update(std::span<const PlacedEngine> engines,
+                       const control::Preset& preset) {
+  std::map<std::string, std::vector<PlacedEngine>> by_model;
+  for (const PlacedEngine& engine : engines) {
+    by_model[engine.config.model].push_back(engine);
+  }
+  std::scoped_lock lock(m_mutex);
+  m_pool_of.clear();
+  std::erase_if(m_pools, [&by_model](const auto& item) {
+    return !by_model.contains(item.first);
+  });
+  for (auto& [model, members] : by_model) {
+    std::shared_ptr<EnginePool>& pool = m_pools[model];
+    if (!pool) pool = std::make_shared<EnginePool>(m_own_domain, m_mechanisms);
+    for (const PlacedEngine& engine : members) {
+      m_pool_of[engine.config.id] = pool;
+    }
+    pool->Update(std::move(members), preset);
+  }
+}
+
+Result<PlacementResult> Placement::Place(const PlacementRequest& request,
+                                         TimePoint now,
+                                         std::mt19937_64& random) {
+  std::shared_ptr<EnginePool> pool;
+  {
+    std::shared_lock lock(m_mutex);
+    auto it = m_pools.find(request.model);
+    if (it == m_pools.end()) {
+      return Fail(ErrorCode::kUnknownModel, request.model);
+    }
+    pool = it->second;
+  }
+  return pool->Place(request, now, random);
+}
+
+std::shared_ptr<EnginePool> Placement::FindPool(const EngineId& engine) const {
+  std::shared_lock lock(m_mutex);
+  auto it = m_pool_of.find(engine);
+  return it == m_pool_of.end() ? nullptr : it->second;
+}
+
+void Placement::OnLoad(const EngineId& engine, const EngineLoad& load,
+                       TimePoint taken_at) {
+  if (auto pool = FindPool(engine)) pool->OnLoad(engine, load, taken_at);
+}
+
+void Placement::OnRefused(const EngineId& engine, TimePoint now,
+                          Duration retry_after) {
+  if (auto pool = FindPool(engine)) pool->OnRefused(engine, now, retry_after);
+}
+
+}  // namespace peridotshelf::policy
