Read completion bodies in one pass, without copying the prompt

The body was parsed into a tree and the prompt written out again: a copy of a million-token prompt, 29 MB of tree, and 150 ms during which an I/O thread served nobody else. The prompt is now a view into the request's body.

--- a/src/entry/requests.cc
+++ b/src/entry/requests.cc
@@ -1,16 +1,14 @@
 #include "entry/requests.h"
 
 #include <charconv>
-#include <nlohmann/json.hpp>
+
+#include "entry/completion_reader.h"
 
 namespace peridotshelf::entry {
 namespace {
 
-using nlohmann::json;
-
-constexpr int64_t kDefaultMaxTokens = 16;
-constexpr int64_t kMostMaxTokens = 1'000'000;
-constexpr int64_t kBytesPerToken = 4;
+constexpr size_t kMaxKeyBytes = 256;
+constexpr size_t kMaxTeamBytes = 64;
 constexpr std::string_view kServicesPath = "/services/";
 
 Result<std::optional<int64_t>> ReadNumberHeader(
@@ -21,39 +19,12 @@
   const char* end = text->data() + text->size();
   const auto parsed = std::from_chars(text->data(), end, value);
   if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) {
-    return Fail(ErrorCode::kBadField, name);
+    return Fail(ErrorCode::kBadField,
+                std::string(name) + ": must be an integer of at least 0");
   }
   return std::optional<int64_t>(value);
 }
 
-int64_t CountTokens(const json& prompt) {
-  if (prompt.is_array()) return static_cast<int64_t>(prompt.size());
-  const auto bytes =
-      static_cast<int64_t>(prompt.get_ref<const std::string&>().size());
-  return (bytes + kBytesPerToken - 1) / kBytesPerToken;
-}
-
-bool IsPrompt(const json& prompt) {
-  if (prompt.is_string()) return true;
-  if (!prompt.is_array() || prompt.empty()) return false;
-  for (const json& token : prompt) {
-    if (!token.is_number_unsigned()) return false;
-  }
-  return true;
-}
-
-Result<int64_t> ReadMaxTokens(const json& body) {
-  if (!body.contains("max_tokens")) return kDefaultMaxTokens;
-  const json& value = body["max_tokens"];
-  if (!value.is_number_integer())
-    return Fail(ErrorCode::kBadField, "max_tokens");
-  const auto tokens = value.get<int64_t>();
-  if (tokens < 1 || tokens > kMostMaxTokens) {
-    return Fail(ErrorCode::kBadField, "max_tokens");
-  }
-  return tokens;
-}
-
 }  // namespace
 
 Result<CallerTerms> ReadTerms(const http::ServerRequest& request,
@@ -61,6 +32,11 @@
   CallerTerms terms;
   terms.team =
       TeamId{request.FindHeader("Peridotshelf-Team").value_or("default")};
+  if (terms.team.empty() || terms.team.value().size() > kMaxTeamBytes) {
+    return Fail(ErrorCode::kBadField, "Peridotshelf-Team: must have 1 to " +
+                                          std::to_string(kMaxTeamBytes) +
+                                          " bytes");
+  }
   const auto timeout = ReadNumberHeader(request, "Peridotshelf-Timeout-Ms");
   if (!timeout) return tl::unexpected<Error>(timeout.error());
   const auto issued_at = ReadNumberHeader(request, "Peridotshelf-Issued-At");
@@ -69,16 +45,24 @@
   if (*timeout) {
     const int64_t most = ToMilliseconds(limits.max_timeout);
     if (**timeout < 1 || **timeout > most) {
-      return Fail(ErrorCode::kBadField, "Peridotshelf-Timeout-Ms");
+      return Fail(ErrorCode::kBadField,
+                  "Peridotshelf-Timeout-Ms: must be an integer from 1 to " +
+                      std::to_string(most));
     }
     terms.timeout = std::chrono::milliseconds(**timeout);
   }
   terms.issued_at_ms = *issued_at;
   terms.idempotency_key =
       std::string(request.FindHeader("Idempotency-Key").value_or(""));
+  if (terms.idempotency_key.size() > kMaxKeyBytes) {
+    return Fail(ErrorCode::kBadField, "Idempotency-Key: must have at most " +
+                                          std::to_string(kMaxKeyBytes) +
+                                          " bytes");
+  }
   const auto flag = request.FindHeader("Peridotshelf-Unrepeatable");
   if (flag && *flag != "true" && *flag != "false") {
-    return Fail(ErrorCode::kBadField, "Peridotshelf-Unrepeatable");
+    return Fail(ErrorCode::kBadField,
+                "Peridotshelf-Unrepeatable: must be true or false");
   }
   if (flag) terms.unrepeatable = *flag == "true";
   return terms;
@@ -88,28 +72,17 @@
                                          const ReaderLimits& limits) {
   Result<CallerTerms> terms = ReadTerms(request, limits);
   if (!terms) return tl::unexpected<Error>(terms.error());
-  const json body =
-      json::parse(request.body, nullptr, /*allow_exceptions=*/false);
-  if (!body.is_object()) return Fail(ErrorCode::kBadField, "body");
-  if (!body.contains("model") || !body["model"].is_string()) {
-    return Fail(ErrorCode::kBadField, "model");
-  }
-  if (!body.contains("prompt") || !IsPrompt(body["prompt"])) {
-    return Fail(ErrorCode::kBadField, "prompt");
-  }
-  if (body.contains("stream") && !body["stream"].is_boolean()) {
-    return Fail(ErrorCode::kBadField, "stream");
-  }
-  const Result<int64_t> max_tokens = ReadMaxTokens(body);
-  if (!max_tokens) return tl::unexpected<Error>(max_tokens.error());
+  Result<CompletionBody> body = ReadCompletionBody(request.body);
+  if (!body) return tl::unexpected<Error>(body.error());
   CompletionRequest out;
   out.id = RequestId(MakeRandomId());
   out.terms = std::move(*terms);
-  out.model = body["model"].get<std::string>();
-  out.prompt_json = body["prompt"].dump();
-  out.prompt_tokens = CountTokens(body["prompt"]);
-  out.max_tokens = *max_tokens;
-  out.stream = body.value("stream", false);
+  out.model = std::move(body->model);
+  out.prompt_json = body->prompt_json;
+  out.prompt_owner = request.owner;
+  out.prompt_tokens = body->prompt_tokens;
+  out.max_tokens = body->max_tokens;
+  out.stream = body->stream;
   return out;
 }
 
--- a/src/entry/requests.h
+++ b/src/entry/requests.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,7 +33,9 @@
   CallerTerms terms;
   std::string model;
   /// The prompt's JSON value: a string or an array of token numbers.
-  std::string prompt_json;
+  /// Valid as long as `prompt_owner` lives; not copied, since it may be large.
+  std::string_view prompt_json;
+  std::shared_ptr<const void> prompt_owner;
   /// Exact for token arrays, estimated for text.
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
