--- a/src/control/fold.cc
+++ b/src/control/fold.cc
@@ -178,21 +178,11 @@
   return it == state.recent.end() ? nullptr : &*it;
 }
 
-void Remember(FoldState& state, const std::string& change_id, int64_t offset) {
-  state.recent.push_back({change_id, offset});
-  if (state.recent.size() > kRememberedChanges) state.recent.pop_front();
-}
-
-/// Judges a change whose header is valid against the state.
-RecordOutcome JudgeChange(FoldState& state, const json& value,
-                          RecordResult& result) {
+/// Judges a change that is not a repetition.
+RecordOutcome JudgeNew(FoldState& state, const json& value,
+                       RecordResult& result) {
   const RecordHeader& header = result.header;
   ControlState& control = state.control;
-  if (const RememberedChange* first = FindRemembered(state, header.change_id)) {
-    result.first_offset = first->offset;
-    return RecordOutcome::kDuplicate;
-  }
-  Remember(state, header.change_id, result.offset);
   if (NeedsBase(header.kind)) {
     if (header.base_version > control.version) {
       result.faults.push_back(
@@ -210,6 +200,21 @@
   return RecordOutcome::kAccepted;
 }
 
+/// Judges a change whose header is valid, and remembers it.
+RecordOutcome JudgeChange(FoldState& state, const json& value,
+                          RecordResult& result) {
+  const std::string& change_id = result.header.change_id;
+  if (const RememberedChange* first = FindRemembered(state, change_id)) {
+    result.first_offset = first->offset;
+    result.first_outcome = first->outcome;
+    return RecordOutcome::kDuplicate;
+  }
+  const RecordOutcome outcome = JudgeNew(state, value, result);
+  state.recent.push_back({change_id, result.offset, outcome});
+  if (state.recent.size() > kRememberedChanges) state.recent.pop_front();
+  return outcome;
+}
+
 RecordOutcome Judge(FoldState& state, const std::string& payload,
                     RecordResult& result) {
   if (payload.size() > kMaxRecordBytes) return RecordOutcome::kOversize;
@@ -262,6 +267,9 @@
     remembered.change_id = change.Text("change_id");
     remembered.offset =
         change.Integer("offset", Presence::kRequired, 0, kOffsets);
+    const auto outcome = ParseRecordOutcome(change.Text("outcome"));
+    if (!outcome) change.AddFault(path + "/outcome", "is not known");
+    remembered.outcome = outcome.value_or(RecordOutcome::kInvalid);
     state.recent.push_back(std::move(remembered));
   }
 }
@@ -336,8 +344,9 @@
   body["draining"] = std::move(draining);
   json recent = json::array();
   for (const RememberedChange& change : state.recent) {
-    recent.push_back(
-        {{"change_id", change.change_id}, {"offset", change.offset}});
+    recent.push_back({{"change_id", change.change_id},
+                      {"offset", change.offset},
+                      {"outcome", ToString(change.outcome)}});
   }
   body["recent"] = std::move(recent);
   if (state.document) body["configuration"] = json::parse(*state.document);
--- a/src/control/fold_test.cc
+++ b/src/control/fold_test.cc
@@ -92,6 +92,7 @@
                         PresetChange("p", 1, "peak"), Drain("p", "h1")});
     CPPUNIT_ASSERT(results[3].outcome == RecordOutcome::kDuplicate);
     CPPUNIT_ASSERT_EQUAL(int64_t{2}, results[3].first_offset);
+    CPPUNIT_ASSERT(results[3].first_outcome == RecordOutcome::kAccepted);
     CPPUNIT_ASSERT(results[4].outcome == RecordOutcome::kDuplicate);
     CPPUNIT_ASSERT_EQUAL(std::string("ordinary"), state.control.preset);
   }
--- a/src/include/peridotshelf/control/fold.h
+++ b/src/include/peridotshelf/control/fold.h
@@ -43,8 +43,9 @@
   /// The version in force after the record: the change's own if accepted, the
   /// one it lost to otherwise.
   ControlVersion version = 0;
-  /// For kDuplicate: the offset of the first record of the change.
+  /// For kDuplicate: the first record of the change and what became of it.
   int64_t first_offset = 0;
+  RecordOutcome first_outcome = RecordOutcome::kInvalid;
   ConfigurationFaults faults;
 };
 
@@ -57,6 +58,7 @@
 struct RememberedChange {
   std::string change_id;
   int64_t offset = 0;
+  RecordOutcome outcome = RecordOutcome::kInvalid;
   friend bool operator==(const RememberedChange&,
                          const RememberedChange&) = default;
 };
