Add publish, preset, drain, undrain, audit and check

An operator's command reads the log to its end, appends and reads on until the log shows what became of the change, so that each answer is typed: accepted at a version, lost to one, invalid with paths, not appended, or unknown with the command that settles it. A positional argument that may be empty took no value in CLI11; it now takes exactly one.

--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -15,5 +15,11 @@
 ExitCode RunSide(Arguments args);
 /// `standin KIND`: engine, service, log or hosts.
 ExitCode RunStandin(Arguments args);
+ExitCode RunPublish(Arguments args);
+ExitCode RunPreset(Arguments args);
+ExitCode RunDrain(Arguments args);
+ExitCode RunUndrain(Arguments args);
+ExitCode RunAudit(Arguments args);
+ExitCode RunCheck(Arguments args);
 
 }  // namespace peridotshelf::program
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -27,6 +27,12 @@
     Command{"side", "serve entries beside backend servers", &RunSide},
     Command{"standin", "stand in for engine, service, log or hosts",
             &RunStandin},
+    Command{"publish", "publish a configuration document", &RunPublish},
+    Command{"preset", "put a preset in force", &RunPreset},
+    Command{"drain", "tell a host to take no new work", &RunDrain},
+    Command{"undrain", "let a drained host take work again", &RunUndrain},
+    Command{"audit", "list changes and what became of them", &RunAudit},
+    Command{"check", "read a configuration and name its faults", &RunCheck},
     Command{"version", "print the version", &PrintVersion},
 };
 
--- /dev/null
+++ b/src/peridotshelf/operator_audit.cc
@@ -0,0 +1,124 @@
+// The subcommand `audit`: what the log says was asked for and what became of
+// it.
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "peridotshelf/command.h"
+#include "peridotshelf/operator_log.h"
+
+namespace peridotshelf::program {
+namespace {
+
+using control::RecordOutcome;
+using control::RecordResult;
+using nlohmann::ordered_json;
+
+struct AuditSettings : OperatorSettings {
+  std::string change_id;
+  std::string operator_name;
+  std::string kind;
+  /// UTC text; records with an earlier time are left out.
+  std::string since;
+};
+
+const settings::Schema<AuditSettings>& AuditSchema() {
+  using S = AuditSettings;
+  static const settings::Schema<S> schema = [] {
+    settings::SettingsBuilder<S> builder(
+        "audit", "Lists the changes on the log and what became of each.");
+    AddOperatorSettings(builder);
+    builder.Text(&S::change_id, {"--change-id", "Only the change of this id."})
+        .Text(&S::operator_name, {"--operator", "Only what this one asked."})
+        .Name(&S::kind, {"--kind",
+                         "Only config, preset, drain, undrain, "
+                         "snapshot, plan or audit."})
+        .Text(&S::since,
+              {"--since", "Only from this UTC time on: 2026-12-03T20:39:00Z."})
+        .Example(
+            "peridotshelf audit --kind preset --json "
+            "--log-url http://10.0.0.9:9000");
+    return builder.Build();
+  }();
+  return schema;
+}
+
+bool Selects(const AuditSettings& given, const RecordResult& result) {
+  const control::RecordHeader& header = result.header;
+  const bool readable = result.outcome != RecordOutcome::kTorn &&
+                        result.outcome != RecordOutcome::kOversize &&
+                        result.outcome != RecordOutcome::kUnknownVersion;
+  const std::string_view kind = readable ? ToString(header.kind) : "unreadable";
+  return (given.change_id.empty() || given.change_id == header.change_id) &&
+         (given.operator_name.empty() ||
+          given.operator_name == header.operator_name) &&
+         (given.kind.empty() || given.kind == kind) &&
+         (given.since.empty() || header.time >= given.since);
+}
+
+std::string AsJson(const RecordResult& result) {
+  ordered_json line = {{"offset", result.offset},
+                       {"time", result.header.time},
+                       {"kind", ToString(result.header.kind)},
+                       {"operator", result.header.operator_name},
+                       {"change_id", result.header.change_id},
+                       {"base_version", result.header.base_version},
+                       {"outcome", ToString(result.outcome)},
+                       {"version", result.version}};
+  if (result.outcome == RecordOutcome::kDuplicate) {
+    line["first_offset"] = result.first_offset;
+    line["first_outcome"] = ToString(result.first_outcome);
+  }
+  ordered_json faults = ordered_json::array();
+  for (const auto& fault : result.faults) {
+    faults.push_back({{"path", fault.path}, {"message", fault.message}});
+  }
+  line["faults"] = std::move(faults);
+  return line.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+std::string AsText(const RecordResult& result) {
+  std::string line = std::to_string(result.offset) + " " + result.header.time +
+                     " " + std::string(ToString(result.header.kind)) + " by " +
+                     result.header.operator_name + " on version " +
+                     std::to_string(result.header.base_version) + ": " +
+                     std::string(ToString(result.outcome)) + ", version " +
+                     std::to_string(result.version) + " (change " +
+                     result.header.change_id + ")";
+  for (const auto& fault : result.faults) {
+    line += "\n  " + fault.path + " " + fault.message;
+  }
+  return line;
+}
+
+/// Reads the log to its end and prints what is selected.
+Result<void> PrintLog(const AuditSettings& given) {
+  HttpWaitingLog log(given.log_url);
+  control::LogTracker tracker;
+  while (true) {
+    const int64_t from = tracker.next_offset();
+    const Result<platform::LogPage> page = log.Read(from, Duration{});
+    if (!page) return tl::unexpected<Error>(page.error());
+    for (const RecordResult& result : tracker.TakePage(from, *page).results) {
+      if (!Selects(given, result)) continue;
+      std::cout << (given.json ? AsJson(result) : AsText(result)) << "\n";
+    }
+    if (tracker.next_offset() >= page->next_offset) break;
+  }
+  const control::Readiness readiness = tracker.readiness();
+  if (readiness != control::Readiness::kHistoryLost) return {};
+  return Fail(ErrorCode::kNotReady, std::string(ToString(readiness)));
+}
+
+}  // namespace
+
+ExitCode RunAudit(Arguments args) {
+  const auto given = AuditSchema().ParseOrExplain(
+      args, settings::ProcessEnvironment(), std::cout, std::cerr);
+  if (!given) return given.error();
+  const Result<void> printed = PrintLog(*given);
+  if (printed) return ExitCode::kSuccess;
+  std::cerr << "peridotshelf: " << printed.error().detail << "\n";
+  return ExitCode::kUnavailable;
+}
+
+}  // namespace peridotshelf::program
--- a/src/settings/collect.cc
+++ b/src/settings/collect.cc
@@ -67,7 +67,9 @@
   } else {
     option = m_app.add_option(info.flag, CLI::callback_t(), description);
     // No value is CLI11's fault to report only at the first; leave it to us.
-    option->expected(0, 1)->type_name(info.value_name);
+    // A positional argument that may be empty would take no value at all.
+    if (info.form == Form::kOption) option->expected(0, 1);
+    option->type_name(info.value_name);
   }
   option->multi_option_policy(CLI::MultiOptionPolicy::TakeAll);
   m_options.push_back(option);
