Exchange control state between peers and drain hosts by the log and the list

A process that cannot reach the log learned nothing of changes. Each frame that carries a control version is now noted; when the log has not brought a newer version within the grace, the peers known to be newer are asked in turn. A side refuses new work, with proof that it was not run, while its host is drained or listed as leaving; an entry fails its readiness check.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -42,6 +42,8 @@
   void HandleModels(const http::ResponderPtr& responder);
   void HandleReady(const http::ResponderPtr& responder);
   control::ControlStatePtr ReadyState(const http::ResponderPtr& responder);
+  bool IsLeaving(const control::ControlStatePtr& state) const;
+  std::string NotReadyReason() const;
 
   io::IoThreads& threads;
   EntryOptions options;
@@ -51,6 +53,8 @@
   std::shared_ptr<Dispatcher> dispatcher;
   std::shared_ptr<SideLinks> links;
   std::atomic<bool> leaving{false};
+  /// The platform's list has this host as leaving.
+  std::atomic<bool> listed_leaving{false};
   std::unique_ptr<http::Server> server;
 };
 
@@ -66,12 +70,22 @@
   return hello;
 }
 
+bool Entry::Impl::IsLeaving(const control::ControlStatePtr& state) const {
+  return leaving || listed_leaving ||
+         (state && state->draining.contains(options.host));
+}
+
+std::string Entry::Impl::NotReadyReason() const {
+  if (!options.not_ready_reason) return "no configuration yet";
+  return std::string{options.not_ready_reason()};
+}
+
 control::ControlStatePtr Entry::Impl::ReadyState(
     const http::ResponderPtr& responder) {
   control::ControlStatePtr state = control();
   if (state && state->configuration) return state;
-  http::ReplyError(*responder, {ErrorCode::kNotReady, "no configuration yet",
-                                true, std::chrono::seconds(1)});
+  http::ReplyError(*responder, {ErrorCode::kNotReady, NotReadyReason(), true,
+                                std::chrono::seconds(1)});
   return nullptr;
 }
 
@@ -124,11 +138,11 @@
 
 void Entry::Impl::HandleReady(const http::ResponderPtr& responder) {
   const control::ControlStatePtr state = control();
-  if (leaving) {
+  if (IsLeaving(state)) {
     ReplyJson(*responder, 503, {{"ready", false}, {"reason", "leaving"}});
   } else if (!state || !state->configuration) {
     ReplyJson(*responder, 503,
-              {{"ready", false}, {"reason", "no configuration yet"}});
+              {{"ready", false}, {"reason", NotReadyReason()}});
   } else {
     ReplyJson(*responder, 200, {{"ready", true}, {"version", state->version}});
   }
@@ -174,7 +188,8 @@
       [dispatcher](const HostId& host, const wire::Frame& frame) {
         dispatcher->OnFrame(host, frame);
       },
-      [dispatcher](const HostId& host) { dispatcher->OnLost(host); });
+      [dispatcher](const HostId& host) { dispatcher->OnLost(host); },
+      options.peers);
   dispatcher->SetLinks(impl->links);
   http::ServerOptions server_options;
   server_options.address = options.address;
@@ -194,6 +209,13 @@
 
 void Entry::UpdateHosts(std::span<const platform::HostEntry> hosts) {
   m_impl->links->Update(hosts);
+  bool is_leaving = false;
+  for (const platform::HostEntry& entry : hosts) {
+    if (entry.host == m_impl->options.host) {
+      is_leaving = entry.state == platform::HostState::kLeaving;
+    }
+  }
+  m_impl->listed_leaving = is_leaving;
 }
 
 void Entry::StartLeaving() { m_impl->leaving = true; }
--- a/src/entry/side_links.cc
+++ b/src/entry/side_links.cc
@@ -11,12 +11,14 @@
 
 SideLinks::SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
                      wire::HelloSource hello, FrameHandler on_frame,
-                     LossHandler on_lost)
+                     LossHandler on_lost,
+                     std::shared_ptr<control::PeerLink> peers)
     : m_threads(threads),
       m_options(options),
       m_hello(std::move(hello)),
       m_on_frame(std::move(on_frame)),
-      m_on_lost(std::move(on_lost)) {}
+      m_on_lost(std::move(on_lost)),
+      m_peers(std::move(peers)) {}
 
 void SideLinks::Update(std::span<const platform::HostEntry> hosts) {
   std::map<HostId, Link> wanted;
@@ -55,13 +57,16 @@
       return;
     }
     it->second.channel = channel;
+    if (self->m_peers) self->m_peers->OnOpen(channel);
   };
-  callbacks.on_frame = [self, host](const wire::ChannelPtr&,
+  callbacks.on_frame = [self, host](const wire::ChannelPtr& channel,
                                     wire::Frame frame) {
+    if (self->m_peers && self->m_peers->OnFrame(channel, frame)) return;
     self->m_on_frame(host, std::move(frame));
   };
-  callbacks.on_closed = [self, host, endpoint](const wire::ChannelPtr&,
+  callbacks.on_closed = [self, host, endpoint](const wire::ChannelPtr& channel,
                                                const Error& reason) {
+    if (self->m_peers) self->m_peers->OnClosed(channel);
     self->OnClosed(host, endpoint, reason);
   };
   wire::Connect(m_threads, endpoint, m_options, m_hello, std::move(callbacks));
--- a/src/entry/side_links.h
+++ b/src/entry/side_links.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <span>
 
+#include "peridotshelf/control/peer_link.h"
 #include "peridotshelf/platform/concepts.h"
 #include "peridotshelf/wire/channel.h"
 
@@ -20,8 +21,8 @@
   using LossHandler = std::function<void(const HostId&)>;
 
   SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
-            wire::HelloSource hello, FrameHandler on_frame,
-            LossHandler on_lost);
+            wire::HelloSource hello, FrameHandler on_frame, LossHandler on_lost,
+            std::shared_ptr<control::PeerLink> peers = nullptr);
 
   /// Connects to the sides that are new in the list.
   void Update(std::span<const platform::HostEntry> hosts);
@@ -42,6 +43,8 @@
   wire::HelloSource m_hello;
   FrameHandler m_on_frame;
   LossHandler m_on_lost;
+  /// Is told of every connection; may be null.
+  std::shared_ptr<control::PeerLink> m_peers;
   mutable std::mutex m_mutex;
   std::map<HostId, Link> m_links;
 };
--- a/src/include/peridotshelf/control/publisher.h
+++ b/src/include/peridotshelf/control/publisher.h
@@ -77,7 +77,7 @@
     if (!read) return tl::unexpected<Error>(read.error());
     const Readiness readiness = m_tracker.readiness();
     if (readiness == Readiness::kHistoryLost) {
-      return Fail(ErrorCode::kNotReady, std::string(ToString(readiness)));
+      return Fail(ErrorCode::kNotReady, std::string{ToString(readiness)});
     }
     return m_tracker.state().control;
   }
@@ -118,7 +118,7 @@
   Result<void> CheckBeforeAppend(const std::string& payload) {
     const Readiness readiness = m_tracker.readiness();
     if (readiness == Readiness::kHistoryLost) {
-      return Fail(ErrorCode::kNotReady, std::string(ToString(readiness)));
+      return Fail(ErrorCode::kNotReady, std::string{ToString(readiness)});
     }
     FoldState copy = m_tracker.state();
     RecordResult result = FoldRecord(copy, {m_tracker.next_offset(), payload});
--- a/src/include/peridotshelf/entry/entry.h
+++ b/src/include/peridotshelf/entry/entry.h
@@ -5,10 +5,12 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/base/ids.h"
 #include "peridotshelf/control/configuration.h"
+#include "peridotshelf/control/peer_link.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/platform/concepts.h"
 #include "peridotshelf/wire/channel.h"
@@ -27,6 +29,10 @@
   /// The longest window a caller may ask for.
   Duration max_timeout = std::chrono::hours(1);
   wire::ChannelOptions channel;
+  /// Exchanges control state with the sides; may be null.
+  std::shared_ptr<control::PeerLink> peers;
+  /// Why there is no control state, for the readiness check; may be empty.
+  std::function<std::string_view()> not_ready_reason;
 };
 
 /// Yields the control state in force now; may be null before the first.
--- a/src/include/peridotshelf/side/side.h
+++ b/src/include/peridotshelf/side/side.h
@@ -3,11 +3,14 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/base/ids.h"
 #include "peridotshelf/control/configuration.h"
+#include "peridotshelf/control/peer_link.h"
 #include "peridotshelf/io/io_threads.h"
+#include "peridotshelf/platform/concepts.h"
 #include "peridotshelf/wire/channel.h"
 
 namespace peridotshelf::side {
@@ -20,6 +23,8 @@
   /// Attempts whose entry is gone for this long are cancelled.
   Duration lease = std::chrono::seconds(3);
   wire::ChannelOptions channel;
+  /// Exchanges control state with the entries; may be null.
+  std::shared_ptr<control::PeerLink> peers;
 };
 
 /// Yields the control state in force now; may be null before the first.
@@ -37,6 +42,9 @@
 
   /// Refuses all new work from now on, with proof that it was not run.
   void StartLeaving();
+  /// Takes the platform's newest list; work is refused as well while this host
+  /// is leaving there, or while operators drain it.
+  void UpdateHosts(std::span<const platform::HostEntry> hosts);
   /// Attempts and calls that still run.
   size_t RunningCount() const;
 
--- a/src/peridotshelf/command_daemons.cc
+++ b/src/peridotshelf/command_daemons.cc
@@ -48,6 +48,10 @@
   options.max_body_bytes = static_cast<size_t>(given.max_body_bytes);
   options.default_timeout = given.default_timeout;
   options.max_timeout = given.max_timeout;
+  options.peers = platform.peers();
+  options.not_ready_reason = [&platform] {
+    return ToString(platform.follower().readiness());
+  };
   auto entry = entry::Entry::Create(threads, options,
                                     [&platform] { return platform.Current(); });
   if (!entry) return ReportFailure(entry.error());
@@ -80,10 +84,13 @@
   options.failure_domain = FailureDomain(given.failure_domain);
   options.listen = {given.address, given.port};
   options.lease = given.lease;
+  options.peers = platform.peers();
   auto side = side::Side::Create(threads, options,
                                  [&platform] { return platform.Current(); });
   if (!side) return ReportFailure(side.error());
-  platform.Start([](const std::vector<platform::HostEntry>&) {});
+  platform.Start([&side](const std::vector<platform::HostEntry>& hosts) {
+    (*side)->UpdateHosts(hosts);
+  });
   events::Log(EventId::kProcessStarted,
               {{"address", given.address}, {"port", given.port}});
   stop.Wait();
--- a/src/peridotshelf/operator_audit.cc
+++ b/src/peridotshelf/operator_audit.cc
@@ -106,7 +106,7 @@
   }
   const control::Readiness readiness = tracker.readiness();
   if (readiness != control::Readiness::kHistoryLost) return {};
-  return Fail(ErrorCode::kNotReady, std::string(ToString(readiness)));
+  return Fail(ErrorCode::kNotReady, std::string{ToString(readiness)});
 }
 
 }  // namespace
--- a/src/peridotshelf/platform_link.cc
+++ b/src/peridotshelf/platform_link.cc
@@ -49,10 +49,19 @@
     : m_threads(threads),
       m_log(log_url, m_client),
       m_hosts(hosts_url, m_client),
-      m_follower(threads, m_log) {}
+      m_follower(threads, m_log) {
+  control::PeerLinkSource source;
+  source.version = [this] { return m_follower.version(); };
+  source.state = [this] { return m_follower.state(); };
+  source.take = [this](control::FoldState state) {
+    return m_follower.TakeSnapshot(std::move(state));
+  };
+  m_peers = std::make_shared<control::PeerLink>(threads, std::move(source));
+}
 
 void PlatformLink::Start(HostsHandler on_hosts) {
   m_follower.Start();
+  m_peers->Start();
   m_poll = std::make_shared<HostPoll>(m_threads, m_hosts, std::move(on_hosts));
   m_poll->Fetch();
 }
--- a/src/peridotshelf/platform_link.h
+++ b/src/peridotshelf/platform_link.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "peridotshelf/control/follower.h"
+#include "peridotshelf/control/peer_link.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/platform/host_list.h"
@@ -28,6 +29,8 @@
   void Start(HostsHandler on_hosts);
   /// The state in force, or null.
   control::ControlStatePtr Current() const { return m_follower.Current(); }
+  /// Exchanges control state with peers, for the daemon's connections.
+  const std::shared_ptr<control::PeerLink>& peers() const { return m_peers; }
   control::Follower<platform::HttpLogClient>& follower() { return m_follower; }
   platform::HttpLogClient& log() { return m_log; }
 
@@ -39,6 +42,7 @@
   platform::HttpLogClient m_log;
   platform::HttpHostList m_hosts;
   control::Follower<platform::HttpLogClient> m_follower;
+  std::shared_ptr<control::PeerLink> m_peers;
   std::shared_ptr<HostPoll> m_poll;
 };
 
--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -40,6 +40,7 @@
   void OnFrame(const wire::ChannelPtr& channel, wire::Frame frame);
   void OnReserve(const wire::ChannelPtr& channel, const wire::Reserve& reserve);
   void OnServiceCall(const wire::ChannelPtr& channel, wire::ServiceCall call);
+  bool IsLeaving() const;
   EnginePtr FindEngine(const EngineId& id);
   Result<std::string> FindBackendUrl(const std::string& id) const;
 
@@ -51,6 +52,8 @@
   std::shared_ptr<Executions> executions;
   std::shared_ptr<ServiceCalls> calls;
   std::atomic<bool> leaving{false};
+  /// The platform's list has this host as leaving.
+  std::atomic<bool> listed_leaving{false};
   std::mutex engines_mutex;
   std::map<EngineId, EnginePtr> engines;
   std::unique_ptr<wire::Listener> listener;
@@ -68,6 +71,12 @@
   return hello;
 }
 
+bool Side::Impl::IsLeaving() const {
+  if (leaving || listed_leaving) return true;
+  const control::ControlStatePtr state = control();
+  return state && state->draining.contains(options.host);
+}
+
 EnginePtr Side::Impl::FindEngine(const EngineId& id) {
   const control::ControlStatePtr state = control();
   if (!state || !state->configuration) return nullptr;
@@ -97,17 +106,18 @@
 void Side::Impl::OnReserve(const wire::ChannelPtr& channel,
                            const wire::Reserve& reserve) {
   const EnginePtr engine = FindEngine(EngineId(reserve.engine));
-  if (engine && !leaving) {
+  const bool is_leaving = IsLeaving();
+  if (engine && !is_leaving) {
     executions->Reserve(engine, channel, reserve);
     return;
   }
   wire::Refused refused;
   refused.attempt = reserve.attempt;
   refused.code =
-      ToString(leaving ? ErrorCode::kLeaving : ErrorCode::kNoBackend);
+      ToString(is_leaving ? ErrorCode::kLeaving : ErrorCode::kNoBackend);
   refused.detail = reserve.engine;
   refused.load.engine = reserve.engine;
-  refused.load.leaving = leaving;
+  refused.load.leaving = is_leaving;
   wire::Frame frame;
   frame.__set_refused(refused);
   channel->Send(frame);
@@ -116,8 +126,9 @@
 void Side::Impl::OnServiceCall(const wire::ChannelPtr& channel,
                                wire::ServiceCall call) {
   const Result<std::string> url = FindBackendUrl(call.backend);
-  if (leaving || !url) {
-    const ErrorCode code = leaving ? ErrorCode::kLeaving : url.error().code;
+  const bool is_leaving = IsLeaving();
+  if (is_leaving || !url) {
+    const ErrorCode code = is_leaving ? ErrorCode::kLeaving : url.error().code;
     SendFailed(*channel, call.attempt, {code, call.backend, true, {}});
     return;
   }
@@ -149,17 +160,21 @@
                                            ControlSource control) {
   auto impl = std::make_shared<Impl>(threads, options, std::move(control));
   wire::ChannelCallbacks callbacks;
-  callbacks.on_open = [](const wire::ChannelPtr& channel) {
+  callbacks.on_open = [impl](const wire::ChannelPtr& channel) {
+    if (impl->options.peers) impl->options.peers->OnOpen(channel);
     events::Log(EventId::kPeerConnected, {{"peer", channel->peer().host}});
   };
   callbacks.on_frame = [impl](const wire::ChannelPtr& channel,
                               wire::Frame frame) {
+    const auto& peers = impl->options.peers;
+    if (peers && peers->OnFrame(channel, frame)) return;
     impl->OnFrame(channel, std::move(frame));
   };
   callbacks.on_closed = [impl](const wire::ChannelPtr& channel,
                                const Error& reason) {
     events::Log(EventId::kPeerLost,
                 {{"peer", channel->peer().host}, {"reason", reason.detail}});
+    if (impl->options.peers) impl->options.peers->OnClosed(channel);
     impl->executions->Detach(channel);
   };
   auto listener = wire::Listener::Create(
@@ -172,6 +187,16 @@
 
 void Side::StartLeaving() { m_impl->leaving = true; }
 
+void Side::UpdateHosts(std::span<const platform::HostEntry> hosts) {
+  bool is_leaving = false;
+  for (const platform::HostEntry& entry : hosts) {
+    if (entry.host == m_impl->options.host) {
+      is_leaving = entry.state == platform::HostState::kLeaving;
+    }
+  }
+  m_impl->listed_leaving = is_leaving;
+}
+
 size_t Side::RunningCount() const {
   return m_impl->executions->RunningCount() + m_impl->calls->RunningCount();
 }
