Join entries and sides by gossip; fetch the host list only when changed

Cause: the whole list (a line a host, about 43 KB at 390 hosts) was fetched each second by every process, which alone is fourteen times the allowed 3 KB/s, and a process cut off from the log learnt of a version only from its connections. Found: a process that the list does not show was never answered and so took all others for dead; replies now go to the datagram's sender.

--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -31,6 +31,7 @@
     EventInfo{EventId::kSnapshotWritten, "snapshot_written", Level::kInfo},
     EventInfo{EventId::kPeerStateAdopted, "peer_state_adopted", Level::kInfo},
     EventInfo{EventId::kHostListChanged, "host_list_changed", Level::kInfo},
+    EventInfo{EventId::kMemberChanged, "member_changed", Level::kInfo},
     EventInfo{EventId::kPlatformCallFailed, "platform_call_failed",
               Level::kWarning},
     EventInfo{EventId::kBackendCallFailed, "backend_call_failed",
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -37,8 +37,16 @@
   const char* type = nullptr;
   curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo(call.handle, CURLINFO_CONTENT_TYPE, &type);
-  call.callbacks.on_head(
-      ClientResponseHead{static_cast<int>(status), type ? type : ""});
+  ClientResponseHead head;
+  head.status = static_cast<int>(status);
+  if (type != nullptr) head.content_type = type;
+  curl_header* etag = nullptr;
+  constexpr int kLastRequest = -1;
+  if (curl_easy_header(call.handle, "ETag", 0, CURLH_HEADER, kLastRequest,
+                       &etag) == CURLHE_OK) {
+    head.etag = etag->value;
+  }
+  call.callbacks.on_head(head);
 }
 
 size_t OnBytes(char* data, size_t size, size_t count, void* user) {
@@ -229,6 +237,7 @@
   callbacks.on_head = [response](const ClientResponseHead& head) {
     response->status = head.status;
     response->content_type = head.content_type;
+    response->etag = head.etag;
   };
   callbacks.on_data = [response](std::string_view data) {
     response->body.append(data);
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -35,6 +35,7 @@
   kSnapshotWritten = 405,
   kPeerStateAdopted = 406,
   kHostListChanged = 500,
+  kMemberChanged = 501,
   kPlatformCallFailed = 600,
   kBackendCallFailed = 700,
   kPeerConnected = 800,
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -37,6 +37,8 @@
 struct ClientResponseHead {
   int status = 0;
   std::string content_type;
+  /// The entity tag, if the server gave one.
+  std::string etag;
 };
 
 /// Called on the client's own thread, in order: at most one `on_head`, then
@@ -53,6 +55,7 @@
 struct ClientResponse {
   int status = 0;
   std::string content_type;
+  std::string etag;
   std::string body;
 };
 
--- a/src/include/peridotshelf/standin/hosts_standin.h
+++ b/src/include/peridotshelf/standin/hosts_standin.h
@@ -1,6 +1,7 @@
 /// A stand-in for the platform's list of hosts, which lags as told.
 ///
-/// - `GET /v1/hosts`: {"hosts": [{"host", "role": "entry|side", "state":
+/// - `GET /v1/hosts` (answers 304 to a matching If-None-Match): {"hosts":
+/// [{"host", "role": "entry|side", "state":
 ///   "live|leaving", "address", "port", "failure_domain"}]}.
 /// - `POST /v1/hosts`: the whole list in that form, or one entry, which
 ///   replaces the one of its host; an entry of state "gone" is removed.
--- a/src/membership/gossip_node.cc
+++ b/src/membership/gossip_node.cc
@@ -9,6 +9,7 @@
 #include <asio/ip/udp.hpp>
 #include <map>
 #include <mutex>
+#include <set>
 #include <utility>
 
 #include "peridotshelf/events/log.h"
@@ -82,6 +83,7 @@
   mutable std::mutex mutex;
   Membership membership;
   std::map<HostId, udp::endpoint> endpoints;
+  std::set<HostId> listed;
   GossipTraffic traffic;
   ControlVersion reported_version = 0;
   bool stopped = false;
@@ -109,7 +111,13 @@
     std::scoped_lock lock(mutex);
     traffic.bytes_received += size;
     ++traffic.datagrams_received;
-    if (message) Send(membership.OnMessage(*message, SteadyClock().Now()));
+    if (message) {
+      // A sender that the list does not show yet is answered all the same.
+      const HostId from{message->sender};
+      endpoints.try_emplace(from, sender);
+      Send(membership.OnMessage(*message, SteadyClock().Now()));
+      if (!listed.contains(from)) endpoints.erase(from);
+    }
   }
   if (!message) {
     events::Log(events::EventId::kPeerFrameRejected,
@@ -211,6 +219,7 @@
   }
   std::scoped_lock lock(m_impl->mutex);
   m_impl->endpoints = std::move(endpoints);
+  m_impl->listed = {listed.begin(), listed.end()};
   m_impl->membership.SetListed(listed);
 }
 
--- a/src/peridotshelf/command_daemons.cc
+++ b/src/peridotshelf/command_daemons.cc
@@ -6,6 +6,7 @@
 #include "peridotshelf/command.h"
 #include "peridotshelf/entry/entry.h"
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/member_link.h"
 #include "peridotshelf/platform_link.h"
 #include "peridotshelf/settings/daemon_settings.h"
 #include "peridotshelf/side/side.h"
@@ -24,6 +25,23 @@
   while (daemon.RunningCount() > 0) std::this_thread::sleep_for(kStopPoll);
 }
 
+/// Joins the fleet's membership as `host`.
+Result<std::unique_ptr<MemberLink>> JoinMembers(
+    io::IoThreads& threads, PlatformLink& platform, wire::Role::type role,
+    const membership::GossipNodeOptions& options) {
+  auto hello = [&platform, role, self = options.self,
+                process_id = MakeRandomId()] {
+    wire::Hello message;
+    message.protocol_version = wire::kProtocolVersion;
+    message.process_id = process_id;
+    message.host = self.value();
+    message.role = role;
+    message.control_version = platform.follower().version();
+    return message;
+  };
+  return MemberLink::Create(threads, options, platform, std::move(hello));
+}
+
 ExitCode ReportFailure(const Error& error) {
   std::cerr << "peridotshelf: " << error.detail << "\n";
   return ExitCode::kCannotListen;
@@ -55,14 +73,20 @@
   auto entry = entry::Entry::Create(threads, options,
                                     [&platform] { return platform.Current(); });
   if (!entry) return ReportFailure(entry.error());
-  platform.Start([&entry](const std::vector<platform::HostEntry>& hosts) {
+  auto members =
+      JoinMembers(threads, platform, wire::Role::ENTRY,
+                  {options.host, given.address, given.gossip_port, {}});
+  if (!members) return ReportFailure(members.error());
+  platform.Start([&](const std::vector<platform::HostEntry>& hosts) {
     (*entry)->UpdateHosts(hosts);
+    (*members)->UpdateHosts(hosts);
   });
   events::Log(EventId::kProcessStarted,
               {{"address", given.address}, {"http_port", given.http_port}});
   stop.Wait();
   events::Log(EventId::kProcessStopping);
   (*entry)->StartLeaving();
+  (*members)->StartLeaving();
   std::this_thread::sleep_for(given.drain_delay);
   WaitUntilIdle(**entry);
   threads.Stop();
@@ -88,14 +112,19 @@
   auto side = side::Side::Create(threads, options,
                                  [&platform] { return platform.Current(); });
   if (!side) return ReportFailure(side.error());
-  platform.Start([&side](const std::vector<platform::HostEntry>& hosts) {
+  auto members = JoinMembers(threads, platform, wire::Role::SIDE,
+                             {options.host, given.address, given.port, {}});
+  if (!members) return ReportFailure(members.error());
+  platform.Start([&](const std::vector<platform::HostEntry>& hosts) {
     (*side)->UpdateHosts(hosts);
+    (*members)->UpdateHosts(hosts);
   });
   events::Log(EventId::kProcessStarted,
               {{"address", given.address}, {"port", given.port}});
   stop.Wait();
   events::Log(EventId::kProcessStopping);
   (*side)->StartLeaving();
+  (*members)->StartLeaving();
   WaitUntilIdle(**side);
   threads.Stop();
   events::Log(EventId::kProcessStopped);
--- a/src/peridotshelf/platform_link.cc
+++ b/src/peridotshelf/platform_link.cc
@@ -3,11 +3,6 @@
 #include "peridotshelf/events/log.h"
 
 namespace peridotshelf::program {
-namespace {
-
-constexpr Duration kHostsInterval = std::chrono::seconds(1);
-
-}  // namespace
 
 /// Asks for the list again and again; outlives its owner while a call runs.
 struct PlatformLink::HostPoll
@@ -33,7 +28,7 @@
       on_hosts(last);
     }
     std::weak_ptr<HostPoll> weak = weak_from_this();
-    threads.After(kHostsInterval, [weak] {
+    threads.After(hosts.NextDelay(), [weak] {
       if (auto self = weak.lock()) self->Fetch();
     });
   }
--- a/src/platform/host_list.cc
+++ b/src/platform/host_list.cc
@@ -1,5 +1,7 @@
 #include "peridotshelf/platform/host_list.h"
 
+#include <algorithm>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,6 +11,12 @@
 using nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr Duration kShortestDelay = std::chrono::seconds(1);
+/// The rate that whole lists may take, in bytes a second: low when each answer
+/// is whole, higher when only a changed list is.
+constexpr int64_t kUntaggedBytesPerSecond = 1024;
+constexpr int64_t kTaggedBytesPerSecond = 16 * 1024;
 
 HostEntry ReadEntry(const json& line) {
   HostEntry entry;
@@ -50,20 +58,63 @@
 
 }  // namespace
 
+struct HttpHostList::Cache {
+  Result<std::vector<HostEntry>> Take(
+      const Result<http::ClientResponse>& response);
+
+  mutable std::mutex mutex;
+  std::string etag;
+  std::vector<HostEntry> list;
+  /// Bytes of the last answer's body.
+  int64_t body_bytes = 0;
+};
+
+Result<std::vector<HostEntry>> HttpHostList::Cache::Take(
+    const Result<http::ClientResponse>& response) {
+  std::scoped_lock lock(mutex);
+  body_bytes =
+      response ? static_cast<int64_t>(response->body.size()) : int64_t{0};
+  if (response && response->status == kNotModified) return list;
+  Result<std::vector<HostEntry>> read = ReadList(response);
+  if (read) {
+    list = *read;
+    etag = response->etag;
+  }
+  return read;
+}
+
 HttpHostList::HttpHostList(std::string base_url, http::Client& client,
                            Duration timeout)
-    : m_base_url(std::move(base_url)), m_client(&client), m_timeout(timeout) {}
+    : m_base_url(std::move(base_url)),
+      m_client(&client),
+      m_timeout(timeout),
+      m_cache(std::make_shared<Cache>()) {}
 
 void HttpHostList::Fetch(
     std::function<void(Result<std::vector<HostEntry>>)> on_list) {
   http::ClientRequest request;
   request.url = m_base_url + "/v1/hosts";
   request.timeout = m_timeout;
+  {
+    std::scoped_lock lock(m_cache->mutex);
+    if (!m_cache->etag.empty()) {
+      request.headers.push_back({"If-None-Match", m_cache->etag});
+    }
+  }
   m_client->Fetch(std::move(request),
-                  [on_list = std::move(on_list)](
+                  [cache = m_cache, on_list = std::move(on_list)](
                       const Result<http::ClientResponse>& response) {
-                    on_list(ReadList(response));
+                    on_list(cache->Take(response));
                   });
 }
 
+Duration HttpHostList::NextDelay() const {
+  std::scoped_lock lock(m_cache->mutex);
+  const int64_t rate =
+      m_cache->etag.empty() ? kUntaggedBytesPerSecond : kTaggedBytesPerSecond;
+  const Duration by_rate =
+      std::chrono::milliseconds(1000 * m_cache->body_bytes / rate);
+  return std::max(kShortestDelay, by_rate);
+}
+
 }  // namespace peridotshelf::platform
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -42,6 +42,8 @@
   builder
       .Port(&S::http_port,
             {"--http-port", "Port for callers, health and metrics; 0: any."})
+      .Port(&S::gossip_port,
+            {"--gossip-port", "UDP port for gossip between members; 0: any."})
       .Milliseconds(
           &S::drain_delay,
           {"--drain-delay-ms", "Time to go on serving after readiness fails."},
@@ -70,7 +72,10 @@
       "side", "Guards the backend servers of its host and relays answers.");
   AddCommon(builder);
   builder
-      .Port(&S::port, {"--port", "Port for connections from entries; 0: any."})
+      .Port(&S::port,
+            {"--port",
+             "Port for connections from entries and, by UDP, for gossip "
+             "between members; 0: any."})
       .Port(&S::http_port,
             {"--http-port", "Port for health and metrics; 0: any."})
       .Milliseconds(
--- a/src/standin/hosts_standin.cc
+++ b/src/standin/hosts_standin.cc
@@ -1,5 +1,7 @@
 #include "peridotshelf/standin/hosts_standin.h"
 
+#include <xxhash.h>
+
 #include <deque>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -76,6 +78,20 @@
       std::chrono::milliseconds(faults.value("lag_ms", ToMilliseconds(m_lag)));
 }
 
+/// Answers with the list, or with 304 when the caller has it already.
+void ReplyList(const http::ServerRequest& request, http::Responder& responder,
+               std::string list) {
+  constexpr int kNotModified = 304;
+  const std::string etag =
+      '"' + std::to_string(XXH64(list.data(), list.size(), 0)) + '"';
+  if (request.FindHeader("If-None-Match") == etag) {
+    responder.Reply(kNotModified, {{"ETag", etag}}, "");
+    return;
+  }
+  responder.Reply(kOk, {{"Content-Type", "application/json"}, {"ETag", etag}},
+                  std::move(list));
+}
+
 void Store::Handle(const http::ServerRequest& request,
                    http::Responder& responder) {
   try {
@@ -98,7 +114,7 @@
   if (hosts.is_null()) {
     return ReplyJson(responder, kUnavailable, {{"error", "outage"}});
   }
-  ReplyJson(responder, kOk, {{"hosts", std::move(hosts)}});
+  ReplyList(request, responder, json{{"hosts", std::move(hosts)}}.dump());
 }
 
 }  // namespace
--- a/testsuite/common/fleet.py
+++ b/testsuite/common/fleet.py
@@ -113,7 +113,8 @@
         """Starts an entry."""
         return self.start(
             "entry-" + host, "entry", "--host", host, "--failure-domain",
-            domain, "--http-port", port, "--drain-delay-ms", 100,
+            domain, "--http-port", port, "--gossip-port", 0,
+            "--drain-delay-ms", 100,
             *self.platform_flags(), *args)
 
     def list_host(self, host, role, port, domain, state="live"):
