Add demo, load and check to the program; send small pieces at once

The demo's first token took 40 ms longer than the engine's prefill, once or twice over. The engine answered in 0.6 ms when called alone, and connections between processes already send without delay; callers' connections did not, so small pieces waited for the peer's delayed acknowledgement.

Found by the new command-line case: a positional argument was never read, since CLI11 passes over positionals that may have no value.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -274,6 +274,10 @@
         acceptor.set_option(
             restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
       })
+      // Small pieces of a stream must not wait for the peer's delayed ACK.
+      .socket_options_setter([](restinio::socket_options_t& socket) {
+        socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+      })
       .request_handler(std::move(on_request));
   impl->server = std::make_unique<RestinioServer>(
       restinio::external_io_context(threads.context()), std::move(settings));
--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -13,6 +13,8 @@
 
 ExitCode RunEntry(Arguments args);
 ExitCode RunSide(Arguments args);
+ExitCode RunLoad(Arguments args);
+ExitCode RunDemo(Arguments args);
 /// `standin KIND`: engine, service, log or hosts.
 ExitCode RunStandin(Arguments args);
 ExitCode RunPublish(Arguments args);
--- a/src/peridotshelf/command_daemons.cc
+++ b/src/peridotshelf/command_daemons.cc
@@ -4,11 +4,9 @@
 #include <thread>
 
 #include "peridotshelf/command.h"
-#include "peridotshelf/entry/entry.h"
+#include "peridotshelf/daemons.h"
 #include "peridotshelf/events/log.h"
-#include "peridotshelf/platform_link.h"
 #include "peridotshelf/settings/daemon_settings.h"
-#include "peridotshelf/side/side.h"
 #include "peridotshelf/stop_signal.h"
 
 namespace peridotshelf::program {
@@ -39,32 +37,16 @@
   const StopSignal stop;
   events::StartLogging(given.log_level, "entry:" + given.host);
   io::IoThreads threads(static_cast<size_t>(given.threads));
-  PlatformLink platform(threads, given.log_url, given.hosts_url);
-  entry::EntryOptions options;
-  options.host = HostId(given.host);
-  options.failure_domain = FailureDomain(given.failure_domain);
-  options.address = given.address;
-  options.http_port = given.http_port;
-  options.max_body_bytes = static_cast<size_t>(given.max_body_bytes);
-  options.default_timeout = given.default_timeout;
-  options.max_timeout = given.max_timeout;
-  options.peers = platform.peers();
-  options.not_ready_reason = [&platform] {
-    return ToString(platform.follower().readiness());
-  };
-  auto entry = entry::Entry::Create(threads, options,
-                                    [&platform] { return platform.Current(); });
-  if (!entry) return ReportFailure(entry.error());
-  platform.Start([&entry](const std::vector<platform::HostEntry>& hosts) {
-    (*entry)->UpdateHosts(hosts);
-  });
+  const auto daemon = EntryDaemon::Create(threads, given);
+  if (!daemon) return ReportFailure(daemon.error());
+  entry::Entry& entry = (*daemon)->entry();
   events::Log(EventId::kProcessStarted,
               {{"address", given.address}, {"http_port", given.http_port}});
   stop.Wait();
   events::Log(EventId::kProcessStopping);
-  (*entry)->StartLeaving();
+  entry.StartLeaving();
   std::this_thread::sleep_for(given.drain_delay);
-  WaitUntilIdle(**entry);
+  WaitUntilIdle(entry);
   threads.Stop();
   events::Log(EventId::kProcessStopped);
   return ExitCode::kSuccess;
@@ -78,25 +60,15 @@
   const StopSignal stop;
   events::StartLogging(given.log_level, "side:" + given.host);
   io::IoThreads threads(static_cast<size_t>(given.threads));
-  PlatformLink platform(threads, given.log_url, given.hosts_url);
-  side::SideOptions options;
-  options.host = HostId(given.host);
-  options.failure_domain = FailureDomain(given.failure_domain);
-  options.listen = {given.address, given.port};
-  options.lease = given.lease;
-  options.peers = platform.peers();
-  auto side = side::Side::Create(threads, options,
-                                 [&platform] { return platform.Current(); });
-  if (!side) return ReportFailure(side.error());
-  platform.Start([&side](const std::vector<platform::HostEntry>& hosts) {
-    (*side)->UpdateHosts(hosts);
-  });
+  const auto daemon = SideDaemon::Create(threads, given);
+  if (!daemon) return ReportFailure(daemon.error());
+  side::Side& side = (*daemon)->side();
   events::Log(EventId::kProcessStarted,
               {{"address", given.address}, {"port", given.port}});
   stop.Wait();
   events::Log(EventId::kProcessStopping);
-  (*side)->StartLeaving();
-  WaitUntilIdle(**side);
+  side.StartLeaving();
+  WaitUntilIdle(side);
   threads.Stop();
   events::Log(EventId::kProcessStopped);
   return ExitCode::kSuccess;
--- /dev/null
+++ b/src/peridotshelf/daemons.h
@@ -0,0 +1,51 @@
+/// An entry and a side, each joined to the platform: what a process of either
+/// kind runs, and the demonstration several of.
+#pragma once
+
+#include <memory>
+
+#include "peridotshelf/base/error.h"
+#include "peridotshelf/entry/entry.h"
+#include "peridotshelf/io/io_threads.h"
+#include "peridotshelf/platform_link.h"
+#include "peridotshelf/settings/daemon_settings.h"
+#include "peridotshelf/side/side.h"
+
+namespace peridotshelf::program {
+
+/// One entry with its connection to the platform.
+class EntryDaemon {
+ public:
+  /// Listens at once, or fails with kInternal naming the address. `threads`
+  /// outlives the daemon.
+  static Result<std::unique_ptr<EntryDaemon>> Create(
+      io::IoThreads& threads, const settings::EntrySettings& settings);
+  entry::Entry& entry() { return *m_entry; }
+
+ private:
+  EntryDaemon(io::IoThreads& threads, const settings::EntrySettings& settings)
+      : m_platform(threads, settings.log_url, settings.hosts_url) {}
+
+  PlatformLink m_platform;
+  // Shared, since the list of hosts may change while the daemon ends.
+  std::shared_ptr<entry::Entry> m_entry;
+};
+
+/// One side with its connection to the platform.
+class SideDaemon {
+ public:
+  /// Listens at once, or fails with kInternal naming the address. `threads`
+  /// outlives the daemon.
+  static Result<std::unique_ptr<SideDaemon>> Create(
+      io::IoThreads& threads, const settings::SideSettings& settings);
+  side::Side& side() { return *m_side; }
+
+ private:
+  SideDaemon(io::IoThreads& threads, const settings::SideSettings& settings)
+      : m_platform(threads, settings.log_url, settings.hosts_url) {}
+
+  PlatformLink m_platform;
+  std::shared_ptr<side::Side> m_side;
+};
+
+}  // namespace peridotshelf::program
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -25,6 +25,8 @@
 constexpr std::array kCommands = {
     Command{"entry", "serve callers on an entry host", &RunEntry},
     Command{"side", "serve entries beside backend servers", &RunSide},
+    Command{"load", "send prompts and report what callers see", &RunLoad},
+    Command{"demo", "run a whole small fleet on loopback", &RunDemo},
     Command{"standin", "stand in for engine, service, log or hosts",
             &RunStandin},
     Command{"publish", "publish a configuration document", &RunPublish},
@@ -32,7 +34,7 @@
     Command{"drain", "tell a host to take no new work", &RunDrain},
     Command{"undrain", "let a drained host take work again", &RunUndrain},
     Command{"audit", "list changes and what became of them", &RunAudit},
-    Command{"check", "read a configuration and name its faults", &RunCheck},
+    Command{"check", "check a configuration file and settings", &RunCheck},
     Command{"version", "print the version", &PrintVersion},
 };
 
--- a/src/peridotshelf/operator_changes.cc
+++ b/src/peridotshelf/operator_changes.cc
@@ -219,29 +219,4 @@
       args);
 }
 
-ExitCode RunCheck(Arguments args) {
-  struct CheckSettings {
-    std::string file;
-    bool json = false;
-  };
-  const auto given =
-      settings::SettingsBuilder<CheckSettings>(
-          "check", "Reads a configuration document and names its faults.")
-          .Positional(&CheckSettings::file, "FILE", "The document, in JSON.")
-          .Switch(&CheckSettings::json,
-                  {"--json", "Write JSON lines instead of text."})
-          .Example("peridotshelf check fleet.json")
-          .Build()
-          .ParseOrExplain(args, settings::ProcessEnvironment(), std::cout,
-                          std::cerr);
-  if (!given) return given.error();
-  const std::optional<std::string> document = ReadFile(given->file);
-  if (!document) return ExitCode::kBadSettings;
-  if (const auto invalid = FindFaults(RecordKind::kConfig, *document)) {
-    return Report(*invalid, given->json);
-  }
-  std::cout << (given->json ? R"({"outcome":"valid"})" : "valid") << "\n";
-  return ExitCode::kSuccess;
-}
-
 }  // namespace peridotshelf::program
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -156,6 +156,7 @@
   CPPUNIT_TEST(Flag_Twice_IsRefused);
   CPPUNIT_TEST(Variable_NotAllowed_NamesVariable);
   CPPUNIT_TEST(Timeouts_InConflict_AreRefused);
+  CPPUNIT_TEST(Positional_OncePerName_IsRead);
   CPPUNIT_TEST(Start_WithManyFaults_ReportsAll);
   CPPUNIT_TEST(Integer_AnyText_PrintsBackOrIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -230,6 +231,24 @@
     CPPUNIT_ASSERT(fault.kind == FaultKind::kConflict);
     CPPUNIT_ASSERT_EQUAL(std::string("--default-timeout-ms"), fault.flag);
   }
+  void Positional_OncePerName_IsRead() {
+    struct Named {
+      std::string file;
+      bool fast = false;
+    };
+    const auto schema = SettingsBuilder<Named>("read", "Reads.")
+                            .Positional(&Named::file, "FILE", "A file.")
+                            .Switch(&Named::fast, {"--fast", "Hurry."})
+                            .Build();
+    const Arguments one = {"--fast", "a.json"};
+    const Arguments two = {"a.json", "b.json"};
+    CPPUNIT_ASSERT_EQUAL(std::string("a.json"),
+                         schema.Parse(one, Fixed({}))->settings.file);
+    const auto parsed = schema.Parse(two, Fixed({}));
+    CPPUNIT_ASSERT(parsed.error().front().kind == FaultKind::kUnknownArgument);
+    const auto absent = schema.Parse({}, Fixed({}));
+    CPPUNIT_ASSERT(absent.error().front().kind == FaultKind::kMissing);
+  }
   void Start_WithManyFaults_ReportsAll() {
     std::ostringstream out;
     std::ostringstream err;
