--- /dev/null
+++ b/src/peridotshelf/daemons.cc
@@ -0,0 +1,115 @@
+#include "peridotshelf/daemons.h"
+
+#include <utility>
+
+namespace peridotshelf::program {
+namespace {
+
+entry::EntryOptions ToOptions(const settings::EntrySettings& given) {
+  entry::EntryOptions options;
+  options.host = HostId(given.host);
+  options.failure_domain = FailureDomain(given.failure_domain);
+  options.address = given.address;
+  options.http_port = given.http_port;
+  options.max_body_bytes = static_cast<size_t>(given.max_body_bytes);
+  options.default_timeout = given.default_timeout;
+  options.max_timeout = given.max_timeout;
+  return options;
+}
+
+side::SideOptions ToOptions(const settings::SideSettings& given) {
+  side::SideOptions options;
+  options.host = HostId(given.host);
+  options.failure_domain = FailureDomain(given.failure_domain);
+  options.listen = {given.address, given.port};
+  options.lease = given.lease;
+  return options;
+}
+
+/// Joins the fleet's membership.
+Result<std::shared_ptr<MemberLink>> JoinMembers(
+    io::IoThreads& threads, PlatformLink& platform, wire::Role::type role,
+    const membership::GossipNodeOptions& options) {
+  wire::Hello hello;
+  hello.protocol_version = wire::kProtocolVersion;
+  hello.process_id = MakeRandomId();
+  hello.host = options.self.value();
+  hello.role = role;
+  return MemberLink::Create(threads, options, platform,
+                            [hello] { return hello; });
+}
+
+/// Passes the list of hosts on for as long as its receivers live.
+template <class Daemon>
+HostsHandler PassHosts(const std::shared_ptr<Daemon>& daemon,
+                       const std::shared_ptr<MemberLink>& members) {
+  return [weak_daemon = std::weak_ptr<Daemon>(daemon),
+          weak_members = std::weak_ptr<MemberLink>(members)](
+             const std::vector<platform::HostEntry>& hosts) {
+    if (auto alive = weak_daemon.lock()) alive->UpdateHosts(hosts);
+    if (auto alive = weak_members.lock()) alive->UpdateHosts(hosts);
+  };
+}
+
+}  // namespace
+
+EntryDaemon::~EntryDaemon() {
+  if (m_members) m_members->Stop();
+}
+
+void EntryDaemon::StartLeaving() {
+  m_entry->StartLeaving();
+  m_members->StartLeaving();
+}
+
+Result<std::unique_ptr<EntryDaemon>> EntryDaemon::Create(
+    io::IoThreads& threads, const settings::EntrySettings& settings) {
+  std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(threads, settings));
+  PlatformLink* platform = &daemon->m_platform;
+  entry::EntryOptions options = ToOptions(settings);
+  options.peers = platform->peers();
+  options.not_ready_reason = [platform] {
+    return ToString(platform->follower().readiness());
+  };
+  auto entry = entry::Entry::Create(threads, options,
+                                    [platform] { return platform->Current(); });
+  if (!entry) return tl::unexpected<Error>(entry.error());
+  daemon->m_entry = std::move(*entry);
+  auto members =
+      JoinMembers(threads, *platform, wire::Role::ENTRY,
+                  {options.host, settings.address, settings.gossip_port, {}});
+  if (!members) return tl::unexpected<Error>(members.error());
+  daemon->m_members = std::move(*members);
+  platform->Start(PassHosts(daemon->m_entry, daemon->m_members));
+  return daemon;
+}
+
+SideDaemon::~SideDaemon() {
+  if (m_members) m_members->Stop();
+}
+
+void SideDaemon::StartLeaving() {
+  m_side->StartLeaving();
+  m_members->StartLeaving();
+}
+
+Result<std::unique_ptr<SideDaemon>> SideDaemon::Create(
+    io::IoThreads& threads, const settings::SideSettings& settings) {
+  std::unique_ptr<SideDaemon> daemon(new SideDaemon(threads, settings));
+  PlatformLink* platform = &daemon->m_platform;
+  side::SideOptions options = ToOptions(settings);
+  options.peers = platform->peers();
+  auto side = side::Side::Create(threads, options,
+                                 [platform] { return platform->Current(); });
+  if (!side) return tl::unexpected<Error>(side.error());
+  daemon->m_side = std::move(*side);
+  auto members =
+      JoinMembers(threads, *platform, wire::Role::SIDE,
+                  {options.host, settings.address, settings.port, {}});
+  if (!members) return tl::unexpected<Error>(members.error());
+  daemon->m_members = std::move(*members);
+  platform->Start(PassHosts(daemon->m_side, daemon->m_members));
+  return daemon;
+}
+
+}  // namespace peridotshelf::program
--- a/src/peridotshelf/member_link.cc
+++ b/src/peridotshelf/member_link.cc
@@ -45,9 +45,9 @@
   std::weak_ptr<MemberLink> weak = link;
   membership::GossipCallbacks callbacks;
   callbacks.on_change = [](const membership::MemberChange& change) {
-    events::Log(events::EventId::kMemberChanged,
-                {{"host", change.host.value()},
-                 {"state", ToString(change.state)}});
+    events::Log(
+        events::EventId::kMemberChanged,
+        {{"host", change.host.value()}, {"state", ToString(change.state)}});
   };
   callbacks.on_newer_version = [weak](ControlVersion version,
                                       const HostId& holder) {
@@ -121,10 +121,11 @@
     });
   };
   callbacks.on_frame = [peers = m_peers](const wire::ChannelPtr& channel,
-                               const wire::Frame& frame) {
+                                         const wire::Frame& frame) {
     peers->OnFrame(channel, frame);
   };
-  callbacks.on_closed = [peers = m_peers](const wire::ChannelPtr& channel, const Error&) {
+  callbacks.on_closed = [peers = m_peers](const wire::ChannelPtr& channel,
+                                          const Error&) {
     peers->OnClosed(channel);
   };
   wire::Connect(m_threads, endpoint, {}, m_hello, std::move(callbacks));
