--- /dev/null
+++ b/src/attempts/once_table.cc
@@ -0,0 +1,148 @@
+#include "peridotshelf/attempts/once_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotshelf::attempts {
+namespace {
+
+constexpr Duration kAskAgain = std::chrono::seconds(1);
+
+tl::unexpected<Error> Refuse(ErrorCode code, std::string detail,
+                             std::optional<Duration> retry_after = {}) {
+  return tl::unexpected<Error>(
+      Error{code, std::move(detail), false, retry_after});
+}
+
+}  // namespace
+
+int64_t OnceTable::WallAt(TimePoint time) const {
+  return m_start_wall_ms + ToMilliseconds(time - m_start);
+}
+
+OnceVerdict OnceTable::Claim(const OnceCall& call, TimePoint since,
+                             TimePoint now) {
+  auto known = m_records.find(call.key);
+  if (known != m_records.end()) return JudgeKnown(known->second, call);
+  if (std::optional<Error> error = WhyNotNew(call, since, now)) {
+    return tl::unexpected<Error>(std::move(*error));
+  }
+  if (m_records.size() >= m_options.max_keys) {
+    return tl::unexpected<Error>(
+        Error{ErrorCode::kOverloaded, "too many keys", true, kAskAgain});
+  }
+  Record record;
+  record.fingerprint = call.fingerprint;
+  record.issued_at_ms = call.issued_at_ms;
+  record.attempt = call.attempt;
+  // A repeat is new only until its issue time plus the window; with both
+  // clocks at their furthest that is this long after now.
+  const TimePoint expires =
+      now + m_options.retry_window + 2 * m_options.clock_skew;
+  ExpireAt(m_records.emplace(call.key, std::move(record)).first->second,
+           call.key, expires);
+  return StoredAnswerPtr();
+}
+
+void OnceTable::ExpireAt(Record& record, const std::string& key, TimePoint at) {
+  record.expires = at;
+  m_expiries.emplace(at, key);
+}
+
+OnceVerdict OnceTable::JudgeKnown(const Record& record,
+                                  const OnceCall& call) const {
+  if (record.fingerprint != call.fingerprint ||
+      record.issued_at_ms != call.issued_at_ms) {
+    return tl::unexpected<Error>(
+        Error{ErrorCode::kBadField,
+              "Idempotency-Key was used for another call",
+              true,
+              {}});
+  }
+  switch (record.state) {
+    case State::kRunning:
+      return Refuse(ErrorCode::kKeyInUse, "the key's first call still runs",
+                    kAskAgain);
+    case State::kUnknown:
+      return Refuse(ErrorCode::kOutcomeUnknown,
+                    "whether the key's first call ran is not known");
+    case State::kFinished:
+      break;
+  }
+  if (record.answer == nullptr) {
+    return Refuse(ErrorCode::kOutcomeUnknown,
+                  "the key's first call ran; its answer was not kept");
+  }
+  return record.answer;
+}
+
+std::optional<Error> OnceTable::WhyNotNew(const OnceCall& call, TimePoint since,
+                                          TimePoint now) const {
+  if (!call.issued_at_ms) {
+    if (now - since >= m_options.retry_window) return std::nullopt;
+    return Error{ErrorCode::kOutcomeUnknown,
+                 "a key without Peridotshelf-Issued-At may have been used "
+                 "before this side began to remember keys",
+                 false,
+                 {}};
+  }
+  const int64_t issued = *call.issued_at_ms;
+  const int64_t skew = ToMilliseconds(m_options.clock_skew);
+  if (issued > WallAt(now) + skew) {
+    return Error{ErrorCode::kBadField,
+                 "Peridotshelf-Issued-At lies in the future",
+                 true,
+                 {}};
+  }
+  if (issued + ToMilliseconds(m_options.retry_window) <= WallAt(now) - skew) {
+    return Error{ErrorCode::kKeyExpired, "the key is too old", false, {}};
+  }
+  if (issued <= WallAt(since) + skew) {
+    return Error{ErrorCode::kOutcomeUnknown,
+                 "the key may have been used before this side began to "
+                 "remember keys",
+                 false,
+                 {}};
+  }
+  return std::nullopt;
+}
+
+void OnceTable::Finish(const std::string& key, StoredAnswer answer) {
+  auto it = m_records.find(key);
+  if (it == m_records.end()) return;
+  it->second.state = State::kFinished;
+  size_t bytes = 0;
+  for (const std::string& chunk : answer.chunks) bytes += chunk.size();
+  if (bytes > m_options.max_answer_bytes) return;
+  it->second.answer = std::make_shared<StoredAnswer>(std::move(answer));
+}
+
+void OnceTable::MarkUnknown(const std::string& key) {
+  auto it = m_records.find(key);
+  if (it == m_records.end() || it->second.state != State::kRunning) return;
+  it->second.state = State::kUnknown;
+}
+
+void OnceTable::Release(const std::string& key, const AttemptId& attempt) {
+  auto it = m_records.find(key);
+  if (it == m_records.end() || it->second.state != State::kRunning) return;
+  if (it->second.attempt == attempt) m_records.erase(it);
+}
+
+void OnceTable::Tick(TimePoint now) {
+  while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+    const std::string key = std::move(m_expiries.begin()->second);
+    m_expiries.erase(m_expiries.begin());
+    auto it = m_records.find(key);
+    // A released key may have been claimed anew and then has a later entry.
+    if (it == m_records.end() || it->second.expires > now) continue;
+    if (it->second.state == State::kRunning) {
+      // Its outcome is still to come, and a repeat must not run beside it.
+      ExpireAt(it->second, key, now + m_options.retry_window);
+      continue;
+    }
+    m_records.erase(it);
+  }
+}
+
+}  // namespace peridotshelf::attempts
--- a/src/attempts/request_life.cc
+++ b/src/attempts/request_life.cc
@@ -5,16 +5,17 @@
 
 namespace peridotshelf::attempts {
 RequestLife::RequestLife(RequestPlan plan, LifeOptions options,
-                         RetryBudget& retry_budget, TimePoint now)
+                         std::shared_ptr<RetryBudget> retry_budget,
+                         TimePoint now)
     : m_plan(std::move(plan)),
       m_options(options),
-      m_retry_budget(retry_budget),
+      m_retry_budget(std::move(retry_budget)),
       m_random(m_plan.jitter_seed),
       m_admitted_at(now),
       m_trace{m_plan.request, m_plan.service, {}} {}
 
 Commands RequestLife::Begin(TimePoint) {
-  m_retry_budget.NoteFirstAttempt();
+  m_retry_budget->NoteFirstAttempt();
   Commands out;
   PlaceAgain(out);
   return out;
--- a/src/attempts/request_life_retry.cc
+++ b/src/attempts/request_life_retry.cc
@@ -107,7 +107,7 @@
   // A host that leaves refuses everything; moving on adds no load to others
   // beyond what it had, so it does not draw on the budget.
   const bool free = error.code == ErrorCode::kLeaving;
-  if (!delay || (!free && !m_retry_budget.TrySpend())) {
+  if (!delay || (!free && !m_retry_budget->TrySpend())) {
     Trace(now, TraceKind::kRetryForbidden, nullptr, error.code,
           delay ? "the retry budget is spent" : "too little time is left");
     Conclude(error, now, out);
--- a/src/attempts/request_life_test.cc
+++ b/src/attempts/request_life_test.cc
@@ -82,7 +82,7 @@
     CPPUNIT_ASSERT(error.retry_after.has_value());
   }
   void Refusals_WithoutRetryBudget_EndTheRequest() {
-    while (m_retry_budget.TrySpend()) {
+    while (m_retry_budget->TrySpend()) {
     }
     Place(true);
     const Error refusal{ErrorCode::kOverloaded, {}, false, seconds(3)};
@@ -160,7 +160,8 @@
   }
 
   TimePoint m_now{seconds(100)};
-  RetryBudget m_retry_budget{0.1};
+  std::shared_ptr<RetryBudget> m_retry_budget =
+      std::make_shared<RetryBudget>(0.1);
   std::unique_ptr<RequestLife> m_life;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestLifeTest);
--- a/src/attempts/schedule_test_world.h
+++ b/src/attempts/schedule_test_world.h
@@ -145,7 +145,8 @@
   int64_t m_order = 0;
   std::priority_queue<Event> m_events;
   std::vector<Side> m_sides{kSides};
-  RetryBudget m_retry_budget{1.0, 1000.0};
+  std::shared_ptr<RetryBudget> m_retry_budget =
+      std::make_shared<RetryBudget>(1.0, 1000.0);
   std::vector<std::unique_ptr<RequestLife>> m_lives;
   std::vector<RequestRecord> m_records{kRequests};
   std::unordered_map<AttemptId, int64_t> m_start_incarnations;
--- a/src/backend/engine_client.cc
+++ b/src/backend/engine_client.cc
@@ -12,7 +12,7 @@
 
 /// An engine that sends nothing for this long, not even an empty line, counts
 /// as dead.
-constexpr Duration kSilenceLimit = std::chrono::seconds(2);
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(1600);
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -1,292 +1,240 @@
 #include "entry/dispatcher.h"
 
+#include <random>
+#include <utility>
+
+#include "entry/attempt_frames.h"
+#include "entry/home_placement.h"
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/wire/codec.h"
 
 namespace peridotshelf::entry {
 namespace {
 
 using events::EventId;
 
-constexpr Duration kRetryAfter = std::chrono::seconds(1);
-
 TimePoint Now() { return SteadyClock().Now(); }
 
-wire::SizeClass::type ClassOf(int64_t prompt_tokens) {
-  constexpr int64_t kShortLimit = 8'000;
-  constexpr int64_t kMediumLimit = 100'000;
-  if (prompt_tokens < kShortLimit) return wire::SizeClass::SHORT;
-  if (prompt_tokens < kMediumLimit) return wire::SizeClass::MEDIUM;
-  return wire::SizeClass::LONG;
+uint32_t DrawSeed() {
+  thread_local std::minstd_rand engine{std::random_device{}()};
+  return static_cast<uint32_t>(engine());
 }
 
-Error FromWire(const wire::Failed& failed) {
-  Error error;
-  error.code = ParseErrorCode(failed.code).value_or(ErrorCode::kProtocol);
-  error.detail = failed.detail;
-  error.not_run = failed.not_run;
-  if (failed.retry_after_ms > 0) {
-    error.retry_after = std::chrono::milliseconds(failed.retry_after_ms);
-  }
-  return error;
-}
-
-Error FromWire(const wire::Refused& refused) {
-  Error error;
-  error.code = ParseErrorCode(refused.code).value_or(ErrorCode::kProtocol);
-  error.detail = refused.detail;
-  error.not_run = true;
-  if (refused.retry_after_ms > 0) {
-    error.retry_after = std::chrono::milliseconds(refused.retry_after_ms);
-  }
-  return error;
+/// Whether the failure says that the engine or its side is unwell.
+bool SpeaksAgainstEngine(ErrorCode code) {
+  return code == ErrorCode::kBackendFailed ||
+         code == ErrorCode::kConnectionLost || code == ErrorCode::kInternal;
 }
 
 }  // namespace
 
-Dispatcher::OpenPtr Dispatcher::Add(const RequestId& id,
-                                    const CallerTerms& terms,
-                                    const HostId& host,
-                                    AnswerCallbacks answer) {
-  auto open =
-      std::make_shared<Open>(Budget::FromRemaining(Now(), terms.timeout));
-  open->attempt = {id, 1};
-  open->host = host;
-  open->answer = std::move(answer);
-  m_open.Insert(id, open);
-  std::weak_ptr<Open> weak = open;
-  m_threads.After(terms.timeout, [self = shared_from_this(), weak] {
-    const OpenPtr late = weak.lock();
-    if (!late) return;
-    bool started = false;
-    {
-      std::scoped_lock lock(late->mutex);
-      if (late->ended) return;
-      started = late->started;
-    }
-    self->CancelAtSide(late, ErrorCode::kOutOfTime);
-    self->Fail(
-        late,
-        {ErrorCode::kOutOfTime, "the caller's time passed", !started, {}});
-  });
-  return open;
-}
-
-Reachable Dispatcher::IsReachable() const {
-  return [this](const HostId& host) { return m_links->Find(host) != nullptr; };
-}
-
 void Dispatcher::Submit(const control::ControlStatePtr& state,
                         CompletionRequest request, AnswerCallbacks answer) {
-  const Result<Candidate> candidate =
-      PlaceCompletion(*state, request, IsReachable());
-  if (!candidate) {
-    Error error = candidate.error();
-    error.not_run = true;
-    if (error.code == ErrorCode::kNoBackend) error.retry_after = kRetryAfter;
-    answer.on_failed(error);
-    return;
-  }
-  const wire::ChannelPtr channel = m_links->Find(candidate->host);
-  if (!channel) {
-    answer.on_failed(
-        {ErrorCode::kNoBackend, "no connection", true, kRetryAfter});
+  const bool unrepeatable = request.terms.unrepeatable.value_or(false);
+  if (unrepeatable && !request.terms.idempotency_key.empty()) {
+    // Homes remember the keys of plain services only.
+    answer.on_failed({ErrorCode::kBadField,
+                      "Idempotency-Key on an unrepeatable completion",
+                      true,
+                      {}});
     return;
   }
-  wire::Reserve reserve;
-  reserve.engine = candidate->backend;
-  reserve.team = request.terms.team.value();
-  reserve.prompt_tokens = request.prompt_tokens;
-  reserve.max_tokens = request.max_tokens;
-  reserve.remaining_ms = ToMilliseconds(request.terms.timeout);
-  reserve.size_class = ClassOf(request.prompt_tokens);
-  reserve.control_version = state->version;
-  OpenPtr open =
-      Add(request.id, request.terms, candidate->host, std::move(answer));
-  reserve.attempt = wire::ToWire(open->attempt);
-  {
-    std::scoped_lock lock(open->mutex);
-    open->completion = std::move(request);
-  }
-  wire::Frame frame;
-  frame.__set_reserve(reserve);
-  channel->Send(frame);
+  auto open = std::make_shared<Open>();
+  open->id = request.id;
+  open->state = state;
+  open->answer = std::move(answer);
+  open->unrepeatable = unrepeatable;
+  const std::string service = request.model;
+  const CallerTerms terms = request.terms;
+  open->completion = std::move(request);
+  Begin(open, service, terms);
 }
 
 void Dispatcher::SubmitCall(const control::ControlStatePtr& state,
                             ServiceRequest request, AnswerCallbacks answer) {
-  const Result<Candidate> candidate =
-      PlaceServiceCall(*state, request, IsReachable());
-  if (!candidate) {
-    Error error = candidate.error();
-    error.not_run = true;
-    if (error.code == ErrorCode::kNoBackend) error.retry_after = kRetryAfter;
-    answer.on_failed(error);
-    return;
-  }
-  const wire::ChannelPtr channel = m_links->Find(candidate->host);
-  if (!channel) {
-    answer.on_failed(
-        {ErrorCode::kNoBackend, "no connection", true, kRetryAfter});
-    return;
+  auto open = std::make_shared<Open>();
+  open->id = request.id;
+  open->state = state;
+  open->answer = std::move(answer);
+  open->unrepeatable = IsUnrepeatable(*state, request);
+  const std::string service = request.service;
+  const CallerTerms terms = request.terms;
+  open->call = std::move(request);
+  Begin(open, service, terms);
+}
+
+void Dispatcher::Begin(const OpenPtr& open, const std::string& service,
+                       const CallerTerms& terms) {
+  const TimePoint now = Now();
+  attempts::RequestPlan plan{open->id,
+                             service,
+                             Budget::FromRemaining(now, terms.timeout),
+                             !open->unrepeatable,
+                             open->completion.has_value(),
+                             DrawSeed()};
+  m_open.Insert(open->id, open);
+  {
+    std::scoped_lock lock(open->mutex);
+    open->life.emplace(std::move(plan), attempts::LifeOptions{},
+                       BudgetOf(*open->state, service), now);
+    CarryOut(*open, open->life->Begin(now));
   }
-  OpenPtr open =
-      Add(request.id, request.terms, candidate->host, std::move(answer));
-  wire::Frame frame;
-  wire::ServiceCall& call = frame.service_call;
-  call.attempt = wire::ToWire(open->attempt);
-  call.backend = candidate->backend;
-  call.method = std::move(request.method);
-  call.target = std::move(request.target);
-  call.content_type = std::move(request.content_type);
-  call.payload = std::move(request.body);
-  call.remaining_ms = ToMilliseconds(request.terms.timeout);
-  call.idempotency_key = std::move(request.terms.idempotency_key);
-  call.control_version = state->version;
-  frame.__isset.service_call = true;
+  ScheduleTick(open);
+}
+
+template <class E>
+void Dispatcher::Feed(const OpenPtr& open, E event) {
   {
     std::scoped_lock lock(open->mutex);
-    open->started = true;
+    if (!open->life) return;
+    const int64_t dropped = open->life->dropped().Total();
+    CarryOut(*open, open->life->On(std::move(event), Now()));
+    if (open->life->dropped().Total() != dropped) {
+      events::Log(EventId::kChunkDropped, {{"request", open->id.value()}});
+    }
   }
-  channel->Send(frame);
+  ScheduleTick(open);
 }
 
-Dispatcher::OpenPtr Dispatcher::FindAttempt(const wire::Attempt& attempt) {
-  const auto found = m_open.Find(RequestId(attempt.request));
-  if (!found) return nullptr;
-  std::scoped_lock lock((*found)->mutex);
-  return (*found)->attempt.number == attempt.number ? *found : nullptr;
+template <class E>
+void Dispatcher::FeedAll(const E& event) {
+  for (const OpenPtr& open : m_open.Values()) Feed(open, event);
 }
 
-void Dispatcher::OnFrame(const HostId& /*host*/, const wire::Frame& frame) {
-  if (frame.__isset.granted) {
-    if (auto open = FindAttempt(frame.granted.attempt)) {
-      OnGranted(open, frame.granted);
-    }
-  } else if (frame.__isset.chunk) {
-    if (auto open = FindAttempt(frame.chunk.attempt)) {
-      OnChunk(open, frame.chunk);
+void Dispatcher::ScheduleTick(const OpenPtr& open) {
+  TimePoint due;
+  {
+    std::scoped_lock lock(open->mutex);
+    if (open->life->answered()) return;
+    due = open->life->NextWake();
+    if (open->tick_at && *open->tick_at <= due) return;
+    open->tick_at = due;
+  }
+  std::weak_ptr<Open> weak = open;
+  m_threads.After(due - Now(), [self = shared_from_this(), weak] {
+    const OpenPtr still_open = weak.lock();
+    if (!still_open) return;
+    {
+      std::scoped_lock lock(still_open->mutex);
+      still_open->tick_at.reset();
     }
+    self->Feed(still_open, attempts::Tick{});
+  });
+}
+
+void Dispatcher::OnFrame(const HostId& host, wire::Frame frame) {
+  if (frame.__isset.chunk) {
+    OnChunk(std::move(frame.chunk));
+  } else if (frame.__isset.granted) {
+    OnGranted(host, frame.granted);
+  } else if (frame.__isset.queued) {
+    const Duration start =
+        std::chrono::milliseconds(frame.queued.estimated_start_ms);
+    FeedTo(attempts::Queued{wire::FromWire(frame.queued.attempt), start});
   } else if (frame.__isset.finished) {
-    if (auto open = FindAttempt(frame.finished.attempt)) {
-      OnFinished(open, frame.finished);
-    }
+    const AttemptId attempt = wire::FromWire(frame.finished.attempt);
+    NoteHealth(attempt, true);
+    FeedTo(attempts::Finished{attempt, CompletionOf(frame.finished)});
   } else if (frame.__isset.failed) {
-    if (auto open = FindAttempt(frame.failed.attempt)) {
-      Fail(open, FromWire(frame.failed));
-    }
+    OnFailed(frame.failed);
   } else if (frame.__isset.refused) {
-    if (auto open = FindAttempt(frame.refused.attempt)) {
-      Fail(open, FromWire(frame.refused));
-    }
+    FeedTo(attempts::Refused{wire::FromWire(frame.refused.attempt),
+                             ErrorOf(frame.refused)});
   }
 }
 
-void Dispatcher::OnGranted(const OpenPtr& open, const wire::Granted& granted) {
-  const wire::ChannelPtr channel = m_links->Find(open->host);
-  if (!channel) return;
-  std::scoped_lock lock(open->mutex);
-  if (open->ended || open->started) return;
-  open->started = true;
-  std::string_view rest = open->completion.prompt_json;
-  const std::string_view first = rest.substr(0, wire::kPayloadPartBytes);
-  rest.remove_prefix(first.size());
-  wire::Frame frame;
-  frame.start.attempt = granted.attempt;
-  frame.start.epoch = granted.epoch;
-  frame.start.model = open->completion.model;
-  frame.start.max_tokens = open->completion.max_tokens;
-  frame.start.remaining_ms = ToMilliseconds(open->budget.Remaining(Now()));
-  frame.start.payload = first;
-  frame.start.payload_ends = rest.empty();
-  frame.__isset.start = true;
-  channel->Send(frame);
-  while (!rest.empty()) {
-    const std::string_view part = rest.substr(0, wire::kPayloadPartBytes);
-    rest.remove_prefix(part.size());
-    wire::Frame next;
-    next.payload_part.attempt = granted.attempt;
-    next.payload_part.payload = part;
-    next.payload_part.payload_ends = rest.empty();
-    next.__isset.payload_part = true;
-    channel->Send(next);
-  }
+template <class E>
+bool Dispatcher::FeedTo(E event) {
+  const auto open = m_open.Find(event.attempt.request);
+  if (open) Feed(*open, std::move(event));
+  return open.has_value();
 }
 
-void Dispatcher::OnChunk(const OpenPtr& open, const wire::Chunk& chunk) {
-  std::scoped_lock lock(open->mutex);
-  if (open->ended) return;
-  if (chunk.offset != open->next_offset) {
-    events::Log(
-        EventId::kChunkDropped,
-        {{"request", open->attempt.request.value()}, {"offset", chunk.offset}});
-    return;
-  }
-  ++open->next_offset;
-  open->answer.on_chunk(chunk.data);
+void Dispatcher::OnGranted(const HostId& host, const wire::Granted& granted) {
+  const AttemptId attempt = wire::FromWire(granted.attempt);
+  if (FeedTo(attempts::Granted{attempt, granted.epoch})) return;
+  // The request was answered meanwhile; nobody else would free the grant.
+  const wire::ChannelPtr channel = m_links->Find(host);
+  if (channel) channel->Send(CancelFrame(attempt, ErrorCode::kCancelled));
 }
 
-void Dispatcher::OnFinished(const OpenPtr& open,
-                            const wire::Finished& finished) {
-  bool whole = false;
-  {
-    std::scoped_lock lock(open->mutex);
-    if (open->ended) return;
-    whole = finished.chunks == open->next_offset;
-    if (whole) {
-      open->ended = true;
-      AnswerSummary summary;
-      summary.chunks = finished.chunks;
-      summary.prompt_tokens = finished.prompt_tokens;
-      summary.cached_tokens = finished.cached_tokens;
-      summary.http_status = finished.http_status;
-      summary.content_type = finished.content_type;
-      open->answer.on_finished(summary);
-    }
-  }
-  if (!whole) {
-    Fail(open, {ErrorCode::kBackendFailed, "chunks are missing", false, {}});
-    return;
-  }
-  m_open.Take(open->attempt.request);
+void Dispatcher::OnChunk(wire::Chunk chunk) {
+  const AttemptId attempt = wire::FromWire(chunk.attempt);
+  if (chunk.offset == 0) NoteHealth(attempt, true);
+  FeedTo(attempts::ChunkArrived{attempt, chunk.offset, std::move(chunk.data)});
 }
 
-void Dispatcher::Fail(const OpenPtr& open, const Error& error) {
-  {
-    std::scoped_lock lock(open->mutex);
-    if (open->ended) return;
-    open->ended = true;
-    open->answer.on_failed(error);
+void Dispatcher::OnFailed(const wire::Failed& failed) {
+  const AttemptId attempt = wire::FromWire(failed.attempt);
+  const Error error = ErrorOf(failed);
+  events::Log(EventId::kAttemptFailed, {{"attempt", attempt.ToString()},
+                                        {"code", failed.code},
+                                        {"detail", failed.detail}});
+  if (SpeaksAgainstEngine(error.code)) NoteHealth(attempt, false);
+  FeedTo(attempts::Failed{attempt, error});
+}
+
+void Dispatcher::Abandon(const RequestId& id) {
+  if (const auto open = m_open.Find(id)) {
+    Feed(*open, attempts::CallerGone{});
   }
-  m_open.Take(open->attempt.request);
 }
 
-void Dispatcher::CancelAtSide(const OpenPtr& open, ErrorCode code) {
-  const wire::ChannelPtr channel = m_links->Find(open->host);
-  if (!channel) return;
-  wire::Frame frame;
-  frame.cancel.attempt = wire::ToWire(open->attempt);
-  frame.cancel.code = ToString(code);
-  frame.__isset.cancel = true;
-  channel->Send(frame);
+void Dispatcher::OnLost(const HostId& host) {
+  FeedAll(attempts::ConnectionLost{host});
 }
 
-void Dispatcher::Abandon(const RequestId& id) {
-  const auto found = m_open.Find(id);
-  if (!found) return;
-  CancelAtSide(*found, ErrorCode::kCancelled);
-  Fail(*found, {ErrorCode::kCancelled, "the caller hung up", false, {}});
+void Dispatcher::OnOpened(const HostId& host) {
+  FeedAll(attempts::ConnectionRestored{host});
 }
 
-void Dispatcher::OnLost(const HostId& host) {
-  for (const OpenPtr& open : m_open.Values()) {
-    bool started = false;
-    {
-      std::scoped_lock lock(open->mutex);
-      if (open->host != host) continue;
-      started = open->started;
+std::optional<attempts::RequestTrace> Dispatcher::Explain(
+    const RequestId& id) const {
+  if (const auto open = m_open.Find(id)) {
+    std::scoped_lock lock((*open)->mutex);
+    if ((*open)->life) return (*open)->life->trace();
+  }
+  return m_traces.Find(id);
+}
+
+void Dispatcher::NoteHealth(const AttemptId& attempt, bool healthy) {
+  const auto open = m_open.Find(attempt.request);
+  if (!open) return;
+  EngineId engine;
+  {
+    std::scoped_lock lock((*open)->mutex);
+    auto it = (*open)->engines.find(attempt.number);
+    if (it == (*open)->engines.end()) return;
+    engine = it->second;
+  }
+  const auto breaker = BreakerOf(engine);
+  if (healthy) {
+    breaker->NoteSuccess();
+  } else {
+    breaker->NoteFailure(Now());
+  }
+}
+
+std::shared_ptr<attempts::RetryBudget> Dispatcher::BudgetOf(
+    const control::ControlState& state, const std::string& service) {
+  std::scoped_lock lock(m_services_mutex);
+  auto& budget = m_budgets[service];
+  if (budget) return budget;
+  double fraction = control::ServiceConfig().retry_fraction;
+  for (const control::ServiceConfig& config : state.configuration->services) {
+    if (config.name == service || config.model == service) {
+      fraction = config.retry_fraction;
     }
-    Fail(open, {ErrorCode::kConnectionLost, host.value(), !started, {}});
   }
+  budget = std::make_shared<attempts::RetryBudget>(fraction);
+  return budget;
+}
+
+std::shared_ptr<attempts::CircuitBreaker> Dispatcher::BreakerOf(
+    const EngineId& engine) {
+  if (const auto known = m_breakers.Find(engine)) return *known;
+  m_breakers.Insert(engine, std::make_shared<attempts::CircuitBreaker>());
+  return *m_breakers.Find(engine);
 }
 
 }  // namespace peridotshelf::entry
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -6,6 +6,7 @@
 
 #include "entry/answer_writer.h"
 #include "entry/dispatcher.h"
+#include "entry/explain.h"
 #include "entry/requests.h"
 #include "entry/side_links.h"
 #include "peridotshelf/http/server.h"
@@ -119,7 +120,10 @@
   const control::ControlStatePtr state = ReadyState(responder);
   if (!state) return;
   AnswerCallbacks answer = MakeServiceWriter(call->id, responder);
+  const RequestId id = call->id;
   dispatcher->SubmitCall(state, std::move(*call), std::move(answer));
+  responder->OnHangUp(
+      [self = shared_from_this(), id] { self->dispatcher->Abandon(id); });
 }
 
 void Entry::Impl::HandleModels(const http::ResponderPtr& responder) {
@@ -156,6 +160,8 @@
     HandleModels(responder);
   } else if (request.path.starts_with("/services/")) {
     HandleServiceCall(request, responder);
+  } else if (request.path.starts_with(kExplainPath)) {
+    ReplyExplain(request, *responder, *dispatcher);
   } else if (request.path == "/healthz") {
     ReplyJson(*responder, 200, {{"alive", true}});
   } else if (request.path == "/readyz") {
@@ -185,9 +191,10 @@
         auto alive = weak.lock();
         return alive ? alive->MakeHello() : wire::Hello();
       },
-      [dispatcher](const HostId& host, const wire::Frame& frame) {
-        dispatcher->OnFrame(host, frame);
+      [dispatcher](const HostId& host, wire::Frame frame) {
+        dispatcher->OnFrame(host, std::move(frame));
       },
+      [dispatcher](const HostId& host) { dispatcher->OnOpened(host); },
       [dispatcher](const HostId& host) { dispatcher->OnLost(host); },
       options.peers);
   dispatcher->SetLinks(impl->links);
--- a/src/entry/side_links.cc
+++ b/src/entry/side_links.cc
@@ -1,22 +1,36 @@
 #include "entry/side_links.h"
 
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "peridotshelf/attempts/retry_budget.h"
 #include "peridotshelf/events/log.h"
 
 namespace peridotshelf::entry {
 namespace {
 
-constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
+constexpr attempts::BackoffOptions kReconnectBackoff{
+    std::chrono::milliseconds(20), std::chrono::milliseconds(500)};
+
+Duration ReconnectDelay(int32_t failures) {
+  thread_local std::minstd_rand random{std::random_device{}()};
+  return attempts::FullJitterDelay(kReconnectBackoff, failures, Duration::max(),
+                                   random)
+      .value_or(kReconnectBackoff.cap);
+}
 
 }  // namespace
 
 SideLinks::SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
                      wire::HelloSource hello, FrameHandler on_frame,
-                     LossHandler on_lost,
+                     HostHandler on_opened, HostHandler on_lost,
                      std::shared_ptr<control::PeerLink> peers)
     : m_threads(threads),
       m_options(options),
       m_hello(std::move(hello)),
       m_on_frame(std::move(on_frame)),
+      m_on_opened(std::move(on_opened)),
       m_on_lost(std::move(on_lost)),
       m_peers(std::move(peers)) {}
 
@@ -31,7 +45,7 @@
     if (known != m_links.end() && known->second.endpoint == endpoint) {
       wanted.insert(m_links.extract(known));
     } else {
-      wanted[host.host] = Link{endpoint, nullptr};
+      wanted[host.host] = Link{endpoint, nullptr, 0, 0};
       to_open.emplace_back(host.host, endpoint);
     }
   }
@@ -45,22 +59,54 @@
   return it == m_links.end() ? nullptr : it->second.channel;
 }
 
-void SideLinks::Open(const HostId& host, const wire::Endpoint& endpoint) {
-  auto self = shared_from_this();
-  wire::ChannelCallbacks callbacks;
-  callbacks.on_open = [self, host, endpoint](const wire::ChannelPtr& channel) {
-    events::Log(events::EventId::kPeerConnected, {{"peer", host.value()}});
-    std::scoped_lock lock(self->m_mutex);
-    auto it = self->m_links.find(host);
-    if (it == self->m_links.end() || it->second.endpoint != endpoint) {
+attempts::HeardVersions SideLinks::Heard() const {
+  std::scoped_lock lock(m_mutex);
+  attempts::HeardVersions heard;
+  bool first = true;
+  for (const auto& [host, link] : m_links) {
+    heard.oldest =
+        first ? link.heard_version : std::min(heard.oldest, link.heard_version);
+    heard.newest = std::max(heard.newest, link.heard_version);
+    first = false;
+  }
+  return heard;
+}
+
+void SideLinks::NoteVersion(const HostId& host, ControlVersion version) {
+  std::scoped_lock lock(m_mutex);
+  auto it = m_links.find(host);
+  if (it != m_links.end()) it->second.heard_version = version;
+}
+
+void SideLinks::OnOpened(const HostId& host, const wire::Endpoint& endpoint,
+                         const wire::ChannelPtr& channel) {
+  events::Log(events::EventId::kPeerConnected, {{"peer", host.value()}});
+  {
+    std::scoped_lock lock(m_mutex);
+    auto it = m_links.find(host);
+    if (it == m_links.end() || it->second.endpoint != endpoint) {
       channel->Close({ErrorCode::kConnectionLost, "not listed", false, {}});
       return;
     }
     it->second.channel = channel;
-    if (self->m_peers) self->m_peers->OnOpen(channel);
+    it->second.heard_version = channel->peer().control_version;
+    it->second.failures = 0;
+    if (m_peers) m_peers->OnOpen(channel);
+  }
+  m_on_opened(host);
+}
+
+void SideLinks::Open(const HostId& host, const wire::Endpoint& endpoint) {
+  auto self = shared_from_this();
+  wire::ChannelCallbacks callbacks;
+  callbacks.on_open = [self, host, endpoint](const wire::ChannelPtr& channel) {
+    self->OnOpened(host, endpoint, channel);
   };
   callbacks.on_frame = [self, host](const wire::ChannelPtr& channel,
                                     wire::Frame frame) {
+    if (frame.__isset.heartbeat) {
+      self->NoteVersion(host, frame.heartbeat.control_version);
+    }
     if (self->m_peers && self->m_peers->OnFrame(channel, frame)) return;
     self->m_on_frame(host, std::move(frame));
   };
@@ -75,26 +121,31 @@
 void SideLinks::OnClosed(const HostId& host, const wire::Endpoint& endpoint,
                          const Error& reason) {
   bool was_open = false;
+  int32_t failures = 0;
   {
     std::scoped_lock lock(m_mutex);
     auto it = m_links.find(host);
     if (it == m_links.end() || it->second.endpoint != endpoint) return;
     was_open = it->second.channel != nullptr;
     it->second.channel = nullptr;
+    it->second.heard_version = 0;
+    failures = it->second.failures++;
   }
   if (was_open) {
     events::Log(events::EventId::kPeerLost,
                 {{"peer", host.value()}, {"reason", reason.detail}});
     m_on_lost(host);
   }
-  m_threads.After(kReconnectDelay, [self = shared_from_this(), host, endpoint] {
-    {
-      std::scoped_lock lock(self->m_mutex);
-      auto it = self->m_links.find(host);
-      if (it == self->m_links.end() || it->second.endpoint != endpoint) return;
-    }
-    self->Open(host, endpoint);
-  });
+  m_threads.After(
+      ReconnectDelay(failures), [self = shared_from_this(), host, endpoint] {
+        {
+          std::scoped_lock lock(self->m_mutex);
+          auto it = self->m_links.find(host);
+          if (it == self->m_links.end() || it->second.endpoint != endpoint)
+            return;
+        }
+        self->Open(host, endpoint);
+      });
 }
 
 }  // namespace peridotshelf::entry
--- a/src/entry/side_links.h
+++ b/src/entry/side_links.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <span>
 
+#include "peridotshelf/attempts/home.h"
 #include "peridotshelf/control/peer_link.h"
 #include "peridotshelf/platform/concepts.h"
 #include "peridotshelf/wire/channel.h"
@@ -18,23 +19,33 @@
 class SideLinks : public std::enable_shared_from_this<SideLinks> {
  public:
   using FrameHandler = std::function<void(const HostId&, wire::Frame)>;
-  using LossHandler = std::function<void(const HostId&)>;
+  using HostHandler = std::function<void(const HostId&)>;
 
   SideLinks(io::IoThreads& threads, wire::ChannelOptions options,
-            wire::HelloSource hello, FrameHandler on_frame, LossHandler on_lost,
+            wire::HelloSource hello, FrameHandler on_frame,
+            HostHandler on_opened, HostHandler on_lost,
             std::shared_ptr<control::PeerLink> peers = nullptr);
 
   /// Connects to the sides that are new in the list.
   void Update(std::span<const platform::HostEntry> hosts);
   /// The open connection to a host's side, or null.
   wire::ChannelPtr Find(const HostId& host) const;
+  /// The control versions last heard of from all listed sides.
+  attempts::HeardVersions Heard() const;
 
  private:
   struct Link {
     wire::Endpoint endpoint;
     wire::ChannelPtr channel;
+    /// What the side last said of itself; 0 without a connection.
+    ControlVersion heard_version = 0;
+    /// Failures in a row to connect.
+    int32_t failures = 0;
   };
   void Open(const HostId& host, const wire::Endpoint& endpoint);
+  void OnOpened(const HostId& host, const wire::Endpoint& endpoint,
+                const wire::ChannelPtr& channel);
+  void NoteVersion(const HostId& host, ControlVersion version);
   void OnClosed(const HostId& host, const wire::Endpoint& endpoint,
                 const Error& reason);
 
@@ -42,7 +53,8 @@
   wire::ChannelOptions m_options;
   wire::HelloSource m_hello;
   FrameHandler m_on_frame;
-  LossHandler m_on_lost;
+  HostHandler m_on_opened;
+  HostHandler m_on_lost;
   /// Is told of every connection; may be null.
   std::shared_ptr<control::PeerLink> m_peers;
   mutable std::mutex m_mutex;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,7 +15,8 @@
 // libcurl's options and readings have this type.
 using CurlLong = long;  // NOLINT(google-runtime-int)
 
-constexpr int kPollMilliseconds = 1000;
+constexpr int kPollMilliseconds = 100;
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
 constexpr CurlLong kMaxIdleConnections = 512;
 constexpr CurlLong kBufferBytes = 64 * 1024;
 
@@ -27,6 +28,9 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   bool head_reported = false;
+  /// Bytes sent and received, and when they last grew.
+  curl_off_t bytes = 0;
+  TimePoint progressed_at = SteadyClock().Now();
 };
 
 void ReportHead(Call& call) {
@@ -79,12 +83,8 @@
   if (request.timeout > Duration::zero()) {
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, Millis(request.timeout));
   }
-  if (request.idle_timeout > Duration::zero()) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(request.idle_timeout);
-    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
-                     static_cast<CurlLong>(seconds.count()));
+  if (request.fresh_connection) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
   }
   if (request.method != "GET") {
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
@@ -125,6 +125,21 @@
   return tl::unexpected<Error>(std::move(error));
 }
 
+/// Whether the call has an idle timeout and it has passed. The library's own
+/// limit on speed takes seconds longer, since it judges an average.
+bool IsSilent(Call& call, TimePoint now) {
+  if (call.request.idle_timeout <= Duration::zero()) return false;
+  curl_off_t sent = 0;
+  curl_off_t received = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_SIZE_UPLOAD_T, &sent);
+  curl_easy_getinfo(call.handle, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  if (sent + received != call.bytes) {
+    call.bytes = sent + received;
+    call.progressed_at = now;
+  }
+  return now - call.progressed_at > call.request.idle_timeout;
+}
+
 }  // namespace
 
 struct Client::Impl {
@@ -136,8 +151,11 @@
   std::atomic<CallId> next_id{1};
   std::atomic<bool> stopping{false};
   std::thread thread;
+  TimePoint silence_checked_at{};
 
   void Run();
+  void Finish(CallId id, CURLcode code);
+  void EndSilent();
   void TakeOrders();
   void ReapFinished();
 };
@@ -171,14 +189,28 @@
     if (message->msg != CURLMSG_DONE) continue;
     void* user = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
-    const CURLcode code = message->data.result;
-    auto node = active.extract(static_cast<Call*>(user)->id);
-    Call& call = *node.mapped();
-    if (code == CURLE_OK) ReportHead(call);
-    const Result<int> outcome = Outcome(call, code);
-    Release(multi, call);
-    if (call.callbacks.on_done) call.callbacks.on_done(outcome);
+    Finish(static_cast<Call*>(user)->id, message->data.result);
+  }
+}
+
+void Client::Impl::Finish(CallId id, CURLcode code) {
+  auto node = active.extract(id);
+  Call& call = *node.mapped();
+  if (code == CURLE_OK) ReportHead(call);
+  const Result<int> outcome = Outcome(call, code);
+  Release(multi, call);
+  if (call.callbacks.on_done) call.callbacks.on_done(outcome);
+}
+
+void Client::Impl::EndSilent() {
+  const TimePoint now = SteadyClock().Now();
+  if (now - silence_checked_at < kSilenceCheckInterval) return;
+  silence_checked_at = now;
+  std::vector<CallId> silent;
+  for (auto& [id, call] : active) {
+    if (IsSilent(*call, now)) silent.push_back(id);
   }
+  for (CallId id : silent) Finish(id, CURLE_OPERATION_TIMEDOUT);
 }
 
 void Client::Impl::Run() {
@@ -187,6 +219,7 @@
     int running = 0;
     curl_multi_perform(multi, &running);
     ReapFinished();
+    EndSilent();
     curl_multi_poll(multi, nullptr, 0, kPollMilliseconds, nullptr);
   }
 }
--- a/src/include/peridotshelf/attempts/request_life.h
+++ b/src/include/peridotshelf/attempts/request_life.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <random>
 #include <vector>
@@ -55,9 +56,9 @@
 /// earlier start is proved not to have run. Not thread-safe.
 class RequestLife {
  public:
-  /// `retry_budget` is the service's and outlives the request.
-  RequestLife(RequestPlan plan, LifeOptions options, RetryBudget& retry_budget,
-              TimePoint now);
+  /// `retry_budget` is the service's.
+  RequestLife(RequestPlan plan, LifeOptions options,
+              std::shared_ptr<RetryBudget> retry_budget, TimePoint now);
 
   /// The first command: choose candidates.
   Commands Begin(TimePoint now);
@@ -129,7 +130,7 @@
 
   const RequestPlan m_plan;
   const LifeOptions m_options;
-  RetryBudget& m_retry_budget;
+  std::shared_ptr<RetryBudget> m_retry_budget;
   std::minstd_rand m_random;
   std::vector<Attempt> m_attempts;
   /// Index of the attempt that was started last.
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -31,6 +31,9 @@
   Duration connect_timeout = std::chrono::seconds(1);
   /// The call fails when no byte comes for this long; zero for no limit.
   Duration idle_timeout{};
+  /// Uses no kept connection. On one that turns out to be closed, the library
+  /// may send the request twice.
+  bool fresh_connection = false;
 };
 
 /// What the answer began with.
--- /dev/null
+++ b/src/side/attempt_streams.cc
@@ -0,0 +1,201 @@
+#include "side/attempt_streams.h"
+
+#include <utility>
+
+#include "peridotshelf/wire/codec.h"
+
+namespace peridotshelf::side {
+namespace {
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+void SendChunk(wire::Channel& channel, const AttemptId& attempt, int64_t offset,
+               const std::string& data) {
+  wire::Frame frame;
+  frame.chunk.attempt = wire::ToWire(attempt);
+  frame.chunk.offset = offset;
+  frame.chunk.data = data;
+  frame.__isset.chunk = true;
+  channel.Send(frame);
+}
+
+void SendEnd(wire::Channel& channel, const AttemptId& attempt,
+             const Result<attempts::Completion>& end) {
+  if (!end) {
+    SendFailed(channel, attempt, end.error());
+    return;
+  }
+  wire::Frame frame;
+  frame.finished.attempt = wire::ToWire(attempt);
+  frame.finished.chunks = end->chunks;
+  frame.finished.http_status = end->http_status;
+  frame.finished.content_type = end->content_type;
+  frame.finished.prompt_tokens = end->prompt_tokens;
+  frame.finished.cached_tokens = end->cached_tokens;
+  frame.__isset.finished = true;
+  channel.Send(frame);
+}
+
+}  // namespace
+
+void SendFailed(wire::Channel& channel, const AttemptId& attempt,
+                const Error& error) {
+  wire::Frame frame;
+  frame.failed.attempt = wire::ToWire(attempt);
+  frame.failed.code = ToString(error.code);
+  frame.failed.detail = error.detail;
+  frame.failed.not_run = error.not_run;
+  frame.failed.retry_after_ms =
+      ToMilliseconds(error.retry_after.value_or(Duration::zero()));
+  frame.__isset.failed = true;
+  channel.Send(frame);
+}
+
+AttemptStreams::AttemptStreams(int64_t epoch,
+                               const attempts::ExecutionOptions& options)
+    : m_epoch(epoch) {
+  for (Shard& shard : m_shards) {
+    shard.table = std::make_unique<attempts::ExecutionTable>(epoch, options);
+  }
+}
+
+AttemptStreams::Shard& AttemptStreams::ShardOf(const AttemptId& attempt) {
+  return m_shards[std::hash<AttemptId>()(attempt) % kShards];
+}
+
+void AttemptStreams::Opened(const wire::ChannelPtr& channel) {
+  std::scoped_lock lock(m_channels_mutex);
+  const attempts::ConnectionId id = m_next_connection++;
+  m_channels[id] = channel;
+  m_ids[channel.get()] = id;
+}
+
+void AttemptStreams::Closed(const wire::ChannelPtr& channel) {
+  const attempts::ConnectionId id = IdOf(channel);
+  {
+    std::scoped_lock lock(m_channels_mutex);
+    m_channels.erase(id);
+    m_ids.erase(channel.get());
+  }
+  for (Shard& shard : m_shards) {
+    std::scoped_lock lock(shard.mutex);
+    shard.table->Detach(id, Now());
+  }
+}
+
+attempts::ConnectionId AttemptStreams::IdOf(
+    const wire::ChannelPtr& channel) const {
+  std::scoped_lock lock(m_channels_mutex);
+  auto it = m_ids.find(channel.get());
+  return it == m_ids.end() ? 0 : it->second;
+}
+
+wire::ChannelPtr AttemptStreams::ChannelOf(
+    std::optional<attempts::ConnectionId> connection) const {
+  if (!connection) return nullptr;
+  std::scoped_lock lock(m_channels_mutex);
+  auto it = m_channels.find(*connection);
+  return it == m_channels.end() ? nullptr : it->second;
+}
+
+Result<void> AttemptStreams::Admit(const wire::ChannelPtr& channel,
+                                   const AttemptId& attempt,
+                                   Duration remaining) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  return shard.table->Admit(attempt, IdOf(channel), remaining, Now());
+}
+
+Result<attempts::StartVerdict> AttemptStreams::Start(const AttemptId& attempt,
+                                                     int64_t epoch) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  return shard.table->Start(attempt, epoch);
+}
+
+Result<attempts::StartVerdict> AttemptStreams::StartDirect(
+    const wire::ChannelPtr& channel, const AttemptId& attempt,
+    Duration remaining) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  return shard.table->StartDirect(attempt, IdOf(channel), remaining, Now());
+}
+
+void AttemptStreams::Append(const AttemptId& attempt, int64_t offset,
+                            const std::string& data) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  const auto connection = shard.table->Append(attempt, offset, data);
+  if (const auto channel = ChannelOf(connection)) {
+    SendChunk(*channel, attempt, offset, data);
+  }
+}
+
+void AttemptStreams::Finish(const AttemptId& attempt,
+                            const Result<attempts::Completion>& end) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  const auto connection = shard.table->Finish(attempt, end, Now());
+  if (const auto channel = ChannelOf(connection)) {
+    SendEnd(*channel, attempt, end);
+  }
+}
+
+attempts::ResumeReply AttemptStreams::Resume(const wire::ChannelPtr& channel,
+                                             const wire::Resume& resume,
+                                             bool same_incarnation) {
+  const AttemptId attempt = wire::FromWire(resume.attempt);
+  const attempts::ConnectionId connection = IdOf(channel);
+  // The entry asks again on its next connection.
+  if (connection == 0) return {};
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  attempts::ResumeReply reply = shard.table->Resume(
+      attempt, resume.from_offset, connection, same_incarnation, Now());
+  int64_t offset = reply.from_offset;
+  for (const std::string& data : reply.chunks) {
+    SendChunk(*channel, attempt, offset++, data);
+  }
+  if (reply.outcome) SendEnd(*channel, attempt, *reply.outcome);
+  return reply;
+}
+
+attempts::CancelReply AttemptStreams::Cancel(const wire::ChannelPtr& channel,
+                                             const AttemptId& attempt,
+                                             ErrorCode code) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  attempts::CancelReply reply = shard.table->Cancel(attempt, code, Now());
+  if (channel) SendFailed(*channel, attempt, reply.error);
+  return reply;
+}
+
+void AttemptStreams::Recover(std::span<const AttemptId> running) {
+  for (const AttemptId& attempt : running) {
+    Shard& shard = ShardOf(attempt);
+    std::scoped_lock lock(shard.mutex);
+    shard.table->Recover(std::span(&attempt, 1), Now());
+  }
+}
+
+std::vector<attempts::LapsedAttempt> AttemptStreams::Tick() {
+  std::vector<attempts::LapsedAttempt> lapsed;
+  for (Shard& shard : m_shards) {
+    std::scoped_lock lock(shard.mutex);
+    for (auto& attempt : shard.table->Tick(Now())) {
+      lapsed.push_back(std::move(attempt));
+    }
+  }
+  return lapsed;
+}
+
+size_t AttemptStreams::LiveCount() const {
+  size_t count = 0;
+  for (const Shard& shard : m_shards) {
+    std::scoped_lock lock(shard.mutex);
+    count += shard.table->live();
+  }
+  return count;
+}
+
+}  // namespace peridotshelf::side
--- a/src/side/execution.cc
+++ b/src/side/execution.cc
@@ -1,235 +1,275 @@
 #include "side/execution.h"
 
+#include <utility>
+
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/wire/codec.h"
 
 namespace peridotshelf::side {
 namespace {
 
 using events::EventId;
 
-void SendChunk(wire::Channel& channel, const AttemptId& attempt, int64_t offset,
-               const std::string& data) {
+constexpr Duration kRecoverRetry = std::chrono::milliseconds(500);
+constexpr Duration kCancelRetry = std::chrono::seconds(1);
+constexpr Duration kBrokenStreamRetry = std::chrono::milliseconds(50);
+constexpr int32_t kMaxBroken = 3;
+
+wire::Frame GrantedFrame(const wire::Reserve& reserve, int64_t epoch,
+                         Duration lease, const Admission& admission) {
   wire::Frame frame;
-  frame.chunk.attempt = wire::ToWire(attempt);
-  frame.chunk.offset = offset;
-  frame.chunk.data = data;
-  frame.__isset.chunk = true;
-  channel.Send(frame);
+  frame.granted.attempt = reserve.attempt;
+  frame.granted.epoch = epoch;
+  frame.granted.lease_ms = ToMilliseconds(lease);
+  frame.granted.load = admission.Load();
+  frame.__isset.granted = true;
+  return frame;
 }
 
 }  // namespace
 
-void SendFailed(wire::Channel& channel, const wire::Attempt& attempt,
-                const Error& error) {
-  wire::Failed failed;
-  failed.attempt = attempt;
-  failed.code = ToString(error.code);
-  failed.detail = error.detail;
-  failed.not_run = error.not_run;
-  failed.retry_after_ms =
-      error.retry_after ? ToMilliseconds(*error.retry_after) : 0;
+void Executions::Recover(const EnginePtr& engine) {
+  engine->client.ListStreams(
+      [self = shared_from_this(),
+       engine](const Result<std::vector<backend::EngineStream>>& streams) {
+        if (streams) {
+          self->AdoptStreams(engine, *streams);
+          return;
+        }
+        events::Log(EventId::kBackendCallFailed,
+                    {{"engine", engine->config.id.value()},
+                     {"detail", streams.error().detail}});
+        self->m_threads.After(kRecoverRetry,
+                              [self, engine] { self->Recover(engine); });
+      });
+}
+
+void Executions::AdoptStreams(
+    const EnginePtr& engine,
+    const std::vector<backend::EngineStream>& streams) {
+  std::vector<AttemptId> running;
+  for (const backend::EngineStream& stream : streams) {
+    auto execution = std::make_shared<Execution>();
+    execution->attempt = stream.attempt;
+    execution->engine = engine;
+    if (!m_executions.Insert(stream.attempt, execution)) continue;
+    running.push_back(stream.attempt);
+    wire::Reserve held;
+    held.attempt = wire::ToWire(stream.attempt);
+    held.prompt_tokens = stream.memory_tokens;
+    (void)engine->admission.Reserve(held);
+  }
+  m_streams->Recover(running);
+  engine->recovered = true;
+}
+
+void Executions::Refuse(wire::Channel& channel, const Engine& engine,
+                        const wire::Reserve& reserve, const Error& error) {
   wire::Frame frame;
-  frame.__set_failed(failed);
+  frame.refused.attempt = reserve.attempt;
+  frame.refused.code = ToString(error.code);
+  frame.refused.detail = error.detail;
+  frame.refused.retry_after_ms =
+      ToMilliseconds(error.retry_after.value_or(Duration::zero()));
+  frame.refused.load = engine.admission.Load();
+  frame.__isset.refused = true;
   channel.Send(frame);
 }
 
 void Executions::Reserve(const EnginePtr& engine,
                          const wire::ChannelPtr& channel,
                          const wire::Reserve& reserve) {
-  wire::Frame frame;
+  const AttemptId attempt = wire::FromWire(reserve.attempt);
+  if (!engine->recovered) {
+    Refuse(*channel, *engine, reserve,
+           {ErrorCode::kNoBackend, "the engine has not answered yet", true,
+            kRecoverRetry});
+    return;
+  }
+  const Result<void> admitted = m_streams->Admit(
+      channel, attempt, std::chrono::milliseconds(reserve.remaining_ms));
+  if (!admitted) {
+    SendFailed(*channel, attempt, admitted.error());
+    return;
+  }
   const Result<void> reserved = engine->admission.Reserve(reserve);
   if (!reserved) {
-    wire::Refused refused;
-    refused.attempt = reserve.attempt;
-    refused.code = ToString(reserved.error().code);
-    refused.detail = reserved.error().detail;
-    refused.retry_after_ms =
-        ToMilliseconds(reserved.error().retry_after.value_or(Duration()));
-    refused.load = engine->admission.Load();
-    frame.__set_refused(refused);
-    channel->Send(frame);
+    m_streams->Cancel(nullptr, attempt, reserved.error().code);
+    Refuse(*channel, *engine, reserve, reserved.error());
     return;
   }
   auto execution = std::make_shared<Execution>();
-  execution->attempt = wire::FromWire(reserve.attempt);
+  execution->attempt = attempt;
   execution->engine = engine;
-  execution->channel = channel;
-  execution->run.attempt = execution->attempt;
+  execution->run.attempt = attempt;
   execution->run.priority = reserve.priority;
-  execution->run.max_tokens = reserve.max_tokens;
-  m_executions.Insert(execution->attempt, execution);
-  wire::Granted granted;
-  granted.attempt = reserve.attempt;
-  granted.epoch = m_epoch;
-  granted.lease_ms = ToMilliseconds(m_lease);
-  granted.load = engine->admission.Load();
-  frame.__set_granted(granted);
-  channel->Send(frame);
+  m_executions.Insert(attempt, execution);
+  channel->Send(
+      GrantedFrame(reserve, m_streams->epoch(), m_lease, engine->admission));
 }
 
 void Executions::Start(const wire::ChannelPtr& channel,
                        const wire::Start& start) {
-  const auto found = m_executions.Find(wire::FromWire(start.attempt));
-  if (!found || start.epoch != m_epoch) {
-    SendFailed(*channel, start.attempt,
-               {ErrorCode::kBackendFailed, "no reservation", true, {}});
+  const AttemptId attempt = wire::FromWire(start.attempt);
+  const auto found = m_executions.Find(attempt);
+  if (!found) {
+    // The table knows why: cancelled, lapsed, or granted before a restart.
+    const auto verdict = m_streams->Start(attempt, start.epoch);
+    if (!verdict) SendFailed(*channel, attempt, verdict.error());
     return;
   }
   {
     std::scoped_lock lock((*found)->mutex);
+    (*found)->epoch = start.epoch;
     (*found)->run.model = start.model;
-    (*found)->run.epoch = m_epoch;
+    (*found)->run.max_tokens = start.max_tokens;
+    (*found)->run.epoch = m_streams->epoch();
     (*found)->run.prompt_json = start.payload;
   }
-  if (start.payload_ends) RunAtEngine(*found);
+  if (start.payload_ends) Run(channel, *found);
 }
 
 void Executions::AddPayload(const wire::ChannelPtr& channel,
                             const wire::PayloadPart& part) {
   const auto found = m_executions.Find(wire::FromWire(part.attempt));
-  if (!found) {
-    SendFailed(*channel, part.attempt,
-               {ErrorCode::kBackendFailed, "no reservation", true, {}});
-    return;
-  }
+  // The entry has been told at Start or Cancel.
+  if (!found) return;
   {
     std::scoped_lock lock((*found)->mutex);
     (*found)->run.prompt_json += part.payload;
   }
-  if (part.payload_ends) RunAtEngine(*found);
+  if (part.payload_ends) Run(channel, *found);
 }
 
-void Executions::RunAtEngine(const ExecutionPtr& execution) {
+void Executions::Run(const wire::ChannelPtr& channel,
+                     const ExecutionPtr& execution) {
   backend::EngineRun run;
   {
     std::scoped_lock lock(execution->mutex);
-    if (execution->started || execution->ended) return;
-    execution->started = true;
     run = std::move(execution->run);
   }
+  const auto verdict = m_streams->Start(execution->attempt, execution->epoch);
+  if (!verdict) {
+    SendFailed(*channel, execution->attempt, verdict.error());
+    return;
+  }
+  if (*verdict == attempts::StartVerdict::kDuplicate) return;
   events::Log(EventId::kAttemptStarted,
               {{"attempt", execution->attempt.ToString()},
                {"engine", execution->engine->config.id.value()}});
-  auto self = shared_from_this();
-  execution->engine->client.Run(
-      run, {[self, execution](backend::EngineChunk chunk) {
-              self->OnChunk(execution, std::move(chunk));
-            },
-            [self, execution](const Result<backend::EngineUsage>& usage) {
-              self->OnDone(execution, usage);
-            }});
+  execution->engine->client.Run(run, CallbacksOf(execution));
 }
 
-void Executions::OnChunk(const ExecutionPtr& execution,
-                         backend::EngineChunk chunk) {
-  std::scoped_lock lock(execution->mutex);
-  if (execution->ended) return;
-  if (chunk.offset != static_cast<int64_t>(execution->chunks.size())) {
-    events::Log(
-        EventId::kChunkDropped,
-        {{"attempt", execution->attempt.ToString()}, {"offset", chunk.offset}});
-    return;
-  }
-  if (execution->channel) {
-    SendChunk(*execution->channel, execution->attempt, chunk.offset,
-              chunk.text);
-  }
-  execution->chunks.push_back(std::move(chunk.text));
+backend::EngineCallbacks Executions::CallbacksOf(
+    const ExecutionPtr& execution) {
+  auto self = shared_from_this();
+  backend::EngineCallbacks callbacks;
+  callbacks.on_chunk = [self, execution](const backend::EngineChunk& chunk) {
+    {
+      std::scoped_lock lock(execution->mutex);
+      execution->next_offset = chunk.offset + 1;
+      execution->broken = 0;
+    }
+    self->m_streams->Append(execution->attempt, chunk.offset, chunk.text);
+  };
+  callbacks.on_done = [self,
+                       execution](const Result<backend::EngineUsage>& usage) {
+    self->OnDone(execution, usage);
+  };
+  return callbacks;
 }
 
 void Executions::OnDone(const ExecutionPtr& execution,
                         const Result<backend::EngineUsage>& usage) {
-  {
-    std::scoped_lock lock(execution->mutex);
-    if (execution->ended) return;
-    if (execution->channel && usage) {
-      wire::Finished finished;
-      finished.attempt = wire::ToWire(execution->attempt);
-      finished.chunks = usage->chunks;
-      finished.prompt_tokens = usage->prompt_tokens;
-      finished.cached_tokens = usage->cached_tokens;
-      wire::Frame frame;
-      frame.__set_finished(finished);
-      execution->channel->Send(frame);
-    } else if (execution->channel) {
-      SendFailed(*execution->channel, wire::ToWire(execution->attempt),
-                 usage.error());
-    }
-  }
+  if (!usage && ResumeBroken(execution, usage.error())) return;
   events::Log(EventId::kAttemptFinished,
               {{"attempt", execution->attempt.ToString()},
                {"whole", usage.has_value()}});
-  End(execution);
-}
-
-void Executions::End(const ExecutionPtr& execution) {
+  if (usage) {
+    m_streams->Finish(execution->attempt,
+                      attempts::Completion{usage->chunks,
+                                           200,
+                                           {},
+                                           usage->prompt_tokens,
+                                           usage->cached_tokens});
+    Free(execution);
+    return;
+  }
+  Error error = usage.error();
   {
     std::scoped_lock lock(execution->mutex);
-    execution->ended = true;
+    // A failure to resume says nothing of the run itself.
+    const bool resumed = execution->next_offset > 0 || execution->broken > 0;
+    error.not_run = error.not_run && !resumed;
   }
-  execution->engine->admission.Release(execution->attempt);
-  m_executions.Take(execution->attempt);
+  error.code = ErrorCode::kBackendFailed;
+  m_streams->Finish(execution->attempt, tl::unexpected<Error>(error));
+  CancelAtEngine(execution);
 }
 
-void Executions::Cancel(const wire::ChannelPtr& channel,
-                        const wire::Cancel& cancel) {
-  const auto found = m_executions.Find(wire::FromWire(cancel.attempt));
-  if (!found) return;
-  const ExecutionPtr& execution = *found;
-  bool started = false;
+bool Executions::ResumeBroken(const ExecutionPtr& execution,
+                              const Error& error) {
+  if (error.code != ErrorCode::kConnectionLost) return false;
+  // A cancelled attempt's stream ends the same way.
+  if (!m_executions.Find(execution->attempt)) return true;
+  int64_t from_offset = 0;
   {
     std::scoped_lock lock(execution->mutex);
-    started = execution->started;
+    const bool never_sent =
+        error.not_run && execution->next_offset == 0 && execution->broken == 0;
+    if (never_sent || ++execution->broken > kMaxBroken) return false;
+    from_offset = execution->next_offset;
   }
-  SendFailed(*channel, cancel.attempt,
-             {ErrorCode::kCancelled, cancel.code, !started, {}});
-  CancelUnclaimed(execution);
+  m_threads.After(
+      kBrokenStreamRetry, [self = shared_from_this(), execution, from_offset] {
+        execution->engine->client.Resume(execution->attempt, from_offset,
+                                         self->CallbacksOf(execution));
+      });
+  return true;
 }
 
-void Executions::CancelUnclaimed(const ExecutionPtr& execution) {
-  events::Log(EventId::kAttemptCancelled,
-              {{"attempt", execution->attempt.ToString()}});
-  auto self = shared_from_this();
+void Executions::AskEngine(const AttemptId& attempt, int64_t from_offset) {
+  const auto found = m_executions.Find(attempt);
+  if (!found) return;
   {
-    std::scoped_lock lock(execution->mutex);
-    execution->ended = true;
+    std::scoped_lock lock((*found)->mutex);
+    (*found)->next_offset = from_offset;
+    // What follows is a resumption, also from offset 0.
+    (*found)->broken = 1;
   }
-  // Memory counts as held until the engine confirms that it is free.
-  execution->engine->client.Cancel(
-      execution->attempt,
-      [self, execution](const Result<void>&) { self->End(execution); });
+  (*found)->engine->client.Resume(attempt, from_offset, CallbacksOf(*found));
 }
 
-void Executions::Resume(const wire::ChannelPtr& channel,
-                        const wire::Resume& resume) {
-  const auto found = m_executions.Find(wire::FromWire(resume.attempt));
-  if (!found) {
-    SendFailed(*channel, resume.attempt,
-               {ErrorCode::kOutcomeUnknown, "unknown attempt", false, {}});
-    return;
-  }
-  std::scoped_lock lock((*found)->mutex);
-  (*found)->channel = channel;
-  const auto& chunks = (*found)->chunks;
-  for (size_t i = static_cast<size_t>(resume.from_offset); i < chunks.size();
-       ++i) {
-    SendChunk(*channel, (*found)->attempt, static_cast<int64_t>(i), chunks[i]);
+void Executions::Release(const AttemptId& attempt, bool cancel_at_engine) {
+  const auto found = m_executions.Find(attempt);
+  if (!found) return;
+  events::Log(EventId::kAttemptCancelled, {{"attempt", attempt.ToString()}});
+  if (cancel_at_engine) {
+    CancelAtEngine(*found);
+  } else {
+    Free(*found);
   }
 }
 
-void Executions::Detach(const wire::ChannelPtr& channel) {
-  for (const ExecutionPtr& execution : m_executions.Values()) {
-    std::scoped_lock lock(execution->mutex);
-    if (execution->channel != channel) continue;
-    execution->channel = nullptr;
-    m_threads.After(m_lease, [self = shared_from_this(), execution] {
-      {
-        std::scoped_lock inner(execution->mutex);
-        if (execution->channel || execution->ended) return;
-      }
-      self->CancelUnclaimed(execution);
-    });
-  }
+void Executions::CancelAtEngine(const ExecutionPtr& execution) {
+  // Memory counts as held until the engine confirms that it is free. An engine
+  // that takes no connection holds nothing.
+  execution->engine->client.Cancel(
+      execution->attempt,
+      [self = shared_from_this(), execution](const Result<void>& cancelled) {
+        if (cancelled || cancelled.error().not_run) {
+          self->Free(execution);
+          return;
+        }
+        self->m_threads.After(kCancelRetry, [self, execution] {
+          self->CancelAtEngine(execution);
+        });
+      });
+}
+
+void Executions::Free(const ExecutionPtr& execution) {
+  execution->engine->admission.Release(execution->attempt);
+  m_executions.Take(execution->attempt);
 }
 
 }  // namespace peridotshelf::side
--- a/src/side/execution.h
+++ b/src/side/execution.h
@@ -13,6 +13,7 @@
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/wire/channel.h"
 #include "side/admission.h"
+#include "side/attempt_streams.h"
 
 namespace peridotshelf::side {
 
@@ -25,59 +26,65 @@
   control::EngineConfig config;
   Admission admission;
   backend::EngineClient client;
+  /// Whether what the engine ran before this process is known.
+  std::atomic<bool> recovered{false};
 };
 using EnginePtr = std::shared_ptr<Engine>;
 
-/// One attempt from its reservation to its end, under its own lock.
+/// One attempt that holds something at an engine, under its own lock.
 struct Execution {
   std::mutex mutex;
   AttemptId attempt;
   EnginePtr engine;
-  /// The connection that gets the chunks; null while the entry is away.
-  wire::ChannelPtr channel;
   backend::EngineRun run;
-  bool started = false;
-  bool ended = false;
-  /// Chunks kept for an entry that connects again.
-  std::vector<std::string> chunks;
+  int64_t epoch = 0;
+  /// The next chunk's offset.
+  int64_t next_offset = 0;
+  /// Times in a row that the engine's stream broke without a chunk between.
+  int32_t broken = 0;
 };
 using ExecutionPtr = std::shared_ptr<Execution>;
 
 /// Takes an attempt through reservation, start, chunks and end. Thread-safe.
 class Executions : public std::enable_shared_from_this<Executions> {
  public:
-  Executions(io::IoThreads& threads, Duration lease, int64_t epoch)
-      : m_threads(threads), m_lease(lease), m_epoch(epoch) {}
+  Executions(io::IoThreads& threads, Duration lease,
+             std::shared_ptr<AttemptStreams> streams)
+      : m_threads(threads), m_lease(lease), m_streams(std::move(streams)) {}
 
+  /// Asks the engine what it runs; until it answers, nothing is reserved.
+  void Recover(const EnginePtr& engine);
   /// Reserves at `engine` and answers on `channel`.
   void Reserve(const EnginePtr& engine, const wire::ChannelPtr& channel,
                const wire::Reserve& reserve);
   void Start(const wire::ChannelPtr& channel, const wire::Start& start);
   void AddPayload(const wire::ChannelPtr& channel,
                   const wire::PayloadPart& part);
-  void Cancel(const wire::ChannelPtr& channel, const wire::Cancel& cancel);
-  void Resume(const wire::ChannelPtr& channel, const wire::Resume& resume);
-  /// The connection ended: its attempts have a lease time to be resumed.
-  void Detach(const wire::ChannelPtr& channel);
+  /// The table has ended the attempt: frees what it holds, at the engine too
+  /// if it may run there.
+  void Release(const AttemptId& attempt, bool cancel_at_engine);
+  /// Asks the engine again for an attempt that it ran before this process.
+  void AskEngine(const AttemptId& attempt, int64_t from_offset);
   /// Attempts that hold memory.
   size_t RunningCount() const { return m_executions.Size(); }
 
  private:
-  void RunAtEngine(const ExecutionPtr& execution);
-  void OnChunk(const ExecutionPtr& execution, backend::EngineChunk chunk);
+  void AdoptStreams(const EnginePtr& engine,
+                    const std::vector<backend::EngineStream>& streams);
+  void Refuse(wire::Channel& channel, const Engine& engine,
+              const wire::Reserve& reserve, const Error& error);
+  void Run(const wire::ChannelPtr& channel, const ExecutionPtr& execution);
+  backend::EngineCallbacks CallbacksOf(const ExecutionPtr& execution);
   void OnDone(const ExecutionPtr& execution,
               const Result<backend::EngineUsage>& usage);
-  void End(const ExecutionPtr& execution);
-  void CancelUnclaimed(const ExecutionPtr& execution);
+  bool ResumeBroken(const ExecutionPtr& execution, const Error& error);
+  void CancelAtEngine(const ExecutionPtr& execution);
+  void Free(const ExecutionPtr& execution);
 
   io::IoThreads& m_threads;
   Duration m_lease;
-  int64_t m_epoch;
+  std::shared_ptr<AttemptStreams> m_streams;
   ShardedMap<AttemptId, ExecutionPtr> m_executions;
 };
 
-/// Sends `Failed` for an attempt.
-void SendFailed(wire::Channel& channel, const wire::Attempt& attempt,
-                const Error& error);
-
 }  // namespace peridotshelf::side
--- /dev/null
+++ b/src/side/once_keeper.cc
@@ -0,0 +1,102 @@
+#include "side/once_keeper.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+#include "peridotshelf/attempts/service_homes.h"
+#include "peridotshelf/wire/codec.h"
+
+namespace peridotshelf::side {
+namespace {
+
+constexpr Duration kMovedRetryAfter = std::chrono::seconds(1);
+
+int64_t WallMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// A hash of everything that the call does.
+uint64_t Fingerprint(const wire::ServiceCall& call) {
+  uint64_t hash = 0;
+  for (const std::string* part :
+       {&call.method, &call.target, &call.content_type, &call.payload}) {
+    hash = XXH64(part->data(), part->size(), hash + part->size());
+  }
+  return hash;
+}
+
+attempts::OnceVerdict NotHome(const std::string& detail) {
+  return tl::unexpected<Error>(
+      Error{ErrorCode::kNotReady, detail, true, kMovedRetryAfter});
+}
+
+}  // namespace
+
+OnceKeeper::OnceKeeper(const HostId& host)
+    : m_host(host),
+      m_start(SteadyClock().Now()),
+      m_table(attempts::OnceOptions{}, m_start, WallMilliseconds()) {}
+
+void OnceKeeper::Accept(const control::ControlState& state) {
+  if (!state.configuration) return;
+  std::scoped_lock lock(m_mutex);
+  for (const auto& service : state.configuration->services) {
+    if (service.kind != control::ServiceKind::kPlain) continue;
+    auto [home, added] = m_homes.try_emplace(service.name, m_host, m_start);
+    home->second.Accept(state.version, attempts::HostsOf(state, service));
+  }
+}
+
+attempts::OnceVerdict OnceKeeper::Claim(const control::ControlState& state,
+                                        const wire::ServiceCall& call,
+                                        std::string& scoped_key) {
+  const control::ServiceConfig* service =
+      attempts::FindServiceOfBackend(*state.configuration, call.backend);
+  if (service == nullptr) return NotHome("no service has the backend server");
+  const TimePoint now = SteadyClock().Now();
+  scoped_key = attempts::ScopedKey(service->name, TeamId(call.team),
+                                   call.idempotency_key);
+  std::scoped_lock lock(m_mutex);
+  auto home = m_homes.find(service->name);
+  if (home == m_homes.end()) return NotHome("the service is new here");
+  home->second.NoteHeard({call.oldest_heard_version, call.newest_heard_version},
+                         now);
+  const attempts::HomeDuty duty = home->second.DutyFor(scoped_key);
+  if (duty.awaiting_release) {
+    return NotHome("not all sides are known to have this configuration");
+  }
+  if (!duty.mine) return NotHome("the key belongs to another host");
+  attempts::OnceCall once;
+  once.key = scoped_key;
+  once.fingerprint = Fingerprint(call);
+  if (call.issued_at_ms >= 0) once.issued_at_ms = call.issued_at_ms;
+  once.attempt = wire::FromWire(call.attempt);
+  return m_table.Claim(once, duty.since, now);
+}
+
+void OnceKeeper::Finish(const std::string& scoped_key,
+                        attempts::StoredAnswer answer) {
+  std::scoped_lock lock(m_mutex);
+  m_table.Finish(scoped_key, std::move(answer));
+}
+
+void OnceKeeper::MarkUnknown(const std::string& scoped_key) {
+  std::scoped_lock lock(m_mutex);
+  m_table.MarkUnknown(scoped_key);
+}
+
+void OnceKeeper::Release(const std::string& scoped_key,
+                         const AttemptId& attempt) {
+  std::scoped_lock lock(m_mutex);
+  m_table.Release(scoped_key, attempt);
+}
+
+void OnceKeeper::Tick() {
+  std::scoped_lock lock(m_mutex);
+  m_table.Tick(SteadyClock().Now());
+}
+
+}  // namespace peridotshelf::side
--- a/src/side/service_calls.cc
+++ b/src/side/service_calls.cc
@@ -1,63 +1,122 @@
 #include "side/service_calls.h"
 
+#include <utility>
+
+#include "peridotshelf/events/log.h"
 #include "peridotshelf/wire/codec.h"
-#include "side/execution.h"
 
 namespace peridotshelf::side {
 namespace {
 
-/// Sends a whole answer as chunks and an end.
-void SendAnswer(wire::Channel& channel, const wire::Attempt& attempt,
-                const http::ClientResponse& response) {
+http::ClientRequest ToRequest(const std::string& base_url,
+                              wire::ServiceCall& call) {
+  http::ClientRequest request;
+  request.method = call.method;
+  request.url = base_url + call.target;
+  request.timeout = std::chrono::milliseconds(call.remaining_ms);
+  request.body = std::move(call.payload);
+  // On a kept connection that was closed meanwhile the library would send the
+  // call a second time.
+  request.fresh_connection = call.unrepeatable;
+  if (!call.content_type.empty()) {
+    request.headers.push_back({"Content-Type", call.content_type});
+  }
+  if (!call.idempotency_key.empty()) {
+    request.headers.push_back({"Idempotency-Key", call.idempotency_key});
+  }
+  return request;
+}
+
+attempts::StoredAnswer ToAnswer(const http::ClientResponse& response) {
+  attempts::StoredAnswer answer;
   std::string_view rest = response.body;
-  int64_t offset = 0;
   while (!rest.empty()) {
     const std::string_view part = rest.substr(0, wire::kPayloadPartBytes);
     rest.remove_prefix(part.size());
-    wire::Frame frame;
-    frame.chunk.attempt = attempt;
-    frame.chunk.offset = offset++;
-    frame.chunk.data = part;
-    frame.__isset.chunk = true;
-    channel.Send(frame);
-  }
-  wire::Finished finished;
-  finished.attempt = attempt;
-  finished.chunks = offset;
-  finished.http_status = response.status;
-  finished.content_type = response.content_type;
-  wire::Frame frame;
-  frame.__set_finished(finished);
-  channel.Send(frame);
+    answer.chunks.emplace_back(part);
+  }
+  answer.completion.chunks = static_cast<int64_t>(answer.chunks.size());
+  answer.completion.http_status = response.status;
+  answer.completion.content_type = response.content_type;
+  return answer;
 }
 
 }  // namespace
 
-void ServiceCalls::Start(const std::string& base_url,
+void ServiceCalls::Start(const control::ControlState& state,
+                         const std::string& base_url,
                          const wire::ChannelPtr& channel,
                          wire::ServiceCall call) {
-  http::ClientRequest request;
-  request.method = call.method;
-  request.url = base_url + call.target;
-  request.timeout = std::chrono::milliseconds(call.remaining_ms);
-  request.body = std::move(call.payload);
-  if (!call.content_type.empty()) {
-    request.headers.push_back({"Content-Type", call.content_type});
+  const AttemptId attempt = wire::FromWire(call.attempt);
+  const auto verdict = m_streams->StartDirect(
+      channel, attempt, std::chrono::milliseconds(call.remaining_ms));
+  if (!verdict) {
+    SendFailed(*channel, attempt, verdict.error());
+    return;
   }
-  if (!call.idempotency_key.empty()) {
-    request.headers.push_back({"Idempotency-Key", call.idempotency_key});
+  if (*verdict == attempts::StartVerdict::kDuplicate) return;
+  std::string once_key;
+  if (call.unrepeatable && !call.idempotency_key.empty()) {
+    const attempts::OnceVerdict once = m_keeper->Claim(state, call, once_key);
+    if (!once) {
+      m_streams->Finish(attempt, tl::unexpected<Error>(once.error()));
+      return;
+    }
+    if (*once) {
+      Replay(attempt, **once);
+      return;
+    }
   }
-  ++m_running;
-  m_client.Fetch(std::move(request),
-                 [self = shared_from_this(), channel, attempt = call.attempt](
-                     const Result<http::ClientResponse>& response) {
-                   --self->m_running;
-                   if (response) {
-                     SendAnswer(*channel, attempt, *response);
-                   } else {
-                     SendFailed(*channel, attempt, response.error());
-                   }
-                 });
+  events::Log(events::EventId::kAttemptStarted,
+              {{"attempt", attempt.ToString()}, {"backend", call.backend}});
+  const bool unrepeatable = call.unrepeatable;
+  // Entered before the call starts, since the answer may come at once.
+  m_running.Insert(attempt, Running{0, true});
+  const http::Client::CallId id =
+      m_client.Fetch(ToRequest(base_url, call),
+                     [self = shared_from_this(), attempt,
+                      once_key](const Result<http::ClientResponse>& response) {
+                       self->OnAnswer(attempt, once_key, response);
+                     });
+  if (!unrepeatable && m_running.Take(attempt)) {
+    m_running.Insert(attempt, Running{id, false});
+  }
+}
+
+void ServiceCalls::OnAnswer(const AttemptId& attempt,
+                            const std::string& once_key,
+                            const Result<http::ClientResponse>& response) {
+  m_running.Take(attempt);
+  events::Log(
+      events::EventId::kAttemptFinished,
+      {{"attempt", attempt.ToString()}, {"whole", response.has_value()}});
+  if (response) {
+    attempts::StoredAnswer answer = ToAnswer(*response);
+    Replay(attempt, answer);
+    if (!once_key.empty()) m_keeper->Finish(once_key, std::move(answer));
+    return;
+  }
+  Error error = response.error();
+  if (!once_key.empty() && error.not_run) m_keeper->Release(once_key, attempt);
+  if (!once_key.empty() && !error.not_run) m_keeper->MarkUnknown(once_key);
+  error.code = ErrorCode::kBackendFailed;
+  m_streams->Finish(attempt, tl::unexpected<Error>(error));
+}
+
+void ServiceCalls::Replay(const AttemptId& attempt,
+                          const attempts::StoredAnswer& answer) {
+  int64_t offset = 0;
+  for (const std::string& chunk : answer.chunks) {
+    m_streams->Append(attempt, offset++, chunk);
+  }
+  m_streams->Finish(attempt, answer.completion);
+}
+
+void ServiceCalls::Abandon(const AttemptId& attempt) {
+  const auto running = m_running.Find(attempt);
+  if (!running || running->unrepeatable) return;
+  m_client.Cancel(running->call);
+  m_running.Take(attempt);
 }
 
 }  // namespace peridotshelf::side
--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -7,7 +7,10 @@
 
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/client.h"
+#include "peridotshelf/wire/codec.h"
+#include "side/attempt_streams.h"
 #include "side/execution.h"
+#include "side/once_keeper.h"
 #include "side/service_calls.h"
 
 namespace peridotshelf::side {
@@ -23,6 +26,15 @@
       .count();
 }
 
+attempts::ExecutionOptions MakeExecutionOptions(const SideOptions& options) {
+  attempts::ExecutionOptions out;
+  out.lease = options.lease;
+  return out;
+}
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kRecoveryPoll = std::chrono::milliseconds(20);
+
 }  // namespace
 
 struct Side::Impl : std::enable_shared_from_this<Impl> {
@@ -32,11 +44,19 @@
         options(side_options),
         control(std::move(control_source)),
         process_id(MakeRandomId()),
+        streams(std::make_shared<AttemptStreams>(
+            MakeEpoch(), MakeExecutionOptions(side_options))),
+        keeper(std::make_shared<OnceKeeper>(side_options.host)),
         executions(
-            std::make_shared<Executions>(io, side_options.lease, MakeEpoch())),
-        calls(std::make_shared<ServiceCalls>(client)) {}
+            std::make_shared<Executions>(io, side_options.lease, streams)),
+        calls(std::make_shared<ServiceCalls>(client, streams, keeper)) {}
 
   wire::Hello MakeHello() const;
+  void Tick();
+  /// Whether all engines said what they run, or had a lease time to.
+  bool IsRecovered();
+  void OnCancel(const wire::ChannelPtr& channel, const wire::Cancel& cancel);
+  void OnResume(const wire::ChannelPtr& channel, const wire::Resume& resume);
   void OnFrame(const wire::ChannelPtr& channel, wire::Frame frame);
   void OnReserve(const wire::ChannelPtr& channel, const wire::Reserve& reserve);
   void OnServiceCall(const wire::ChannelPtr& channel, wire::ServiceCall call);
@@ -48,6 +68,9 @@
   SideOptions options;
   ControlSource control;
   std::string process_id;
+  const TimePoint started_at = SteadyClock().Now();
+  std::shared_ptr<AttemptStreams> streams;
+  std::shared_ptr<OnceKeeper> keeper;
   http::Client client;
   std::shared_ptr<Executions> executions;
   std::shared_ptr<ServiceCalls> calls;
@@ -61,6 +84,8 @@
 
 wire::Hello Side::Impl::MakeHello() const {
   const control::ControlStatePtr state = control();
+  // Keys move by the state that is reported here, so it is taken first.
+  if (state) keeper->Accept(*state);
   wire::Hello hello;
   hello.protocol_version = wire::kProtocolVersion;
   hello.process_id = process_id;
@@ -88,7 +113,10 @@
   if (it == configured.end()) return nullptr;
   std::scoped_lock lock(engines_mutex);
   EnginePtr& engine = engines[id];
-  if (!engine) engine = std::make_shared<Engine>(*it, client);
+  if (!engine) {
+    engine = std::make_shared<Engine>(*it, client);
+    executions->Recover(engine);
+  }
   return engine;
 }
 
@@ -129,10 +157,72 @@
   const bool is_leaving = IsLeaving();
   if (is_leaving || !url) {
     const ErrorCode code = is_leaving ? ErrorCode::kLeaving : url.error().code;
-    SendFailed(*channel, call.attempt, {code, call.backend, true, {}});
+    SendFailed(*channel, wire::FromWire(call.attempt),
+               {code, call.backend, true, {}});
+    return;
+  }
+  const control::ControlStatePtr state = control();
+  keeper->Accept(*state);
+  calls->Start(*state, *url, channel, std::move(call));
+}
+
+void Side::Impl::OnCancel(const wire::ChannelPtr& channel,
+                          const wire::Cancel& cancel) {
+  const AttemptId attempt = wire::FromWire(cancel.attempt);
+  const attempts::CancelReply reply = streams->Cancel(
+      channel, attempt,
+      ParseErrorCode(cancel.code).value_or(ErrorCode::kCancelled));
+  if (reply.release_hold) executions->Release(attempt, reply.cancel_at_backend);
+  if (reply.cancel_at_backend) calls->Abandon(attempt);
+}
+
+void Side::Impl::OnResume(const wire::ChannelPtr& channel,
+                          const wire::Resume& resume) {
+  const bool same_incarnation = resume.process_id == process_id;
+  if (!same_incarnation && !IsRecovered()) {
+    // The engines have yet to say what they run.
+    threads.After(kRecoveryPoll, [self = shared_from_this(), channel, resume] {
+      self->OnResume(channel, resume);
+    });
     return;
   }
-  calls->Start(*url, channel, std::move(call));
+  const AttemptId attempt = wire::FromWire(resume.attempt);
+  const attempts::ResumeReply reply =
+      streams->Resume(channel, resume, same_incarnation);
+  if (reply.release_hold) executions->Release(attempt, false);
+  if (reply.ask_engine) executions->AskEngine(attempt, resume.from_offset);
+}
+
+bool Side::Impl::IsRecovered() {
+  if (SteadyClock().Now() - started_at > options.lease) return true;
+  const control::ControlStatePtr state = control();
+  if (!state || !state->configuration) return false;
+  for (const auto& config : state->configuration->engines) {
+    if (config.host != options.host) continue;
+    const EnginePtr engine = FindEngine(config.id);
+    if (!engine || !engine->recovered) return false;
+  }
+  return true;
+}
+
+void Side::Impl::Tick() {
+  // Engines are met before the first request, to learn what they still run.
+  const control::ControlStatePtr state = control();
+  if (state && state->configuration) {
+    keeper->Accept(*state);
+    for (const auto& engine : state->configuration->engines) {
+      if (engine.host == options.host) FindEngine(engine.id);
+    }
+  }
+  for (const attempts::LapsedAttempt& lapsed : streams->Tick()) {
+    executions->Release(lapsed.attempt, lapsed.cancel_at_backend);
+    calls->Abandon(lapsed.attempt);
+  }
+  keeper->Tick();
+  std::weak_ptr<Impl> weak = weak_from_this();
+  threads.After(kTickInterval, [weak] {
+    if (auto alive = weak.lock()) alive->Tick();
+  });
 }
 
 void Side::Impl::OnFrame(const wire::ChannelPtr& channel, wire::Frame frame) {
@@ -143,9 +233,9 @@
   } else if (frame.__isset.payload_part) {
     executions->AddPayload(channel, frame.payload_part);
   } else if (frame.__isset.cancel) {
-    executions->Cancel(channel, frame.cancel);
+    OnCancel(channel, frame.cancel);
   } else if (frame.__isset.resume) {
-    executions->Resume(channel, frame.resume);
+    OnResume(channel, frame.resume);
   } else if (frame.__isset.service_call) {
     OnServiceCall(channel, std::move(frame.service_call));
   }
@@ -162,6 +252,7 @@
   wire::ChannelCallbacks callbacks;
   callbacks.on_open = [impl](const wire::ChannelPtr& channel) {
     if (impl->options.peers) impl->options.peers->OnOpen(channel);
+    impl->streams->Opened(channel);
     events::Log(EventId::kPeerConnected, {{"peer", channel->peer().host}});
   };
   callbacks.on_frame = [impl](const wire::ChannelPtr& channel,
@@ -175,13 +266,14 @@
     events::Log(EventId::kPeerLost,
                 {{"peer", channel->peer().host}, {"reason", reason.detail}});
     if (impl->options.peers) impl->options.peers->OnClosed(channel);
-    impl->executions->Detach(channel);
+    impl->streams->Closed(channel);
   };
   auto listener = wire::Listener::Create(
       threads, options.listen, options.channel,
       [impl] { return impl->MakeHello(); }, std::move(callbacks));
   if (!listener) return tl::unexpected<Error>(listener.error());
   impl->listener = std::move(*listener);
+  impl->Tick();
   return std::unique_ptr<Side>(new Side(std::move(impl)));
 }
 
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -76,7 +76,7 @@
     asio::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_last_heard = std::chrono::steady_clock::now();
-    m_last_sent = m_last_heard;
+    m_last_heartbeat = m_last_heard;
     Frame frame;
     frame.__set_hello(m_hello());
     Enqueue(Encode(frame));
@@ -100,7 +100,9 @@
       End({ErrorCode::kConnectionLost, "peer is silent", false, {}});
       return;
     }
-    if (now - m_last_sent >= m_options.heartbeat_interval) {
+    // Also on a busy connection: heartbeats carry the control version.
+    if (now - m_last_heartbeat >= m_options.heartbeat_interval) {
+      m_last_heartbeat = now;
       Heartbeat heartbeat;
       heartbeat.control_version = m_hello().control_version;
       Frame frame;
@@ -186,7 +188,6 @@
     for (const std::string& bytes : m_writing) {
       buffers.push_back(asio::buffer(bytes));
     }
-    m_last_sent = std::chrono::steady_clock::now();
     asio::async_write(m_socket, buffers,
                       [self = shared_from_this()](const asio::error_code& error,
                                                   size_t written) {
@@ -226,7 +227,7 @@
   std::deque<std::string> m_writing;
   size_t m_queued_bytes = 0;
   TimePoint m_last_heard;
-  TimePoint m_last_sent;
+  TimePoint m_last_heartbeat;
   std::atomic<uint64_t> m_bytes_sent{0};
   std::atomic<uint64_t> m_bytes_received{0};
   bool m_open = false;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -867,6 +867,14 @@
 void Reserve::__set_issued_at_ms(const int64_t val) {
   this->issued_at_ms = val;
 }
+
+void Reserve::__set_oldest_heard_version(const int64_t val) {
+  this->oldest_heard_version = val;
+}
+
+void Reserve::__set_newest_heard_version(const int64_t val) {
+  this->newest_heard_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const Reserve& obj)
 {
   obj.printTo(out);
@@ -1013,6 +1021,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 80:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->oldest_heard_version);
+          this->__isset.oldest_heard_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 81:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->newest_heard_version);
+          this->__isset.newest_heard_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1090,6 +1114,14 @@
   xfer += oprot->writeI64(this->issued_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("oldest_heard_version", ::apache::thrift::protocol::T_I64, 80);
+  xfer += oprot->writeI64(this->oldest_heard_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newest_heard_version", ::apache::thrift::protocol::T_I64, 81);
+  xfer += oprot->writeI64(this->newest_heard_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1110,6 +1142,8 @@
   swap(a.unrepeatable, b.unrepeatable);
   swap(a.idempotency_key, b.idempotency_key);
   swap(a.issued_at_ms, b.issued_at_ms);
+  swap(a.oldest_heard_version, b.oldest_heard_version);
+  swap(a.newest_heard_version, b.newest_heard_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -1127,6 +1161,8 @@
   unrepeatable = other24.unrepeatable;
   idempotency_key = other24.idempotency_key;
   issued_at_ms = other24.issued_at_ms;
+  oldest_heard_version = other24.oldest_heard_version;
+  newest_heard_version = other24.newest_heard_version;
   __isset = other24.__isset;
 }
 Reserve::Reserve(Reserve&& other25) noexcept {
@@ -1143,6 +1179,8 @@
   unrepeatable = other25.unrepeatable;
   idempotency_key = std::move(other25.idempotency_key);
   issued_at_ms = other25.issued_at_ms;
+  oldest_heard_version = other25.oldest_heard_version;
+  newest_heard_version = other25.newest_heard_version;
   __isset = other25.__isset;
 }
 Reserve& Reserve::operator=(const Reserve& other26) {
@@ -1159,6 +1197,8 @@
   unrepeatable = other26.unrepeatable;
   idempotency_key = other26.idempotency_key;
   issued_at_ms = other26.issued_at_ms;
+  oldest_heard_version = other26.oldest_heard_version;
+  newest_heard_version = other26.newest_heard_version;
   __isset = other26.__isset;
   return *this;
 }
@@ -1176,6 +1216,8 @@
   unrepeatable = other27.unrepeatable;
   idempotency_key = std::move(other27.idempotency_key);
   issued_at_ms = other27.issued_at_ms;
+  oldest_heard_version = other27.oldest_heard_version;
+  newest_heard_version = other27.newest_heard_version;
   __isset = other27.__isset;
   return *this;
 }
@@ -1195,6 +1237,8 @@
   out << ", " << "unrepeatable=" << to_string(unrepeatable);
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
   out << ", " << "issued_at_ms=" << to_string(issued_at_ms);
+  out << ", " << "oldest_heard_version=" << to_string(oldest_heard_version);
+  out << ", " << "newest_heard_version=" << to_string(newest_heard_version);
   out << ")";
 }
 
@@ -2125,6 +2169,18 @@
 void ServiceCall::__set_control_version(const int64_t val) {
   this->control_version = val;
 }
+
+void ServiceCall::__set_oldest_heard_version(const int64_t val) {
+  this->oldest_heard_version = val;
+}
+
+void ServiceCall::__set_newest_heard_version(const int64_t val) {
+  this->newest_heard_version = val;
+}
+
+void ServiceCall::__set_team(const std::string& val) {
+  this->team = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceCall& obj)
 {
   obj.printTo(out);
@@ -2241,6 +2297,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 80:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->oldest_heard_version);
+          this->__isset.oldest_heard_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 81:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->newest_heard_version);
+          this->__isset.newest_heard_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 82:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2302,6 +2382,18 @@
   xfer += oprot->writeI64(this->control_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("oldest_heard_version", ::apache::thrift::protocol::T_I64, 80);
+  xfer += oprot->writeI64(this->oldest_heard_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newest_heard_version", ::apache::thrift::protocol::T_I64, 81);
+  xfer += oprot->writeI64(this->newest_heard_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 82);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2320,6 +2412,9 @@
   swap(a.idempotency_key, b.idempotency_key);
   swap(a.issued_at_ms, b.issued_at_ms);
   swap(a.control_version, b.control_version);
+  swap(a.oldest_heard_version, b.oldest_heard_version);
+  swap(a.newest_heard_version, b.newest_heard_version);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
@@ -2335,6 +2430,9 @@
   idempotency_key = other48.idempotency_key;
   issued_at_ms = other48.issued_at_ms;
   control_version = other48.control_version;
+  oldest_heard_version = other48.oldest_heard_version;
+  newest_heard_version = other48.newest_heard_version;
+  team = other48.team;
   __isset = other48.__isset;
 }
 ServiceCall::ServiceCall(ServiceCall&& other49) noexcept {
@@ -2349,6 +2447,9 @@
   idempotency_key = std::move(other49.idempotency_key);
   issued_at_ms = other49.issued_at_ms;
   control_version = other49.control_version;
+  oldest_heard_version = other49.oldest_heard_version;
+  newest_heard_version = other49.newest_heard_version;
+  team = std::move(other49.team);
   __isset = other49.__isset;
 }
 ServiceCall& ServiceCall::operator=(const ServiceCall& other50) {
@@ -2363,6 +2464,9 @@
   idempotency_key = other50.idempotency_key;
   issued_at_ms = other50.issued_at_ms;
   control_version = other50.control_version;
+  oldest_heard_version = other50.oldest_heard_version;
+  newest_heard_version = other50.newest_heard_version;
+  team = other50.team;
   __isset = other50.__isset;
   return *this;
 }
@@ -2378,6 +2482,9 @@
   idempotency_key = std::move(other51.idempotency_key);
   issued_at_ms = other51.issued_at_ms;
   control_version = other51.control_version;
+  oldest_heard_version = other51.oldest_heard_version;
+  newest_heard_version = other51.newest_heard_version;
+  team = std::move(other51.team);
   __isset = other51.__isset;
   return *this;
 }
@@ -2395,6 +2502,9 @@
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
   out << ", " << "issued_at_ms=" << to_string(issued_at_ms);
   out << ", " << "control_version=" << to_string(control_version);
+  out << ", " << "oldest_heard_version=" << to_string(oldest_heard_version);
+  out << ", " << "newest_heard_version=" << to_string(newest_heard_version);
+  out << ", " << "team=" << to_string(team);
   out << ")";
 }
 
@@ -3078,6 +3188,10 @@
 void Resume::__set_from_offset(const int64_t val) {
   this->from_offset = val;
 }
+
+void Resume::__set_process_id(const std::string& val) {
+  this->process_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const Resume& obj)
 {
   obj.printTo(out);
@@ -3122,6 +3236,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 80:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process_id);
+          this->__isset.process_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3147,6 +3269,10 @@
   xfer += oprot->writeI64(this->from_offset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("process_id", ::apache::thrift::protocol::T_STRING, 80);
+  xfer += oprot->writeString(this->process_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3156,28 +3282,33 @@
   using ::std::swap;
   swap(a.attempt, b.attempt);
   swap(a.from_offset, b.from_offset);
+  swap(a.process_id, b.process_id);
   swap(a.__isset, b.__isset);
 }
 
 Resume::Resume(const Resume& other68) {
   attempt = other68.attempt;
   from_offset = other68.from_offset;
+  process_id = other68.process_id;
   __isset = other68.__isset;
 }
 Resume::Resume(Resume&& other69) noexcept {
   attempt = std::move(other69.attempt);
   from_offset = other69.from_offset;
+  process_id = std::move(other69.process_id);
   __isset = other69.__isset;
 }
 Resume& Resume::operator=(const Resume& other70) {
   attempt = other70.attempt;
   from_offset = other70.from_offset;
+  process_id = other70.process_id;
   __isset = other70.__isset;
   return *this;
 }
 Resume& Resume::operator=(Resume&& other71) noexcept {
   attempt = std::move(other71.attempt);
   from_offset = other71.from_offset;
+  process_id = std::move(other71.process_id);
   __isset = other71.__isset;
   return *this;
 }
@@ -3186,6 +3317,7 @@
   out << "Resume(";
   out << "attempt=" << to_string(attempt);
   out << ", " << "from_offset=" << to_string(from_offset);
+  out << ", " << "process_id=" << to_string(process_id);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -390,7 +390,7 @@
 std::ostream& operator<<(std::ostream& out, const Attempt& obj);
 
 typedef struct _Reserve__isset {
-  _Reserve__isset() : attempt(false), engine(false), team(false), priority(false), prompt_tokens(false), max_tokens(false), remaining_ms(false), size_class(false), control_version(false), prefix_hashes(false), unrepeatable(false), idempotency_key(false), issued_at_ms(false) {}
+  _Reserve__isset() : attempt(false), engine(false), team(false), priority(false), prompt_tokens(false), max_tokens(false), remaining_ms(false), size_class(false), control_version(false), prefix_hashes(false), unrepeatable(false), idempotency_key(false), issued_at_ms(false), oldest_heard_version(false), newest_heard_version(false) {}
   bool attempt :1;
   bool engine :1;
   bool team :1;
@@ -404,6 +404,8 @@
   bool unrepeatable :1;
   bool idempotency_key :1;
   bool issued_at_ms :1;
+  bool oldest_heard_version :1;
+  bool newest_heard_version :1;
 } _Reserve__isset;
 
 class Reserve : public virtual ::apache::thrift::TBase {
@@ -424,7 +426,9 @@
             control_version(0),
             unrepeatable(0),
             idempotency_key(),
-            issued_at_ms(0) {
+            issued_at_ms(0),
+            oldest_heard_version(0),
+            newest_heard_version(0) {
   }
 
   virtual ~Reserve() noexcept;
@@ -445,6 +449,8 @@
   bool unrepeatable;
   std::string idempotency_key;
   int64_t issued_at_ms;
+  int64_t oldest_heard_version;
+  int64_t newest_heard_version;
 
   _Reserve__isset __isset;
 
@@ -474,6 +480,10 @@
 
   void __set_issued_at_ms(const int64_t val);
 
+  void __set_oldest_heard_version(const int64_t val);
+
+  void __set_newest_heard_version(const int64_t val);
+
   bool operator == (const Reserve & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -502,6 +512,10 @@
       return false;
     if (!(issued_at_ms == rhs.issued_at_ms))
       return false;
+    if (!(oldest_heard_version == rhs.oldest_heard_version))
+      return false;
+    if (!(newest_heard_version == rhs.newest_heard_version))
+      return false;
     return true;
   }
   bool operator != (const Reserve &rhs) const {
@@ -857,7 +871,7 @@
 std::ostream& operator<<(std::ostream& out, const PayloadPart& obj);
 
 typedef struct _ServiceCall__isset {
-  _ServiceCall__isset() : attempt(false), backend(false), method(false), target(false), content_type(false), payload(false), remaining_ms(false), unrepeatable(false), idempotency_key(false), issued_at_ms(false), control_version(false) {}
+  _ServiceCall__isset() : attempt(false), backend(false), method(false), target(false), content_type(false), payload(false), remaining_ms(false), unrepeatable(false), idempotency_key(false), issued_at_ms(false), control_version(false), oldest_heard_version(false), newest_heard_version(false), team(false) {}
   bool attempt :1;
   bool backend :1;
   bool method :1;
@@ -869,6 +883,9 @@
   bool idempotency_key :1;
   bool issued_at_ms :1;
   bool control_version :1;
+  bool oldest_heard_version :1;
+  bool newest_heard_version :1;
+  bool team :1;
 } _ServiceCall__isset;
 
 class ServiceCall : public virtual ::apache::thrift::TBase {
@@ -888,7 +905,10 @@
                 unrepeatable(0),
                 idempotency_key(),
                 issued_at_ms(0),
-                control_version(0) {
+                control_version(0),
+                oldest_heard_version(0),
+                newest_heard_version(0),
+                team() {
   }
 
   virtual ~ServiceCall() noexcept;
@@ -903,6 +923,9 @@
   std::string idempotency_key;
   int64_t issued_at_ms;
   int64_t control_version;
+  int64_t oldest_heard_version;
+  int64_t newest_heard_version;
+  std::string team;
 
   _ServiceCall__isset __isset;
 
@@ -928,6 +951,12 @@
 
   void __set_control_version(const int64_t val);
 
+  void __set_oldest_heard_version(const int64_t val);
+
+  void __set_newest_heard_version(const int64_t val);
+
+  void __set_team(const std::string& val);
+
   bool operator == (const ServiceCall & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -952,6 +981,12 @@
       return false;
     if (!(control_version == rhs.control_version))
       return false;
+    if (!(oldest_heard_version == rhs.oldest_heard_version))
+      return false;
+    if (!(newest_heard_version == rhs.newest_heard_version))
+      return false;
+    if (!(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const ServiceCall &rhs) const {
@@ -1231,9 +1266,10 @@
 std::ostream& operator<<(std::ostream& out, const Cancel& obj);
 
 typedef struct _Resume__isset {
-  _Resume__isset() : attempt(false), from_offset(false) {}
+  _Resume__isset() : attempt(false), from_offset(false), process_id(false) {}
   bool attempt :1;
   bool from_offset :1;
+  bool process_id :1;
 } _Resume__isset;
 
 class Resume : public virtual ::apache::thrift::TBase {
@@ -1244,12 +1280,14 @@
   Resume& operator=(const Resume&);
   Resume& operator=(Resume&&) noexcept;
   Resume() noexcept
-         : from_offset(0) {
+         : from_offset(0),
+           process_id() {
   }
 
   virtual ~Resume() noexcept;
   Attempt attempt;
   int64_t from_offset;
+  std::string process_id;
 
   _Resume__isset __isset;
 
@@ -1257,12 +1295,16 @@
 
   void __set_from_offset(const int64_t val);
 
+  void __set_process_id(const std::string& val);
+
   bool operator == (const Resume & rhs) const
   {
     if (!(attempt == rhs.attempt))
       return false;
     if (!(from_offset == rhs.from_offset))
       return false;
+    if (!(process_id == rhs.process_id))
+      return false;
     return true;
   }
   bool operator != (const Resume &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -18,7 +18,7 @@
   6: string failure_domain
 }
 
-// Sent when nothing else was for a heartbeat interval.
+// Sent once in each heartbeat interval.
 struct Heartbeat {
   1: i64 control_version
 }
@@ -54,6 +54,8 @@
   11: bool unrepeatable
   12: string idempotency_key
   13: i64 issued_at_ms
+  80: i64 oldest_heard_version   // as in ServiceCall
+  81: i64 newest_heard_version
 }
 
 struct Granted {
@@ -109,6 +111,9 @@
   9: string idempotency_key
   10: i64 issued_at_ms
   11: i64 control_version
+  80: i64 oldest_heard_version   // of all sides, as the entry hears them; 0 if
+  81: i64 newest_heard_version   // one of them is not heard
+  82: string team
 }
 
 // Part of an answer. Offsets count chunks from 0 within one attempt.
@@ -148,6 +153,7 @@
 struct Resume {
   1: Attempt attempt
   2: i64 from_offset
+  80: string process_id          // the side process that Start was sent to
 }
 
 // Asks for control state newer than a version.
