--- a/src/include/peridotshelf/control/follower.h
+++ b/src/include/peridotshelf/control/follower.h
@@ -210,6 +210,12 @@
     return m_core->Visit(
         [](const LogTracker& tracker) { return tracker.state(); });
   }
+  /// All records up to this offset are folded.
+  int64_t folded_offset() const {
+    return m_core->Visit([](const LogTracker& tracker) {
+      return tracker.state().folded_offset;
+    });
+  }
   /// The offset of the newest snapshot seen on the log; 0 if none.
   int64_t snapshot_offset() const {
     return m_core->Visit(
--- /dev/null
+++ b/src/include/peridotshelf/control/snapshot_writer.h
@@ -0,0 +1,86 @@
+/// Performs the snapshot duty of one process.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "peridotshelf/control/follower.h"
+#include "peridotshelf/control/snapshot_duty.h"
+
+namespace peridotshelf::control {
+
+namespace detail {
+
+/// The record of a snapshot that `author` appends.
+std::string MakeSnapshotRecord(const FoldState& state, const HostId& author);
+/// Writes the event of an append that succeeded or failed.
+void LogSnapshotWritten(const FoldState& state, const Result<int64_t>& result);
+
+}  // namespace detail
+
+/// Appends snapshots when the duty says so. Thread-safe. `log` and `follower`
+/// outlive it.
+template <platform::LogClient Log>
+class SnapshotWriter
+    : public std::enable_shared_from_this<SnapshotWriter<Log>> {
+ public:
+  SnapshotWriter(io::IoThreads& threads, Log& log, Follower<Log>& follower,
+                 HostId self, SnapshotDutyOptions options = {})
+      : m_threads(&threads),
+        m_log(&log),
+        m_follower(&follower),
+        m_self(self),
+        m_duty(std::move(self), options) {}
+
+  /// Begins. Call once.
+  void Start() { Tick(); }
+
+  /// The processes that share the duty.
+  void SetMembers(std::vector<HostId> members) {
+    std::scoped_lock lock(m_mutex);
+    m_members = std::move(members);
+  }
+
+ private:
+  static constexpr Duration kTick = std::chrono::seconds(1);
+
+  void Tick() {
+    if (m_follower->readiness() == Readiness::kReady &&
+        !m_follower->has_gap()) {
+      AppendIfDue();
+    }
+    std::weak_ptr<SnapshotWriter> weak = this->weak_from_this();
+    m_threads->After(kTick, [weak] {
+      if (auto self = weak.lock()) self->Tick();
+    });
+  }
+
+  void AppendIfDue() {
+    const int64_t snapshot_offset = m_follower->snapshot_offset();
+    const int64_t folded_offset = m_follower->folded_offset();
+    {
+      std::scoped_lock lock(m_mutex);
+      if (!m_duty.IsDue(folded_offset, snapshot_offset, m_members,
+                        SteadyClock().Now())) {
+        return;
+      }
+    }
+    const FoldState state = m_follower->state();
+    m_log->Append(detail::MakeSnapshotRecord(state, m_self),
+                  [state](const Result<int64_t>& result) {
+                    detail::LogSnapshotWritten(state, result);
+                  });
+  }
+
+  io::IoThreads* m_threads;
+  Log* m_log;
+  Follower<Log>* m_follower;
+  HostId m_self;
+  std::mutex m_mutex;
+  SnapshotDuty m_duty;
+  std::vector<HostId> m_members;
+};
+
+}  // namespace peridotshelf::control
--- a/src/include/peridotshelf/settings/daemon_settings.h
+++ b/src/include/peridotshelf/settings/daemon_settings.h
@@ -25,6 +25,8 @@
   /// Base URLs of the platform's log service and host list.
   std::string log_url;
   std::string hosts_url;
+  /// Time between snapshots on the log; well under its retention.
+  Duration snapshot_interval = std::chrono::minutes(10);
   /// Threads for sockets and timers.
   int32_t threads = 2;
   /// Time between failing readiness and refusing new connections.
@@ -52,6 +54,8 @@
   /// Base URLs of the platform's log service and host list.
   std::string log_url;
   std::string hosts_url;
+  /// Time between snapshots on the log; well under its retention.
+  Duration snapshot_interval = std::chrono::minutes(10);
   /// Threads for sockets and timers.
   int32_t threads = 2;
   events::Level log_level = events::Level::kInfo;
--- a/src/peridotshelf/daemons.h
+++ b/src/peridotshelf/daemons.h
@@ -14,6 +14,17 @@
 
 namespace peridotshelf::program {
 
+/// What both daemons tell their connection to the platform.
+template <class Settings>
+PlatformLinkOptions PlatformOptions(const Settings& given) {
+  PlatformLinkOptions options;
+  options.host = HostId(given.host);
+  options.log_url = given.log_url;
+  options.hosts_url = given.hosts_url;
+  options.snapshots.interval = given.snapshot_interval;
+  return options;
+}
+
 /// One entry with its connection to the platform.
 class EntryDaemon {
  public:
@@ -31,7 +42,7 @@
 
  private:
   EntryDaemon(io::IoThreads& threads, const settings::EntrySettings& settings)
-      : m_platform(threads, settings.log_url, settings.hosts_url) {}
+      : m_platform(threads, PlatformOptions(settings)) {}
 
   PlatformLink m_platform;
   /// Shared, since the list of hosts may change while the daemon ends.
@@ -56,7 +67,7 @@
 
  private:
   SideDaemon(io::IoThreads& threads, const settings::SideSettings& settings)
-      : m_platform(threads, settings.log_url, settings.hosts_url) {}
+      : m_platform(threads, PlatformOptions(settings)) {}
 
   PlatformLink m_platform;
   /// Shared for the same reason.
--- a/src/peridotshelf/platform_link.cc
+++ b/src/peridotshelf/platform_link.cc
@@ -39,11 +39,11 @@
   std::vector<platform::HostEntry> last;
 };
 
-PlatformLink::PlatformLink(io::IoThreads& threads, const std::string& log_url,
-                           const std::string& hosts_url)
+PlatformLink::PlatformLink(io::IoThreads& threads,
+                           const PlatformLinkOptions& options)
     : m_threads(threads),
-      m_log(log_url, m_client),
-      m_hosts(hosts_url, m_client),
+      m_log(options.log_url, m_client),
+      m_hosts(options.hosts_url, m_client),
       m_follower(threads, m_log) {
   control::PeerLinkSource source;
   source.version = [this] { return m_follower.version(); };
@@ -52,12 +52,26 @@
     return m_follower.TakeSnapshot(std::move(state));
   };
   m_peers = std::make_shared<control::PeerLink>(threads, std::move(source));
+  m_snapshots =
+      std::make_shared<control::SnapshotWriter<platform::HttpLogClient>>(
+          threads, m_log, m_follower, options.host, options.snapshots);
 }
 
 void PlatformLink::Start(HostsHandler on_hosts) {
   m_follower.Start();
   m_peers->Start();
-  m_poll = std::make_shared<HostPoll>(m_threads, m_hosts, std::move(on_hosts));
+  m_snapshots->Start();
+  auto on_list = [snapshots = m_snapshots, on_hosts = std::move(on_hosts)](
+                     std::vector<platform::HostEntry> hosts) {
+    std::vector<HostId> members;
+    members.reserve(hosts.size());
+    for (const platform::HostEntry& entry : hosts) {
+      members.push_back(entry.host);
+    }
+    snapshots->SetMembers(std::move(members));
+    on_hosts(std::move(hosts));
+  };
+  m_poll = std::make_shared<HostPoll>(m_threads, m_hosts, std::move(on_list));
   m_poll->Fetch();
 }
 
--- a/src/peridotshelf/platform_link.h
+++ b/src/peridotshelf/platform_link.h
@@ -9,6 +9,7 @@
 
 #include "peridotshelf/control/follower.h"
 #include "peridotshelf/control/peer_link.h"
+#include "peridotshelf/control/snapshot_writer.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/platform/host_list.h"
@@ -18,12 +19,19 @@
 
 using HostsHandler = std::function<void(std::vector<platform::HostEntry>)>;
 
+/// Where the platform is, and this process's part in the snapshot duty.
+struct PlatformLinkOptions {
+  HostId host;
+  std::string log_url;
+  std::string hosts_url;
+  control::SnapshotDutyOptions snapshots;
+};
+
 /// Follows the log and asks for the list of hosts at an interval. Must be
 /// destroyed before `threads`.
 class PlatformLink {
  public:
-  PlatformLink(io::IoThreads& threads, const std::string& log_url,
-               const std::string& hosts_url);
+  PlatformLink(io::IoThreads& threads, const PlatformLinkOptions& options);
 
   /// Begins; `on_hosts` is called with each list that differs from the last.
   void Start(HostsHandler on_hosts);
@@ -43,6 +51,7 @@
   platform::HttpHostList m_hosts;
   control::Follower<platform::HttpLogClient> m_follower;
   std::shared_ptr<control::PeerLink> m_peers;
+  std::shared_ptr<control::SnapshotWriter<platform::HttpLogClient>> m_snapshots;
   std::shared_ptr<HostPoll> m_poll;
 };
 
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -14,6 +14,7 @@
 constexpr Range<int64_t> kDrainDelayMs{0, 600'000};
 constexpr Range<int64_t> kTimeoutMs{1, 24 * 3'600'000};
 constexpr Range<int64_t> kBodyBytes{1024, int64_t{1} << 30};
+constexpr Range<int64_t> kSnapshotMs{1000, 24 * 3'600'000};
 constexpr Range<int64_t> kLeaseMs{100, 600'000};
 
 /// The settings that both daemons have.
@@ -28,6 +29,11 @@
            {"--log-url", "Base URL of the platform's log service.", true})
       .Url(&S::hosts_url,
            {"--hosts-url", "Base URL of the platform's host list.", true})
+      .Milliseconds(&S::snapshot_interval,
+                    {"--snapshot-interval-ms",
+                     "Time between snapshots on the log; well under the time "
+                     "that it keeps records."},
+                    kSnapshotMs)
       .Integer(&S::threads, {"--threads", "Threads for sockets and timers."},
                kThreads, "COUNT")
       .Choice(&S::log_level, {"--log-level", "Least level that is logged."},
--- a/testsuite/control_state/run.py
+++ b/testsuite/control_state/run.py
@@ -18,6 +18,7 @@
 TARGET_S = 3.0
 STREAM_TOKENS = 30
 CHUNK_MS = 50
+SNAPSHOT_MS = 8000
 
 
 def configuration(engine_port):
@@ -87,8 +88,9 @@
         self.fleet.start_platform(self.log, hosts)
         self.fleet.start("engine", "standin", "engine", "--port", engine,
                          "--model", MODEL, "--chunk-interval-ms", CHUNK_MS)
-        self.side_process = self.fleet.start_side("b0", "north", self.side,
-                                                  side_http)
+        self.side_process = self.fleet.start_side(
+            "b0", "north", self.side, side_http, "--snapshot-interval-ms",
+            SNAPSHOT_MS)
         self.side_http = side_http
         self.entry_process = self.fleet.start_entry("e0", "north", self.entry)
         self.version = self.fleet.publish(configuration(engine))
@@ -108,6 +110,14 @@
             f"http://{f.ADDRESS}:{self.dead}", "--hosts-url",
             f"http://{f.ADDRESS}:{self.fleet.hosts_port}")
 
+    def start_lone_entry(self, name, port):
+        """An entry that finds no peers."""
+        return self.fleet.start(
+            "entry-" + name, "entry", "--host", name, "--failure-domain",
+            "north", "--http-port", port, "--log-url",
+            f"http://{f.ADDRESS}:{self.log}", "--hosts-url",
+            f"http://{f.ADDRESS}:{self.dead}")
+
     def log_control(self, **faults):
         status, _, body = f.call(self.log, "POST", "/control",
                                  json.dumps(faults))
@@ -186,6 +196,20 @@
         f.wait_for("the lone newcomer says why it is not ready",
                    lambda: "expired" in ready(alone)[1]["reason"], TARGET_S)
 
+    def snapshot_serves_a_lone_newcomer(self):
+        def count_snapshots():
+            page = json.loads(f.call(
+                self.log, "GET",
+                f"/v1/log?from={self.version + 1}&wait_ms=0")[2])
+            return sum(json.loads(record["payload"])["kind"] == "snapshot"
+                       for record in page["records"])
+        f.wait_for("a snapshot is on the log", lambda: count_snapshots() > 0)
+        self.log_control(truncate=self.version + 1)
+        alone, = f.free_ports(1)
+        self.start_lone_entry("e5", alone)
+        f.wait_for("the lone newcomer starts from the snapshot",
+                   lambda: version(alone) == self.version, TARGET_S)
+
     def leaving_refuses_and_streams_finish(self):
         stream = Stream(self.entry)
         stream.start()
@@ -217,6 +241,7 @@
         for step in (case.peers_replace_the_log, case.sleeper_catches_up,
                      case.newcomer_starts_during_outage,
                      case.truncated_log_needs_a_peer,
+                     case.snapshot_serves_a_lone_newcomer,
                      case.leaving_refuses_and_streams_finish,
                      case.signalled_side_finishes_its_streams):
             begun = time.monotonic()
