Let a stopping process linger until its last answers have arrived

Cause: a side ended as soon as its table was empty, so frames on their way, or on a connection just lost, were gone and a planned stop cut a request off. Ruled out: waiting for each frame's acknowledgement, since a lost connection needs the peer's return anyway. Also: two cases failed when 7400/UDP was taken by another entry of the machine; the cases now ask for any port. After: IdleWatch has two tests that fail without the linger; the process cases pass.

--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -4,6 +4,7 @@
 #include "peridotshelf/base/budget.h"
 #include "peridotshelf/base/clock.h"
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/base/idle_watch.h"
 #include "peridotshelf/base/ids.h"
 #include "peridotshelf/base/sharded_map.h"
 #include "peridotshelf/testing/test.h"
@@ -57,6 +58,36 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ErrorCodeTest);
 
+class IdleWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(IdleWatchTest);
+  CPPUNIT_TEST(End_AtFirstIdleMoment_IsNotAllowed);
+  CPPUNIT_TEST(End_AfterWorkReturned_WaitsAnew);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void End_AtFirstIdleMoment_IsNotAllowed() {
+    ManualClock clock;
+    IdleWatch watch{milliseconds(3000)};
+    CPPUNIT_ASSERT(!watch.MayEnd(clock.Now(), 0));
+    clock.Advance(milliseconds(2999));
+    CPPUNIT_ASSERT(!watch.MayEnd(clock.Now(), 0));
+    clock.Advance(milliseconds(1));
+    CPPUNIT_ASSERT(watch.MayEnd(clock.Now(), 0));
+  }
+  void End_AfterWorkReturned_WaitsAnew() {
+    ManualClock clock;
+    IdleWatch watch{milliseconds(3000)};
+    watch.MayEnd(clock.Now(), 0);
+    clock.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(!watch.MayEnd(clock.Now(), 1));
+    clock.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(!watch.MayEnd(clock.Now(), 0));
+    clock.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(watch.MayEnd(clock.Now(), 0));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(IdleWatchTest);
+
 class ShardedMapTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ShardedMapTest);
   CPPUNIT_TEST(Insert_TakenKey_KeepsFirstValue);
--- a/src/peridotshelf/command_daemons.cc
+++ b/src/peridotshelf/command_daemons.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <thread>
 
+#include "peridotshelf/base/idle_watch.h"
 #include "peridotshelf/command.h"
 #include "peridotshelf/daemons.h"
 #include "peridotshelf/events/log.h"
@@ -14,12 +15,19 @@
 
 using events::EventId;
 
+/// Longer than a lost connection takes to be found and opened again, which is
+/// when a peer comes back for the end of an answer.
+constexpr Duration kStopLinger = std::chrono::seconds(3);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 
-/// Waits until `daemon` has answered all that it took on.
+/// Waits until `daemon` has answered all that it took on, and the answers have
+/// had time to arrive.
 template <class Daemon>
 void WaitUntilIdle(const Daemon& daemon) {
-  while (daemon.RunningCount() > 0) std::this_thread::sleep_for(kStopPoll);
+  IdleWatch watch(kStopLinger);
+  while (!watch.MayEnd(SteadyClock().Now(), daemon.RunningCount())) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
 }
 
 ExitCode ReportFailure(const Error& error) {
--- a/testsuite/common/fleet.py
+++ b/testsuite/common/fleet.py
@@ -82,7 +82,9 @@
         """Starts one process of the program under a name."""
         with open(os.path.join(self.logs, name + ".log"), "a") as log:
             self.processes[name] = subprocess.Popen(
-                [self.program, *map(str, args)], stdout=log, stderr=log)
+                [self.program, *map(str, args)], stdout=log, stderr=log,
+                # Any free port: several entries share this machine.
+                env={**os.environ, "PERIDOTSHELF_GOSSIP_PORT": "0"})
         return self.processes[name]
 
     def start_platform(self, log_port, hosts_port):
@@ -113,8 +115,7 @@
         """Starts an entry."""
         return self.start(
             "entry-" + host, "entry", "--host", host, "--failure-domain",
-            domain, "--http-port", port, "--gossip-port", 0,
-            "--drain-delay-ms", 100,
+            domain, "--http-port", port, "--drain-delay-ms", 100,
             *self.platform_flags(), *args)
 
     def list_host(self, host, role, port, domain, state="live"):
--- a/testsuite/control_state/run.py
+++ b/testsuite/control_state/run.py
@@ -104,7 +104,7 @@
     def start_cut_off_entry(self, name, port):
         """An entry that cannot reach the log."""
         return self.fleet.start(
-            "entry-" + name, "entry", "--host", name, "--gossip-port", 0,
+            "entry-" + name, "entry", "--host", name,
             "--failure-domain",
             "north", "--http-port", port, "--log-url",
             f"http://{f.ADDRESS}:{self.dead}", "--hosts-url",
@@ -190,7 +190,7 @@
         alone, = f.free_ports(1)
         self.fleet.start(
             "entry-e4", "entry", "--host", "e4", "--failure-domain", "north",
-            "--http-port", alone, "--gossip-port", 0, "--log-url",
+            "--http-port", alone, "--log-url",
             f"http://{f.ADDRESS}:{self.log}", "--hosts-url",
             f"http://{f.ADDRESS}:{self.dead}")
         f.wait_for("the lone newcomer says why it is not ready",
