--- a/src/control/fold.cc
+++ b/src/control/fold.cc
@@ -332,6 +332,21 @@
   return result;
 }
 
+tl::expected<FoldState, ConfigurationFaults> MakeNewState(
+    std::string_view document, int64_t folded_offset) {
+  ConfigurationResult read = ReadConfiguration(document);
+  if (!read) return tl::unexpected(std::move(read.error()));
+  FoldState state;
+  state.folded_offset = folded_offset;
+  state.control.version = folded_offset;
+  state.control.settings_version = folded_offset;
+  state.control.preset = (*read)->initial_preset;
+  state.control.configuration = std::move(*read);
+  state.document =
+      std::make_shared<const std::string>(json::parse(document).dump());
+  return state;
+}
+
 std::string WriteSnapshot(const FoldState& state) {
   const ControlState& control = state.control;
   json body = {{"folded_offset", state.folded_offset},
--- a/src/include/peridotshelf/control/fold.h
+++ b/src/include/peridotshelf/control/fold.h
@@ -79,6 +79,11 @@
 /// Folds `record`, which must be newer than `state.folded_offset`.
 RecordResult FoldRecord(FoldState& state, const platform::LogRecord& record);
 
+/// A state that begins anew after `folded_offset` with `document` in force, for
+/// operators whose log has lost its history.
+tl::expected<FoldState, ConfigurationFaults> MakeNewState(
+    std::string_view document, int64_t folded_offset);
+
 /// The state as the JSON body of a snapshot record.
 std::string WriteSnapshot(const FoldState& state);
 
--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -22,6 +22,7 @@
 ExitCode RunDrain(Arguments args);
 ExitCode RunUndrain(Arguments args);
 ExitCode RunAudit(Arguments args);
+ExitCode RunRecover(Arguments args);
 ExitCode RunCheck(Arguments args);
 
 }  // namespace peridotshelf::program
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -34,6 +34,8 @@
     Command{"drain", "tell a host to take no new work", &RunDrain},
     Command{"undrain", "let a drained host take work again", &RunUndrain},
     Command{"audit", "list changes and what became of them", &RunAudit},
+    Command{"recover", "begin anew on a log that lost its history",
+            &RunRecover},
     Command{"check", "check a configuration file and settings", &RunCheck},
     Command{"version", "print the version", &PrintVersion},
 };
--- a/testsuite/control_state/run.py
+++ b/testsuite/control_state/run.py
@@ -224,12 +224,31 @@
         self.fleet.list_host("b0", "side", self.side, "north")
         self.wait_served()
 
+    def signalled_entry_serves_on_for_its_delay(self):
+        port, gossip = f.free_ports(2)
+        process = self.fleet.start(
+            "entry-e6", "entry", "--host", "e6", "--failure-domain", "north",
+            "--http-port", port, "--gossip-port", gossip, "--drain-delay-ms",
+            2000, *self.fleet.platform_flags())
+        f.wait_for("the entry serves", lambda: complete(port)[0] == 200)
+        stream = Stream(port)
+        stream.start()
+        stream.begun.wait()
+        process.send_signal(signal.SIGTERM)
+        f.wait_for("readiness fails", lambda: not ready(port)[0], 1.0)
+        process.send_signal(signal.SIGTERM)
+        status, body = complete(port)
+        assert status == 200, body
+        stream.assert_whole()
+        assert process.wait(f.CONDITION_TIMEOUT_S) == 0
+
     def signalled_side_finishes_its_streams(self):
         stream = Stream(self.entry)
         stream.start()
         stream.begun.wait()
         self.side_process.send_signal(signal.SIGTERM)
         self.assert_refused("signal")
+        self.side_process.send_signal(signal.SIGTERM)
         stream.assert_whole()
         assert self.side_process.wait(f.CONDITION_TIMEOUT_S) == 0
 
@@ -243,6 +262,7 @@
                      case.truncated_log_needs_a_peer,
                      case.snapshot_serves_a_lone_newcomer,
                      case.leaving_refuses_and_streams_finish,
+                     case.signalled_entry_serves_on_for_its_delay,
                      case.signalled_side_finishes_its_streams):
             begun = time.monotonic()
             step()
--- a/testsuite/operators/run.py
+++ b/testsuite/operators/run.py
@@ -92,8 +92,15 @@
         code, lines = operator.run("audit", "--change-id", "d1")
         assert [line["offset"] for line in lines] == [3], lines
 
+        code, _ = operator.run("recover", good)
+        assert code == LOST, "a whole history must not be replaced"
         operator.faults(truncate=2)
         operator.expect(UNAVAILABLE, "preset", "ordinary")
+        code, _ = operator.run("recover", bad)
+        assert code == INVALID, code
+        code, _ = operator.run("recover", good)
+        assert code == 0, code
+        operator.expect(ACCEPTED, "preset", "peak")
     print("operators: passed")
 
 
