Heartbeat often only while a connection carries attempts

Cause: an entry with 360 sides and a heartbeat every 500 ms both ways sends and receives about 17 KB/s of heartbeats alone, against 3 KB/s allowed for control. Ruled out: longer heartbeats everywhere (a silent connection must be replaced within 2 s while it carries a request); closing idle connections (the home of an at-most-once key is judged by what all sides say of their versions). Each heartbeat now announces the next one's time; both ends read off the frames whether attempts are open, and the end that opens the first expects to be answered within the limit whatever the other announced. A newer control version is told at once. Bytes are counted by control and requests.

--- a/src/include/peridotshelf/wire/channel.h
+++ b/src/include/peridotshelf/wire/channel.h
@@ -1,8 +1,10 @@
 /// Connections between processes of the system: one multiplexed TCP connection
-/// for each pair, with heartbeats both ways. A connection that stays silent
-/// for `silence_limit` is dropped, although TCP may still call it open.
+/// for each pair, with heartbeats both ways: often while it carries attempts,
+/// seldom otherwise, and at once when the control version changes. A connection
+/// that stays silent is dropped, although TCP may still call it open.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,14 +27,30 @@
   std::string ToString() const { return address + ":" + std::to_string(port); }
 };
 
+/// Bytes of a process's connections, lengths included.
+struct Traffic {
+  /// Hello, heartbeats and control state.
+  std::atomic<uint64_t> control_sent{0};
+  std::atomic<uint64_t> control_received{0};
+  /// Everything that belongs to a request.
+  std::atomic<uint64_t> request_sent{0};
+  std::atomic<uint64_t> request_received{0};
+};
+
 /// Timing and size limits of connections.
 struct ChannelOptions {
+  /// While attempts are open on the connection.
   Duration heartbeat_interval = std::chrono::milliseconds(500);
-  /// Three heartbeats may be lost before a connection counts as silent.
+  /// Otherwise.
+  Duration idle_heartbeat_interval = std::chrono::seconds(10);
+  /// Three heartbeats may be lost before a connection counts as silent; for a
+  /// peer that announced a longer interval the limit is longer in proportion.
   Duration silence_limit = std::chrono::milliseconds(1600);
   Duration connect_timeout = std::chrono::seconds(1);
   /// A peer that reads so slowly that this much waits is dropped.
   size_t max_queued_bytes = size_t{256} << 20;
+  /// Where bytes are counted; may be null.
+  std::shared_ptr<Traffic> traffic;
 };
 
 /// One open connection. Thread-safe.
@@ -45,9 +63,6 @@
   virtual void Close(Error reason) = 0;
   /// What the peer said of itself.
   virtual const Hello& peer() const = 0;
-  /// Bytes sent and received so far, lengths included.
-  virtual uint64_t bytes_sent() const = 0;
-  virtual uint64_t bytes_received() const = 0;
 };
 
 using ChannelPtr = std::shared_ptr<Channel>;
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -1,5 +1,6 @@
 #include "peridotshelf/wire/channel.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
@@ -10,13 +11,27 @@
 #include <asio/write.hpp>
 #include <atomic>
 #include <deque>
+#include <optional>
 #include <vector>
 
+#include "wire/open_attempts.h"
+
 namespace peridotshelf::wire {
 namespace {
 
 using asio::ip::tcp;
 
+/// How often an idle connection looks for a newer control version to tell.
+constexpr Duration kIdleTick = std::chrono::seconds(1);
+/// A peer cannot announce a longer interval.
+constexpr Duration kLongestInterval = std::chrono::seconds(30);
+
+/// Whether the frame serves the processes themselves and no request.
+bool IsControl(const Frame& frame) {
+  return frame.__isset.hello || frame.__isset.heartbeat ||
+         frame.__isset.pull_control || frame.__isset.control_state;
+}
+
 /// A `Channel` over a TCP socket. All its work runs on one strand.
 class TcpChannel : public Channel,
                    public std::enable_shared_from_this<TcpChannel> {
@@ -55,10 +70,12 @@
   }
 
   void Send(const Frame& frame) override {
-    asio::post(m_strand,
-               [self = shared_from_this(), bytes = Encode(frame)]() mutable {
-                 self->Enqueue(std::move(bytes));
-               });
+    asio::post(m_strand, [self = shared_from_this(), bytes = Encode(frame),
+                          control = IsControl(frame),
+                          change = ChangeOf(frame)]() mutable {
+      self->Enqueue(std::move(bytes), control);
+      if (change) self->Apply(*change, /*sent=*/true);
+    });
   }
 
   void Close(Error reason) override {
@@ -67,8 +84,6 @@
   }
 
   const Hello& peer() const override { return m_peer; }
-  uint64_t bytes_sent() const override { return m_bytes_sent; }
-  uint64_t bytes_received() const override { return m_bytes_received; }
 
  private:
   void Begin() {
@@ -79,39 +94,71 @@
     m_last_heartbeat = m_last_heard;
     Frame frame;
     frame.__set_hello(m_hello());
-    Enqueue(Encode(frame));
+    Enqueue(Encode(frame), /*control=*/true);
     ReadLength();
     Tick();
   }
 
+  Duration Interval() const {
+    return m_attempts.in_use() ? m_options.heartbeat_interval
+                               : m_options.idle_heartbeat_interval;
+  }
+
+  /// How long the peer may be silent, given the interval that it announced.
+  Duration SilenceLimit() const {
+    return m_options.silence_limit *
+           std::max<int64_t>(1, m_peer_interval / m_options.heartbeat_interval);
+  }
+
   /// Sends a heartbeat when due and drops the connection when it is silent.
   void Tick() {
-    m_timer.expires_after(m_options.heartbeat_interval / 2);
+    const Duration step =
+        m_attempts.in_use() ? m_options.heartbeat_interval / 2 : kIdleTick;
+    m_timer.expires_after(step);
     m_timer.async_wait(
         [self = shared_from_this()](const asio::error_code& error) {
           if (error || self->m_ended) return;
-          self->CheckSilence();
+          self->Check();
         });
   }
 
-  void CheckSilence() {
+  void Check() {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (now - m_last_heard > m_options.silence_limit) {
+    const bool unanswered = m_answer_due && now > *m_answer_due;
+    if (unanswered || now - m_last_heard > SilenceLimit()) {
       End({ErrorCode::kConnectionLost, "peer is silent", false, {}});
       return;
     }
     // Also on a busy connection: heartbeats carry the control version.
-    if (now - m_last_heartbeat >= m_options.heartbeat_interval) {
-      m_last_heartbeat = now;
-      Heartbeat heartbeat;
-      heartbeat.control_version = m_hello().control_version;
-      Frame frame;
-      frame.__set_heartbeat(heartbeat);
-      Enqueue(Encode(frame));
+    const int64_t version = m_hello().control_version;
+    if (now - m_last_heartbeat >= Interval() || version != m_sent_version) {
+      SendHeartbeat(now, version);
     }
     Tick();
   }
 
+  void SendHeartbeat(TimePoint now, int64_t version) {
+    m_last_heartbeat = now;
+    m_sent_version = version;
+    Heartbeat heartbeat;
+    heartbeat.control_version = version;
+    heartbeat.next_ms = ToMilliseconds(Interval());
+    Frame frame;
+    frame.__set_heartbeat(heartbeat);
+    Enqueue(Encode(frame), /*control=*/true);
+  }
+
+  /// Follows the attempts that the connection carries. When the first one
+  /// opens, heartbeats become frequent at both ends; the end that sent it
+  /// expects to hear from the other soon, whatever interval that announced.
+  void Apply(const AttemptChange& change, bool sent) {
+    if (!m_attempts.Apply(change) || m_ended) return;
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (sent) m_answer_due = now + m_options.silence_limit;
+    SendHeartbeat(now, m_sent_version);
+    Tick();
+  }
+
   void ReadLength() {
     asio::async_read(
         m_socket, asio::buffer(m_length),
@@ -132,13 +179,14 @@
         m_socket, asio::buffer(m_body),
         [self = shared_from_this()](const asio::error_code& error, size_t) {
           if (self->Failed(error)) return;
-          self->m_bytes_received += kLengthBytes + self->m_body.size();
           self->m_last_heard = std::chrono::steady_clock::now();
+          self->m_answer_due.reset();
           Result<Frame> frame = Decode(self->m_body);
           if (!frame) {
             self->End(frame.error());
             return;
           }
+          self->CountReceived(*frame);
           self->Dispatch(std::move(*frame));
           if (!self->m_ended) self->ReadLength();
         });
@@ -149,9 +197,22 @@
       OpenWith(frame);
       return;
     }
+    if (frame.__isset.heartbeat && frame.heartbeat.next_ms > 0) {
+      m_peer_interval = std::min<Duration>(
+          std::chrono::milliseconds(frame.heartbeat.next_ms), kLongestInterval);
+    }
+    if (const auto change = ChangeOf(frame)) Apply(*change, /*sent=*/false);
     m_callbacks.on_frame(shared_from_this(), std::move(frame));
   }
 
+  void CountReceived(const Frame& frame) {
+    if (!m_options.traffic) return;
+    Traffic& traffic = *m_options.traffic;
+    auto& counter =
+        IsControl(frame) ? traffic.control_received : traffic.request_received;
+    counter += kLengthBytes + m_body.size();
+  }
+
   void OpenWith(const Frame& frame) {
     if (!frame.__isset.hello) {
       End({ErrorCode::kProtocol, "the first frame is not a Hello", false, {}});
@@ -169,8 +230,12 @@
     m_callbacks.on_open(shared_from_this());
   }
 
-  void Enqueue(std::string bytes) {
+  void Enqueue(std::string bytes, bool control) {
     if (m_ended) return;
+    if (m_options.traffic) {
+      Traffic& traffic = *m_options.traffic;
+      (control ? traffic.control_sent : traffic.request_sent) += bytes.size();
+    }
     m_queued_bytes += bytes.size();
     if (m_queued_bytes > m_options.max_queued_bytes) {
       End({ErrorCode::kConnectionLost, "peer reads too slowly", false, {}});
@@ -192,7 +257,6 @@
                       [self = shared_from_this()](const asio::error_code& error,
                                                   size_t written) {
                         if (self->Failed(error)) return;
-                        self->m_bytes_sent += written;
                         self->m_queued_bytes -= written;
                         self->m_writing.clear();
                         if (!self->m_waiting.empty()) self->WriteNext();
@@ -228,8 +292,11 @@
   size_t m_queued_bytes = 0;
   TimePoint m_last_heard;
   TimePoint m_last_heartbeat;
-  std::atomic<uint64_t> m_bytes_sent{0};
-  std::atomic<uint64_t> m_bytes_received{0};
+  /// The peer has to be heard of by then, if set.
+  std::optional<TimePoint> m_answer_due;
+  Duration m_peer_interval{};
+  int64_t m_sent_version = 0;
+  OpenAttempts m_attempts;
   bool m_open = false;
   bool m_ended = false;
 };
--- /dev/null
+++ b/src/wire/channel_test.cc
@@ -0,0 +1,154 @@
+#include "peridotshelf/wire/channel.h"
+
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "peridotshelf/testing/test.h"
+#include "wire/open_attempts.h"
+
+namespace peridotshelf::wire {
+namespace {
+
+Frame ReserveFrame(const std::string& request) {
+  Frame frame;
+  frame.reserve.attempt = ToWire({RequestId(request), 1});
+  frame.__isset.reserve = true;
+  return frame;
+}
+
+Frame RefusedFrame(const std::string& request) {
+  Frame frame;
+  frame.refused.attempt = ToWire({RequestId(request), 1});
+  frame.__isset.refused = true;
+  return frame;
+}
+
+class OpenAttemptsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OpenAttemptsTest);
+  CPPUNIT_TEST(Connection_FirstAttempt_ComesIntoUse);
+  CPPUNIT_TEST(Connection_LastAttemptEnded_IsIdle);
+  CPPUNIT_TEST(Frame_OfNoAttempt_ChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Connection_FirstAttempt_ComesIntoUse() {
+    OpenAttempts attempts;
+    CPPUNIT_ASSERT(attempts.Apply(ChangeOf(ReserveFrame("a")).value()));
+    CPPUNIT_ASSERT(!attempts.Apply(ChangeOf(ReserveFrame("b")).value()));
+    CPPUNIT_ASSERT(attempts.in_use());
+  }
+  void Connection_LastAttemptEnded_IsIdle() {
+    OpenAttempts attempts;
+    attempts.Apply(ChangeOf(ReserveFrame("a")).value());
+    attempts.Apply(ChangeOf(ReserveFrame("b")).value());
+    attempts.Apply(ChangeOf(RefusedFrame("a")).value());
+    CPPUNIT_ASSERT(attempts.in_use());
+    attempts.Apply(ChangeOf(RefusedFrame("b")).value());
+    CPPUNIT_ASSERT(!attempts.in_use());
+  }
+  void Frame_OfNoAttempt_ChangesNothing() {
+    Frame frame;
+    frame.__set_heartbeat({});
+    CPPUNIT_ASSERT(!ChangeOf(frame).has_value());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OpenAttemptsTest);
+
+/// One end of a connection in a test: counts what it hears and waits for it.
+struct End {
+  std::promise<ChannelPtr> opened;
+  std::promise<std::string> closed;
+  std::promise<void> got_request;
+  std::once_flag request_once;
+  std::shared_ptr<Traffic> traffic = std::make_shared<Traffic>();
+
+  ChannelCallbacks Callbacks() {
+    ChannelCallbacks callbacks;
+    callbacks.on_open = [this](const ChannelPtr& channel) {
+      opened.set_value(channel);
+    };
+    callbacks.on_frame = [this](const ChannelPtr&, const Frame& frame) {
+      if (!frame.__isset.reserve) return;
+      std::call_once(request_once, [this] { got_request.set_value(); });
+    };
+    callbacks.on_closed = [this](const ChannelPtr&, const Error& reason) {
+      closed.set_value(reason.detail);
+    };
+    return callbacks;
+  }
+  HelloSource Source() const {
+    return [] {
+      Hello hello;
+      hello.protocol_version = kProtocolVersion;
+      return hello;
+    };
+  }
+};
+
+class ChannelTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChannelTest);
+  CPPUNIT_TEST(Peer_SilentAfterAttempt_IsDroppedWithinLimit);
+  CPPUNIT_TEST(Bytes_OfControlAndRequests_AreCountedApart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The listener's end never speaks after its Hello: its heartbeats are an
+  // hour apart, so only the caller's own rule can find the silence.
+  void Peer_SilentAfterAttempt_IsDroppedWithinLimit() {
+    ChannelOptions silent;
+    silent.heartbeat_interval = std::chrono::hours(1);
+    silent.idle_heartbeat_interval = std::chrono::hours(1);
+    silent.silence_limit = std::chrono::hours(3);
+    ChannelOptions caller;
+    caller.silence_limit = std::chrono::milliseconds(300);
+    const ChannelPtr channel = Join(silent, caller);
+    channel->Send(ReserveFrame("a"));
+    m_server.got_request.get_future().wait();
+    CPPUNIT_ASSERT_EQUAL(std::string("peer is silent"),
+                         m_client.closed.get_future().get());
+  }
+  void Bytes_OfControlAndRequests_AreCountedApart() {
+    const ChannelPtr channel = Join({}, {});
+    channel->Send(ReserveFrame("a"));
+    m_server.got_request.get_future().wait();
+    const size_t request_bytes = Encode(ReserveFrame("a")).size();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{request_bytes},
+                         m_server.traffic->request_received.load());
+    CPPUNIT_ASSERT(m_server.traffic->control_received.load() > 0);
+    channel->Close({ErrorCode::kConnectionLost, "done", false, {}});
+    m_client.closed.get_future().wait();
+  }
+
+ private:
+  ChannelPtr Join(ChannelOptions server, ChannelOptions client) {
+    constexpr uint16_t kFirstPort = 20900;
+    constexpr uint16_t kLastPort = 20999;
+    server.traffic = m_server.traffic;
+    client.traffic = m_client.traffic;
+    Endpoint endpoint{"127.0.0.1", kFirstPort};
+    while (!m_listener && endpoint.port <= kLastPort) {
+      auto listener = Listener::Create(m_threads, endpoint, server,
+                                       m_server.Source(), m_server.Callbacks());
+      if (listener) {
+        m_listener = std::move(*listener);
+      } else {
+        ++endpoint.port;
+      }
+    }
+    Connect(m_threads, endpoint, client, m_client.Source(),
+            m_client.Callbacks());
+    return m_client.opened.get_future().get();
+  }
+
+  End m_server;
+  End m_client;
+  std::unique_ptr<Listener> m_listener;
+  /// Last, so that no callback runs after the others are gone.
+  io::IoThreads m_threads{2};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ChannelTest);
+
+}  // namespace
+}  // namespace peridotshelf::wire
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -362,6 +362,10 @@
 void Heartbeat::__set_control_version(const int64_t val) {
   this->control_version = val;
 }
+
+void Heartbeat::__set_next_ms(const int64_t val) {
+  this->next_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -398,6 +402,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_ms);
+          this->__isset.next_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -419,6 +431,10 @@
   xfer += oprot->writeI64(this->control_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("next_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->next_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -427,24 +443,29 @@
 void swap(Heartbeat &a, Heartbeat &b) {
   using ::std::swap;
   swap(a.control_version, b.control_version);
+  swap(a.next_ms, b.next_ms);
   swap(a.__isset, b.__isset);
 }
 
 Heartbeat::Heartbeat(const Heartbeat& other5) noexcept {
   control_version = other5.control_version;
+  next_ms = other5.next_ms;
   __isset = other5.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other6) noexcept {
   control_version = other6.control_version;
+  next_ms = other6.next_ms;
   __isset = other6.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other7) noexcept {
   control_version = other7.control_version;
+  next_ms = other7.next_ms;
   __isset = other7.__isset;
   return *this;
 }
 Heartbeat& Heartbeat::operator=(Heartbeat&& other8) noexcept {
   control_version = other8.control_version;
+  next_ms = other8.next_ms;
   __isset = other8.__isset;
   return *this;
 }
@@ -452,6 +473,7 @@
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
   out << "control_version=" << to_string(control_version);
+  out << ", " << "next_ms=" << to_string(next_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -206,8 +206,9 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : control_version(false) {}
+  _Heartbeat__isset() : control_version(false), next_ms(false) {}
   bool control_version :1;
+  bool next_ms :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -218,20 +219,26 @@
   Heartbeat& operator=(const Heartbeat&) noexcept;
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
-            : control_version(0) {
+            : control_version(0),
+              next_ms(0) {
   }
 
   virtual ~Heartbeat() noexcept;
   int64_t control_version;
+  int64_t next_ms;
 
   _Heartbeat__isset __isset;
 
   void __set_control_version(const int64_t val);
 
+  void __set_next_ms(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(control_version == rhs.control_version))
       return false;
+    if (!(next_ms == rhs.next_ms))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -18,9 +18,12 @@
   6: string failure_domain
 }
 
-// Sent once in each heartbeat interval.
+// Sent at an interval that is short while the connection carries attempts, and
+// at once when the control version changes.
 struct Heartbeat {
   1: i64 control_version
+  // The next heartbeat follows within this time.
+  2: i64 next_ms
 }
 
 // The side's own account of one engine.
