Show health, status, explain and metrics; answer bad input by typed errors

Entries count and time answers on their way to callers: time to first token by size class, short slowdown, outcomes, refusals by type, retries, open requests. Sides get a port of their own for health, readiness with its reason, status and metrics of each engine's queue and holds. status and explain ask daemons. Metrics that nothing feeds yet (queue wait, control bytes, dropped chunks) were taken out again rather than shown as zero.

Found by the bad-input case: a team that no service knows was served; a body over the limit was cut off without an answer. Both are typed errors now (400, 413).

--- a/src/entry/dispatch_commands.cc
+++ b/src/entry/dispatch_commands.cc
@@ -158,6 +158,7 @@
                                            {"not_run", error.not_run}});
     open.answer.on_failed(error);
   }
+  if (open.answer.on_trace) open.answer.on_trace(open.life->trace());
   // The callbacks may own the caller's connection.
   open.answer = {};
   m_traces.Add(open.life->trace());
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "entry/answer_meter.h"
 #include "entry/answer_writer.h"
 #include "entry/dispatcher.h"
 #include "entry/explain.h"
@@ -16,6 +17,10 @@
 
 using nlohmann::ordered_json;
 
+/// A body that is too large, but not by more than this, is read, so that the
+/// refusal can be sent on its connection.
+constexpr size_t kReadBodyFactor = 4;
+
 void ReplyJson(http::Responder& responder, int status,
                const ordered_json& body) {
   responder.Reply(status, {{"Content-Type", "application/json"}}, body.dump());
@@ -31,7 +36,12 @@
         control(std::move(control_source)),
         process_id(MakeRandomId()),
         limits{entry_options.default_timeout, entry_options.max_timeout},
-        dispatcher(std::make_shared<Dispatcher>(io)) {}
+        dispatcher(std::make_shared<Dispatcher>(io)) {
+    metrics::AddVersionReader(registry, [this] {
+      const control::ControlStatePtr state = control();
+      return state ? state->version : 0;
+    });
+  }
 
   wire::Hello MakeHello() const;
   void Handle(const http::ServerRequest& request,
@@ -42,6 +52,9 @@
                          const http::ResponderPtr& responder);
   void HandleModels(const http::ResponderPtr& responder);
   void HandleReady(const http::ResponderPtr& responder);
+  void HandleStatus(const http::ResponderPtr& responder);
+  void HandleMetrics(const http::ResponderPtr& responder);
+  void RefuseRequest(const http::ResponderPtr& responder, Error error);
   control::ControlStatePtr ReadyState(const http::ResponderPtr& responder);
   bool IsLeaving(const control::ControlStatePtr& state) const;
   std::string NotReadyReason() const;
@@ -51,6 +64,8 @@
   ControlSource control;
   std::string process_id;
   ReaderLimits limits;
+  metrics::Registry registry;
+  metrics::EntryMetrics metrics{registry};
   std::shared_ptr<Dispatcher> dispatcher;
   std::shared_ptr<SideLinks> links;
   std::atomic<bool> leaving{false};
@@ -85,23 +100,36 @@
     const http::ResponderPtr& responder) {
   control::ControlStatePtr state = control();
   if (state && state->configuration) return state;
-  http::ReplyError(*responder, {ErrorCode::kNotReady, NotReadyReason(), true,
-                                std::chrono::seconds(1)});
+  RefuseRequest(responder, {ErrorCode::kNotReady, NotReadyReason(), true,
+                            std::chrono::seconds(1)});
   return nullptr;
 }
 
+/// Refuses a request that was not begun.
+void Entry::Impl::RefuseRequest(const http::ResponderPtr& responder,
+                                Error error) {
+  error.not_run = true;
+  CountRefusal(metrics, error);
+  http::ReplyError(*responder, error, IdHeaders(RequestId(MakeRandomId())));
+}
+
 void Entry::Impl::HandleCompletion(const http::ServerRequest& request,
                                    const http::ResponderPtr& responder) {
   Result<CompletionRequest> completion = ReadCompletion(request, limits);
   if (!completion) {
-    Error error = completion.error();
-    error.not_run = true;
-    http::ReplyError(*responder, error, IdHeaders(RequestId(MakeRandomId())));
+    RefuseRequest(responder, completion.error());
     return;
   }
   const control::ControlStatePtr state = ReadyState(responder);
   if (!state) return;
-  AnswerCallbacks answer = MakeCompletionWriter(*completion, responder);
+  if (const auto known = CheckTeam(*state->configuration, *completion);
+      !known) {
+    RefuseRequest(responder, known.error());
+    return;
+  }
+  AnswerCallbacks answer =
+      MeterCompletion(metrics, SizeClassOf(*state->configuration, *completion),
+                      MakeCompletionWriter(*completion, responder));
   const RequestId id = completion->id;
   dispatcher->Submit(state, std::move(*completion), std::move(answer));
   responder->OnHangUp(
@@ -112,14 +140,17 @@
                                     const http::ResponderPtr& responder) {
   Result<ServiceRequest> call = ReadServiceCall(request, limits);
   if (!call) {
-    Error error = call.error();
-    error.not_run = true;
-    http::ReplyError(*responder, error, IdHeaders(RequestId(MakeRandomId())));
+    RefuseRequest(responder, call.error());
     return;
   }
   const control::ControlStatePtr state = ReadyState(responder);
   if (!state) return;
-  AnswerCallbacks answer = MakeServiceWriter(call->id, responder);
+  if (const auto known = CheckTeam(*state->configuration, *call); !known) {
+    RefuseRequest(responder, known.error());
+    return;
+  }
+  AnswerCallbacks answer =
+      MeterServiceCall(metrics, MakeServiceWriter(call->id, responder));
   const RequestId id = call->id;
   dispatcher->SubmitCall(state, std::move(*call), std::move(answer));
   responder->OnHangUp(
@@ -152,9 +183,34 @@
   }
 }
 
+void Entry::Impl::HandleStatus(const http::ResponderPtr& responder) {
+  const control::ControlStatePtr state = control();
+  ordered_json status{{"host", options.host.value()},
+                      {"role", "entry"},
+                      {"failure_domain", options.failure_domain.value()},
+                      {"process", process_id},
+                      {"version", state ? state->version : 0},
+                      {"preset", state ? state->preset : ""},
+                      {"leaving", IsLeaving(state)},
+                      {"running", dispatcher->RunningCount()}};
+  ReplyJson(*responder, 200, status);
+}
+
+void Entry::Impl::HandleMetrics(const http::ResponderPtr& responder) {
+  responder->Reply(200, {{"Content-Type", std::string(metrics::kContentType)}},
+                   registry.Render());
+}
+
 void Entry::Impl::Handle(const http::ServerRequest& request,
                          const http::ResponderPtr& responder) {
-  if (request.path == "/v1/completions" && request.method == "POST") {
+  if (request.body.size() > options.max_body_bytes) {
+    RefuseRequest(responder,
+                  {ErrorCode::kTooLarge,
+                   "body: must have at most " +
+                       std::to_string(options.max_body_bytes) + " bytes",
+                   true,
+                   {}});
+  } else if (request.path == "/v1/completions" && request.method == "POST") {
     HandleCompletion(request, responder);
   } else if (request.path == "/v1/models") {
     HandleModels(responder);
@@ -166,6 +222,10 @@
     ReplyJson(*responder, 200, {{"alive", true}});
   } else if (request.path == "/readyz") {
     HandleReady(responder);
+  } else if (request.path == "/status") {
+    HandleStatus(responder);
+  } else if (request.path == "/metrics") {
+    HandleMetrics(responder);
   } else {
     http::ReplyError(*responder,
                      {ErrorCode::kUnknownService, request.path, true, {}});
@@ -201,7 +261,8 @@
   http::ServerOptions server_options;
   server_options.address = options.address;
   server_options.port = options.http_port;
-  server_options.max_body_bytes = options.max_body_bytes;
+  server_options.max_body_bytes = kReadBodyFactor * options.max_body_bytes;
+  server_options.read_timeout = options.read_timeout;
   auto server =
       http::Server::Create(threads, server_options,
                            [weak](const http::ServerRequest& request,
--- a/src/entry/requests.cc
+++ b/src/entry/requests.cc
@@ -7,6 +7,7 @@
 namespace peridotshelf::entry {
 namespace {
 
+constexpr std::string_view kDefaultTeam = "default";
 constexpr size_t kMaxKeyBytes = 256;
 constexpr size_t kMaxTeamBytes = 64;
 constexpr std::string_view kServicesPath = "/services/";
@@ -25,13 +26,30 @@
   return std::optional<int64_t>(value);
 }
 
+/// Whether one of the services that `is_meant` picks has the team.
+template <class Predicate>
+Result<void> CheckTeamOf(const control::Configuration& configuration,
+                         const TeamId& team, Predicate is_meant) {
+  if (team.value() == kDefaultTeam) return {};
+  bool any_service = false;
+  for (const control::ServiceConfig& service : configuration.services) {
+    if (!is_meant(service)) continue;
+    any_service = true;
+    for (const control::TeamConfig& known : service.teams) {
+      if (known.id == team) return {};
+    }
+  }
+  if (!any_service) return {};
+  return Fail(ErrorCode::kUnknownTeam, team.value());
+}
+
 }  // namespace
 
 Result<CallerTerms> ReadTerms(const http::ServerRequest& request,
                               const ReaderLimits& limits) {
   CallerTerms terms;
   terms.team =
-      TeamId{request.FindHeader("Peridotshelf-Team").value_or("default")};
+      TeamId{request.FindHeader("Peridotshelf-Team").value_or(kDefaultTeam)};
   if (terms.team.empty() || terms.team.value().size() > kMaxTeamBytes) {
     return Fail(ErrorCode::kBadField, "Peridotshelf-Team: must have 1 to " +
                                           std::to_string(kMaxTeamBytes) +
@@ -108,4 +126,23 @@
   return out;
 }
 
+Result<void> CheckTeam(const control::Configuration& configuration,
+                       const CompletionRequest& request) {
+  return CheckTeamOf(configuration, request.terms.team,
+                     [&request](const control::ServiceConfig& service) {
+                       return service.kind ==
+                                  control::ServiceKind::kCompletions &&
+                              service.model == request.model;
+                     });
+}
+
+Result<void> CheckTeam(const control::Configuration& configuration,
+                       const ServiceRequest& request) {
+  return CheckTeamOf(configuration, request.terms.team,
+                     [&request](const control::ServiceConfig& service) {
+                       return service.kind == control::ServiceKind::kPlain &&
+                              service.name == request.service;
+                     });
+}
+
 }  // namespace peridotshelf::entry
--- a/src/entry/requests.h
+++ b/src/entry/requests.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <string_view>
 
+#include "peridotshelf/attempts/trace.h"
 #include "peridotshelf/base/clock.h"
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/base/ids.h"
+#include "peridotshelf/control/configuration.h"
 #include "peridotshelf/http/server.h"
 
 namespace peridotshelf::entry {
@@ -69,6 +71,8 @@
   std::function<void(std::string_view)> on_chunk;
   std::function<void(const AnswerSummary&)> on_finished;
   std::function<void(const Error&)> on_failed;
+  /// Called last, with all that was decided; may be empty.
+  std::function<void(const attempts::RequestTrace&)> on_trace;
 };
 
 /// Limits that the reader applies.
@@ -89,4 +93,12 @@
 Result<ServiceRequest> ReadServiceCall(const http::ServerRequest& request,
                                        const ReaderLimits& limits);
 
+/// Whether the team that the caller named may use the service of the model, or
+/// the plain service; kUnknownTeam if not. Requests that name no team, and
+/// services that are not configured, pass: placement judges them.
+Result<void> CheckTeam(const control::Configuration& configuration,
+                       const CompletionRequest& request);
+Result<void> CheckTeam(const control::Configuration& configuration,
+                       const ServiceRequest& request);
+
 }  // namespace peridotshelf::entry
--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -16,6 +16,7 @@
     EventInfo{EventId::kRequestRefused, "request_refused", Level::kInfo},
     EventInfo{EventId::kAttemptFailed, "attempt_failed", Level::kWarning},
     EventInfo{EventId::kChunkDropped, "chunk_dropped", Level::kWarning},
+    EventInfo{EventId::kCallerRejected, "caller_rejected", Level::kWarning},
     EventInfo{EventId::kReservationGranted, "reservation_granted",
               Level::kDebug},
     EventInfo{EventId::kReservationRefused, "reservation_refused",
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "peridotshelf/events/log.h"
+
 namespace peridotshelf::http {
 namespace {
 
@@ -48,8 +50,27 @@
   std::shared_ptr<HangUpRegistry> m_registry;
 };
 
+/// Logs callers whose bytes are not HTTP. RESTinio closes such a connection and
+/// leaves no way to answer on it.
+class RejectionLogger {
+ public:
+  // The names and signatures are RESTinio's.
+  template <class Builder>
+  void trace(Builder&& /*build*/) {}
+  template <class Builder>
+  void info(Builder&& /*build*/) {}
+  template <class Builder>
+  void warn(Builder&& /*build*/) {}
+  template <class Builder>
+  void error(Builder&& build) {
+    const std::string message = build();
+    if (message.find("parser error") == std::string::npos) return;
+    events::Log(events::EventId::kCallerRejected, {{"reason", message}});
+  }
+};
+
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t,
-                                          restinio::null_logger_t> {
+                                          RejectionLogger> {
   using connection_state_listener_t = ConnectionListener;
 };
 
--- a/src/include/peridotshelf/entry/entry.h
+++ b/src/include/peridotshelf/entry/entry.h
@@ -24,6 +24,8 @@
   std::string address = "127.0.0.1";
   uint16_t http_port = 8080;
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
+  /// Time that a sender has for one whole request.
+  Duration read_timeout = std::chrono::seconds(60);
   /// The window of callers that give none.
   Duration default_timeout = std::chrono::seconds(60);
   /// The longest window a caller may ask for.
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -22,6 +22,7 @@
   kRequestRefused = 202,
   kAttemptFailed = 203,
   kChunkDropped = 204,
+  kCallerRejected = 205,
   kReservationGranted = 300,
   kReservationRefused = 301,
   kAttemptStarted = 302,
--- a/src/include/peridotshelf/http/server.h
+++ b/src/include/peridotshelf/http/server.h
@@ -61,6 +61,7 @@
 struct ServerOptions {
   std::string address = "127.0.0.1";
   uint16_t port = 0;
+  /// A larger body is cut off unread, with its connection.
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
   /// Time a sender has for one whole request.
   Duration read_timeout = std::chrono::seconds(60);
--- a/src/include/peridotshelf/load/load_command.h
+++ b/src/include/peridotshelf/load/load_command.h
@@ -32,6 +32,11 @@
   bool json = false;
 };
 
+/// The parts of a list separated by commas.
+std::vector<std::string> SplitUrls(std::string_view urls);
+/// Whether `urls` is a list of one or more URLs.
+bool AreUrls(std::string_view urls);
+
 /// How `load` is configured.
 const settings::Schema<LoadSettings>& LoadSchema();
 
--- a/src/include/peridotshelf/metrics/daemon_metrics.h
+++ b/src/include/peridotshelf/metrics/daemon_metrics.h
@@ -14,11 +14,6 @@
 
   /// By error code.
   Family<Counter>& refusals;
-  /// By direction, "sent" or "received": bytes of connections between
-  /// processes and of the platform's services that carry no prompt or answer.
-  Family<Counter>& control_bytes;
-  /// The offset of the newest change in force.
-  Family<Gauge>& control_version;
 };
 
 /// What an entry counts.
@@ -30,32 +25,30 @@
   Family<Counter>& requests;
   /// Seconds from a request's arrival to its first token, by size class.
   Family<Histogram>& time_to_first_token;
-  /// Time to first token over the time it took once the engine had begun, of
-  /// short requests.
+  /// Time to first token over the part of it after the attempt was started,
+  /// of short requests.
   Family<Histogram>& short_slowdown;
   /// Attempts after the first.
   Family<Counter>& retries;
-  /// Late, doubled or crossed chunks that were not delivered.
-  Family<Counter>& dropped_chunks;
   /// Requests that have begun and not ended.
   Family<Gauge>& open_requests;
 };
 
-/// What a side counts.
-struct SideMetrics {
-  explicit SideMetrics(Registry& registry);
-
-  CommonMetrics common;
-  /// Seconds from reservation to grant, by size class.
-  Family<Histogram>& queue_wait;
-  /// Requests that wait, by engine.
-  Family<Gauge>& queued;
-  /// Reservations and running attempts, by engine.
-  Family<Gauge>& holds;
-  /// Tokens of engine memory that they hold, by engine.
-  Family<Gauge>& held_tokens;
-  /// Attempts by outcome: "ok" or an error code.
-  Family<Counter>& attempts;
+/// What a side says of one engine when its metrics are read.
+struct EngineSample {
+  std::string engine;
+  /// Requests that wait.
+  double queued = 0;
+  /// Reservations and running attempts, and the memory they hold.
+  double holds = 0;
+  double held_tokens = 0;
 };
 
+/// Adds what a side shows of its engines; `read` is called for each metric.
+void AddEngineReaders(Registry& registry,
+                      std::function<std::vector<EngineSample>()> read);
+
+/// Adds the version of the control state in force.
+void AddVersionReader(Registry& registry, std::function<int64_t()> read);
+
 }  // namespace peridotshelf::metrics
--- a/src/include/peridotshelf/settings/daemon_settings.h
+++ b/src/include/peridotshelf/settings/daemon_settings.h
@@ -34,6 +34,8 @@
   events::Level log_level = events::Level::kInfo;
   /// Largest request body, in bytes.
   int64_t max_body_bytes = int64_t{64} << 20;
+  /// Time that a sender has for one whole request.
+  Duration read_timeout = std::chrono::seconds(60);
   /// A request's time when the caller names none.
   Duration default_timeout = std::chrono::seconds(60);
   /// The most that a caller may ask for.
--- a/src/include/peridotshelf/side/side.h
+++ b/src/include/peridotshelf/side/side.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <vector>
 
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/base/ids.h"
@@ -45,6 +46,10 @@
   /// Takes the platform's newest list; work is refused as well while this host
   /// is leaving there, or while operators drain it.
   void UpdateHosts(std::span<const platform::HostEntry> hosts);
+  /// What is free and what waits at each engine that was met.
+  std::vector<wire::EngineLoad> Loads() const;
+  /// Whether new work is refused.
+  bool IsLeaving() const;
   /// Attempts and calls that still run.
   size_t RunningCount() const;
 
--- a/src/load/load_command.cc
+++ b/src/load/load_command.cc
@@ -23,22 +23,6 @@
 /// Direct calls are a probe beside the load: one for ten of its requests.
 constexpr int64_t kRequestsPerDirectCall = 10;
 
-std::vector<std::string> SplitUrls(std::string_view urls) {
-  std::vector<std::string> out;
-  while (!urls.empty()) {
-    const size_t comma = std::min(urls.find(','), urls.size());
-    out.emplace_back(urls.substr(0, comma));
-    urls.remove_prefix(std::min(urls.size(), comma + 1));
-  }
-  return out;
-}
-
-bool AreUrls(std::string_view urls) {
-  const std::vector<std::string> all = SplitUrls(urls);
-  return !all.empty() &&
-         std::all_of(all.begin(), all.end(), &settings::IsHttpUrl);
-}
-
 template <class S>
 void AddTraffic(settings::SettingsBuilder<S>& builder) {
   builder
@@ -151,6 +135,22 @@
 
 }  // namespace
 
+std::vector<std::string> SplitUrls(std::string_view urls) {
+  std::vector<std::string> out;
+  while (!urls.empty()) {
+    const size_t comma = std::min(urls.find(','), urls.size());
+    out.emplace_back(urls.substr(0, comma));
+    urls.remove_prefix(std::min(urls.size(), comma + 1));
+  }
+  return out;
+}
+
+bool AreUrls(std::string_view urls) {
+  const std::vector<std::string> all = SplitUrls(urls);
+  return !all.empty() &&
+         std::all_of(all.begin(), all.end(), &settings::IsHttpUrl);
+}
+
 const settings::Schema<LoadSettings>& LoadSchema() {
   static const settings::Schema<LoadSettings> schema = MakeSchema();
   return schema;
--- a/src/metrics/daemon_metrics.cc
+++ b/src/metrics/daemon_metrics.cc
@@ -19,19 +19,26 @@
   return bounds;
 }
 
+using ReadEngines = std::function<std::vector<EngineSample>()>;
+
+/// Adds one metric that shows a member of each engine's sample.
+void AddEngineReader(Registry& registry, MetricInfo info,
+                     const ReadEngines& read, double EngineSample::*member) {
+  registry.AddReader(std::move(info), [read, member] {
+    std::vector<Sample> samples;
+    for (EngineSample& engine : read()) {
+      samples.push_back({std::move(engine.engine), engine.*member});
+    }
+    return samples;
+  });
+}
+
 }  // namespace
 
 CommonMetrics::CommonMetrics(Registry& registry)
     : refusals(
           registry.AddCounter({"peridotshelf_refusals_total",
-                               "Requests refused, by error code.", "code"})),
-      control_bytes(registry.AddCounter(
-          {"peridotshelf_control_bytes_total",
-           "Bytes that carry neither prompt nor answer, by direction.",
-           "direction"})),
-      control_version(registry.AddGauge(
-          {"peridotshelf_control_version",
-           "Log offset of the newest change in force.", ""})) {}
+                               "Requests refused, by error code.", "code"})) {}
 
 EntryMetrics::EntryMetrics(Registry& registry)
     : common(registry),
@@ -44,35 +51,39 @@
           SecondsBounds())),
       short_slowdown(registry.AddHistogram(
           {"peridotshelf_short_slowdown_ratio",
-           "Time to first token of short requests over the time it took once "
-           "the engine had begun.",
+           "Time to first token of short requests over the part of it after "
+           "the attempt was started.",
            ""},
           RatioBounds())),
       retries(registry.AddCounter(
           {"peridotshelf_retries_total", "Attempts after the first.", ""})),
-      dropped_chunks(registry.AddCounter(
-          {"peridotshelf_dropped_chunks_total",
-           "Late, doubled or crossed chunks that were not delivered.", ""})),
       open_requests(registry.AddGauge({"peridotshelf_open_requests",
                                        "Requests begun and not ended.", ""})) {}
 
-SideMetrics::SideMetrics(Registry& registry)
-    : common(registry),
-      queue_wait(registry.AddHistogram(
-          {"peridotshelf_queue_wait_seconds",
-           "Time from reservation to grant, by size class.", "size_class"},
-          SecondsBounds())),
-      queued(registry.AddGauge({"peridotshelf_queued_requests",
-                                "Requests that wait, by engine.", "engine"})),
-      holds(registry.AddGauge({"peridotshelf_holds",
-                               "Reservations and running attempts, by engine.",
-                               "engine"})),
-      held_tokens(registry.AddGauge(
-          {"peridotshelf_held_tokens",
-           "Tokens of engine memory reserved or in use, by engine.",
-           "engine"})),
-      attempts(
-          registry.AddCounter({"peridotshelf_attempts_total",
-                               "Attempts ended, by outcome.", "outcome"})) {}
+void AddEngineReaders(Registry& registry,
+                      std::function<std::vector<EngineSample>()> read) {
+  AddEngineReader(registry,
+                  {"peridotshelf_queued_requests",
+                   "Requests that wait, by engine.", "engine"},
+                  read, &EngineSample::queued);
+  AddEngineReader(registry,
+                  {"peridotshelf_holds",
+                   "Reservations and running attempts, by engine.", "engine"},
+                  read, &EngineSample::holds);
+  AddEngineReader(
+      registry,
+      {"peridotshelf_held_tokens",
+       "Tokens of engine memory reserved or in use, by engine.", "engine"},
+      read, &EngineSample::held_tokens);
+}
+
+void AddVersionReader(Registry& registry, std::function<int64_t()> read) {
+  registry.AddReader({"peridotshelf_control_version",
+                      "Log offset of the newest change in force.", ""},
+                     [read = std::move(read)] {
+                       const auto version = static_cast<double>(read());
+                       return std::vector<Sample>{{"", version}};
+                     });
+}
 
 }  // namespace peridotshelf::metrics
--- a/src/metrics/metrics_test.cc
+++ b/src/metrics/metrics_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(Render_LabelWithQuotes_IsEscaped);
   CPPUNIT_TEST(Counter_ManyThreads_LosesNothing);
   CPPUNIT_TEST(DaemonMetrics_AndDocs_Agree);
+  CPPUNIT_TEST(EngineReaders_EachEngine_ShowOwnSamples);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,10 +112,23 @@
     for (std::thread& thread : threads) thread.join();
     CPPUNIT_ASSERT_EQUAL(uint64_t{kThreads * kAdds}, family.With("a").Value());
   }
+  void EngineReaders_EachEngine_ShowOwnSamples() {
+    Registry registry;
+    AddEngineReaders(registry, [] {
+      return std::vector<EngineSample>{{"a", 1, 2, 3}, {"b", 4, 5, 6}};
+    });
+    const std::string text = registry.Render();
+    CPPUNIT_ASSERT(
+        Contains(text, "peridotshelf_queued_requests{engine=\"b\"} 4\n"));
+    CPPUNIT_ASSERT(Contains(text, "peridotshelf_holds{engine=\"a\"} 2\n"));
+    CPPUNIT_ASSERT(
+        Contains(text, "peridotshelf_held_tokens{engine=\"b\"} 6\n"));
+  }
   void DaemonMetrics_AndDocs_Agree() {
     Registry registry;
     const EntryMetrics entry(registry);
-    const SideMetrics side(registry);
+    AddEngineReaders(registry, [] { return std::vector<EngineSample>(); });
+    AddVersionReader(registry, [] { return 0; });
     std::ifstream file(PERIDOTSHELF_SOURCE_DIR "/docs/OPERATIONS.md");
     std::stringstream page;
     page << file.rdbuf();
--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -14,6 +14,10 @@
 ExitCode RunEntry(Arguments args);
 ExitCode RunSide(Arguments args);
 ExitCode RunLoad(Arguments args);
+/// What was decided about a request.
+ExitCode RunExplain(Arguments args);
+/// What daemons are doing.
+ExitCode RunStatus(Arguments args);
 ExitCode RunDemo(Arguments args);
 /// `standin KIND`: engine, service, log or hosts.
 ExitCode RunStandin(Arguments args);
--- a/src/peridotshelf/daemons.cc
+++ b/src/peridotshelf/daemons.cc
@@ -12,6 +12,7 @@
   options.address = given.address;
   options.http_port = given.http_port;
   options.max_body_bytes = static_cast<size_t>(given.max_body_bytes);
+  options.read_timeout = given.read_timeout;
   options.default_timeout = given.default_timeout;
   options.max_timeout = given.max_timeout;
   return options;
@@ -103,6 +104,14 @@
                                  [platform] { return platform->Current(); });
   if (!side) return tl::unexpected<Error>(side.error());
   daemon->m_side = std::move(*side);
+  SideStatusOptions status_options{
+      settings.address, settings.http_port, options,
+      [platform] { return platform->Current(); },
+      [platform] { return ToString(platform->follower().readiness()); }};
+  auto status =
+      SideStatus::Create(threads, std::move(status_options), daemon->m_side);
+  if (!status) return tl::unexpected<Error>(status.error());
+  daemon->m_status = std::move(*status);
   auto members =
       JoinMembers(threads, *platform, wire::Role::SIDE,
                   {options.host, settings.address, settings.port, {}});
--- a/src/peridotshelf/daemons.h
+++ b/src/peridotshelf/daemons.h
@@ -11,6 +11,7 @@
 #include "peridotshelf/platform_link.h"
 #include "peridotshelf/settings/daemon_settings.h"
 #include "peridotshelf/side/side.h"
+#include "peridotshelf/side_status.h"
 
 namespace peridotshelf::program {
 
@@ -72,6 +73,7 @@
   PlatformLink m_platform;
   /// Shared for the same reason.
   std::shared_ptr<side::Side> m_side;
+  std::unique_ptr<SideStatus> m_status;
   std::shared_ptr<MemberLink> m_members;
 };
 
--- a/src/peridotshelf/demo_fleet.cc
+++ b/src/peridotshelf/demo_fleet.cc
@@ -142,6 +142,7 @@
     auto settings =
         MakeSettings<settings::SideSettings>(m_ports, NumberedName("host", i));
     settings.port = m_ports.sides[i];
+    settings.http_port = 0;
     kept = Keep(m_sides[i], SideDaemon::Create(m_threads, settings));
   }
   auto settings = MakeSettings<settings::EntrySettings>(m_ports, "entry-0");
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -25,6 +25,8 @@
 constexpr std::array kCommands = {
     Command{"entry", "serve callers on an entry host", &RunEntry},
     Command{"side", "serve entries beside backend servers", &RunSide},
+    Command{"status", "show what entries and sides are doing", &RunStatus},
+    Command{"explain", "show what was decided about a request", &RunExplain},
     Command{"load", "send prompts and report what callers see", &RunLoad},
     Command{"demo", "run a whole small fleet on loopback", &RunDemo},
     Command{"standin", "stand in for engine, service, log or hosts",
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -57,6 +57,10 @@
       .Integer(&S::max_body_bytes,
                {"--max-body-bytes", "Largest request body."}, kBodyBytes,
                "BYTES")
+      .Milliseconds(
+          &S::read_timeout,
+          {"--read-timeout-ms", "Time a sender has for one whole request."},
+          kTimeoutMs)
       .Milliseconds(&S::default_timeout,
                     {"--default-timeout-ms",
                      "Time of a request whose caller names none."},
--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -289,6 +289,18 @@
   m_impl->listed_leaving = is_leaving;
 }
 
+std::vector<wire::EngineLoad> Side::Loads() const {
+  std::scoped_lock lock(m_impl->engines_mutex);
+  std::vector<wire::EngineLoad> loads;
+  loads.reserve(m_impl->engines.size());
+  for (const auto& [id, engine] : m_impl->engines) {
+    loads.push_back(engine->admission.Load());
+  }
+  return loads;
+}
+
+bool Side::IsLeaving() const { return m_impl->IsLeaving(); }
+
 size_t Side::RunningCount() const {
   return m_impl->executions->RunningCount() + m_impl->calls->RunningCount();
 }
--- /dev/null
+++ b/testsuite/bad_input/run.py
@@ -0,0 +1,201 @@
+"""Bad input from callers and on the internal port: each is answered by a typed
+error, and the processes live on."""
+
+import json
+import os
+import socket
+import struct
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "common"))
+import fleet as f  # noqa: E402
+
+MODEL = "calc"
+MAX_BODY_BYTES = 64 * 1024
+READ_TIMEOUT_MS = 500
+SOCKET_TIMEOUT_S = 10
+
+
+def configuration(engine_port):
+    return {
+        "engines": [{"id": "engine-0", "host": "b0", "model": MODEL,
+                     "url": f"http://{f.ADDRESS}:{engine_port}",
+                     "memory_tokens": 100000, "slots": 8}],
+        "services": [{"name": "calculation", "model": MODEL,
+                      "engines": ["engine-0"], "teams": [{"id": "design"}]}],
+        "presets": [{"name": "ordinary"}], "initial_preset": "ordinary"}
+
+
+def completion(**fields):
+    return json.dumps({"model": MODEL, "prompt": "x", "max_tokens": 2, **fields})
+
+
+def exchange(port, sent, finish=False):
+    """Sends bytes and returns all that comes until the other side closes."""
+    with socket.create_connection((f.ADDRESS, port), SOCKET_TIMEOUT_S) as peer:
+        try:
+            peer.sendall(sent)
+            if finish:
+                peer.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # The other side has closed already.
+        received = b""
+        try:
+            while part := peer.recv(65536):
+                received += part
+        except ConnectionResetError:
+            pass
+        return received
+
+
+class Case:
+    def __init__(self, fleet):
+        self.fleet = fleet
+        log, hosts, engine, self.side, self.side_http, self.entry = (
+            f.free_ports(6))
+        fleet.start_platform(log, hosts)
+        fleet.start("engine", "standin", "engine", "--port", engine, "--model",
+                    MODEL)
+        fleet.start_side("b0", "north", self.side, self.side_http)
+        fleet.start_entry("e0", "north", self.entry, "--max-body-bytes",
+                          MAX_BODY_BYTES, "--read-timeout-ms", READ_TIMEOUT_MS)
+        f.wait_for("the entry listens",
+                   lambda: f.call(self.entry, "GET", "/healthz")[0] == 200)
+        status, _, body = f.call(self.entry, "GET", "/readyz")
+        reason = json.loads(body)
+        assert status == 503 and reason["reason"], body
+        fleet.publish(configuration(engine))
+        fleet.wait_ready(self.entry)
+        fleet.wait_ready(self.side_http)
+        f.wait_for("a prompt is answered",
+                   lambda: self.post(completion())[0] == 200)
+
+    def post(self, body, headers=None, path="/v1/completions"):
+        status, answer_headers, text = f.call(
+            self.entry, "POST", path, body,
+            {"Peridotshelf-Team": "design", **(headers or {})})
+        assert answer_headers["Peridotshelf-Request-Id"], text
+        return status, text
+
+    def assert_error(self, status, code, body, **more):
+        seen, text = self.post(body, **more)
+        error = json.loads(text)["error"]
+        assert (seen, error["code"]) == (status, code), text
+        assert error["not_run"] is True, text
+        return error
+
+    def assert_alive(self):
+        assert self.post(completion())[0] == 200
+        for process in self.fleet.processes.values():
+            assert process.poll() is None
+
+    def log_has(self, part):
+        """Whether the entry has logged an event with this text."""
+        with open(os.path.join(self.fleet.logs, "entry-e0.log")) as log:
+            return any(part in line and '"event":205' in line for line in log)
+
+    def fields(self):
+        for body, field in (
+                ("{", "body"), ("", "body"), ("[]", "body"),
+                (b'{"model":"calc","prompt":"\xff\xfe"}', "body"),
+                (completion(max_tokens=-1), "max_tokens"),
+                (completion(max_tokens=10**30), "max_tokens"),
+                (completion(prompt=[-1]), "prompt"),
+                (completion(prompt=[10**30]), "prompt"),
+                (completion(prompt=None), "prompt"),
+                (completion(stream="yes"), "stream"),
+                (completion(model=7), "model")):
+            error = self.assert_error(400, "bad_field", body)
+            assert error["message"].startswith(field + ":"), error
+        error = self.assert_error(400, "bad_field", completion(), headers={
+            "Peridotshelf-Timeout-Ms": "-5"})
+        assert error["message"].startswith("Peridotshelf-Timeout-Ms:"), error
+
+    def names(self):
+        self.assert_error(404, "unknown_model", completion(model="none"))
+        self.assert_error(404, "unknown_service", "", path="/services/none/x")
+        self.assert_error(400, "unknown_team", completion(),
+                          headers={"Peridotshelf-Team": "none"})
+
+    def sizes(self):
+        big = completion(prompt="x" * 2 * MAX_BODY_BYTES)
+        head = ("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Content-Length: {len(big)}\r\n\r\n")
+        answer = exchange(self.entry, (head + big).encode())
+        assert answer.startswith(b"HTTP/1.1 413 "), answer
+        assert b'"code":"too_large"' in answer, answer
+        assert b"Peridotshelf-Request-Id: " in answer, answer
+        head = ("GET /healthz HTTP/1.1\r\nHost: x\r\nX-Big: "
+                + "x" * 300000 + "\r\n\r\n")
+        answer = exchange(self.entry, head.encode())
+        assert answer == b"", answer
+        assert self.log_has("HPE_HEADER_OVERFLOW")
+        answer = exchange(self.entry, b"\x00\x01garbage\r\n\r\n")
+        assert answer == b"", answer
+        assert self.log_has("HPE_INVALID_METHOD")
+        huge = (f"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Content-Length: {100 * MAX_BODY_BYTES}\r\n\r\n")
+        exchange(self.entry, (huge + "x" * 10 * MAX_BODY_BYTES).encode())
+
+    def slow_sender(self):
+        answer = exchange(self.entry, b"POST /v1/completions HTTP/1.1\r\n"
+                          b"Host: x\r\nContent-Length: 100\r\n\r\n{")
+        assert answer == b"", answer
+
+    def internal_port(self):
+        wrong_version = bytes.fromhex("1c15c6010000")
+        for body in (b"garbage" * 10, wrong_version, b"\x00", b"\xff" * 64):
+            assert len(exchange(self.side,
+                                struct.pack(">I", len(body)) + body)) < 4096
+        exchange(self.side, b"\xff\xff\xff\xff" + b"x" * 1000)
+        exchange(self.side, b"\x00\x00", finish=True)
+
+    def commands(self):
+        """status and explain show what the daemons know."""
+        urls = ",".join(f"http://{f.ADDRESS}:{port}"
+                        for port in (self.entry, self.side_http))
+        done = self.run("status", "--url", urls)
+        assert done.returncode == 0, done
+        rows = done.stdout.splitlines()
+        assert rows[1].split()[:2] == ["e0", "entry"], rows
+        assert rows[2].split()[:2] == ["b0", "side"], rows
+        assert rows[3].strip().startswith("engine-0:"), rows
+        _, headers, _ = f.call(self.entry, "POST", "/v1/completions",
+                               completion())
+        request = headers["Peridotshelf-Request-Id"]
+        url = f"http://{f.ADDRESS}:{self.entry}"
+        done = self.run("explain", request, "--url", url)
+        assert done.returncode == 0 and "granted" in done.stdout, done
+        assert self.run("explain", "unknown", "--url", url).returncode == 1
+
+    def run(self, *args):
+        return subprocess.run([self.fleet.program, *args], text=True,
+                              capture_output=True, timeout=SOCKET_TIMEOUT_S)
+
+    def pages(self):
+        for port in (self.entry, self.side_http):
+            assert f.call(port, "GET", "/healthz")[0] == 200
+            _, headers, text = f.call(port, "GET", "/metrics")
+            assert headers["Content-Type"].startswith("text/plain"), headers
+            assert "peridotshelf_control_version 1\n" in text, text
+            status = json.loads(f.call(port, "GET", "/status")[2])
+            assert status["preset"] == "ordinary", status
+        _, _, text = f.call(self.entry, "GET", "/metrics")
+        assert 'peridotshelf_refusals_total{code="bad_field"} 12\n' in text, text
+        assert "peridotshelf_open_requests 0\n" in text, text
+        assert 'seconds_count{size_class="short"}' in text, text
+
+
+def main(program):
+    with f.Fleet(program) as fleet:
+        case = Case(fleet)
+        for step in (case.fields, case.names, case.pages, case.commands, case.sizes,
+                     case.slow_sender, case.internal_port):
+            step()
+            case.assert_alive()
+    print("bad input: passed")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/testsuite/command_line/run.py
+++ b/testsuite/command_line/run.py
@@ -1,5 +1,6 @@
 """The program's own commands: exit codes, faults of a start, the demo."""
 
+import json
 import os
 import socket
 import subprocess
@@ -57,6 +58,23 @@
     assert run(program, "check", "/nonexistent.json")[0] == 5
 
 
+def check_examples(program):
+    """The examples under etc/ are valid and as large as the deployments."""
+    folder = os.path.join(os.path.dirname(__file__), "..", "..", "etc")
+    for name, engines in (("hallstrom", 16), ("cierre", 25)):
+        path = os.path.join(folder, name + ".json")
+        code, text = run(program, "check", path)
+        assert code == 0 and text == "valid\n", text
+        with open(path) as file:
+            document = json.load(file)
+        assert len(document["engines"]) == engines, name
+        assert len(document["backends"]) == 3, name
+        hosts = {engine["host"] for engine in document["engines"]}
+        assert len({host.split("-")[0] for host in hosts}) == 3, hosts
+        assert len(document["services"][0]["teams"]) == 10, name
+        assert "maintenance" in [p["name"] for p in document["presets"]]
+
+
 def check_demo(program):
     first = free_run_of_ports(DEMO_PORTS)
     code, text = run(program, "demo", "--once", "--port", first)
@@ -73,6 +91,7 @@
 def main(program):
     check_faults(program)
     check_file_faults(program)
+    check_examples(program)
     check_demo(program)
     print("command line: passed")
 
