Carry traffic through the ledger and placement

Cause: the thin side refused what did not fit and the thin entry chose at random. The side's admission now queues, grants, refuses and ends leases by its own clock, and is rebuilt from what the engine reports after a restart. The entry places by prefix, load, domain and pool, passes over unreachable, leaving and draining hosts, and counts its part of team limits. The default lease is four seconds instead of five: with five, what a killed entry held was free after 5.00 s, at the limit.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -8,17 +8,11 @@
 using events::EventId;
 
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
+/// How long engines of a host are avoided whose connection was lost.
+constexpr Duration kLostHostAvoided = std::chrono::seconds(1);
 
 TimePoint Now() { return SteadyClock().Now(); }
 
-wire::SizeClass::type ClassOf(int64_t prompt_tokens) {
-  constexpr int64_t kShortLimit = 8'000;
-  constexpr int64_t kMediumLimit = 100'000;
-  if (prompt_tokens < kShortLimit) return wire::SizeClass::SHORT;
-  if (prompt_tokens < kMediumLimit) return wire::SizeClass::MEDIUM;
-  return wire::SizeClass::LONG;
-}
-
 Error FromWire(const wire::Failed& failed) {
   Error error;
   error.code = ParseErrorCode(failed.code).value_or(ErrorCode::kProtocol);
@@ -77,34 +71,40 @@
 
 void Dispatcher::Submit(const control::ControlStatePtr& state,
                         CompletionRequest request, AnswerCallbacks answer) {
-  const Result<Candidate> candidate =
-      PlaceCompletion(*state, request, IsReachable());
-  if (!candidate) {
-    Error error = candidate.error();
+  const Result<TeamHoldPtr> team_hold = m_placer.Admit(*state, request);
+  if (!team_hold) {
+    answer.on_failed(team_hold.error());
+    return;
+  }
+  const auto placed = m_placer.Place(state, request, {}, IsReachable());
+  if (!placed) {
+    Error error = placed.error();
     error.not_run = true;
     if (error.code == ErrorCode::kNoBackend) error.retry_after = kRetryAfter;
     answer.on_failed(error);
     return;
   }
-  const wire::ChannelPtr channel = m_links->Find(candidate->host);
+  const policy::PlacementResult::Candidate& chosen = placed->candidates.front();
+  const wire::ChannelPtr channel = m_links->Find(chosen.host);
   if (!channel) {
     answer.on_failed(
         {ErrorCode::kNoBackend, "no connection", true, kRetryAfter});
     return;
   }
   wire::Reserve reserve;
-  reserve.engine = candidate->backend;
+  reserve.engine = chosen.engine.value();
+  reserve.priority = PriorityOf(*state, request.model, request.terms.team);
   reserve.team = request.terms.team.value();
   reserve.prompt_tokens = request.prompt_tokens;
   reserve.max_tokens = request.max_tokens;
   reserve.remaining_ms = ToMilliseconds(request.terms.timeout);
-  reserve.size_class = ClassOf(request.prompt_tokens);
   reserve.control_version = state->version;
-  OpenPtr open =
-      Add(request.id, request.terms, candidate->host, std::move(answer));
+  OpenPtr open = Add(request.id, request.terms, chosen.host, std::move(answer));
   reserve.attempt = wire::ToWire(open->attempt);
   {
     std::scoped_lock lock(open->mutex);
+    open->engine = chosen.engine;
+    open->team_hold = *team_hold;
     open->completion = std::move(request);
   }
   wire::Frame frame;
@@ -157,7 +157,18 @@
   return (*found)->attempt.number == attempt.number ? *found : nullptr;
 }
 
+void Dispatcher::NoteLoad(const wire::Frame& frame) {
+  if (frame.__isset.granted) m_placer.OnLoad(frame.granted.load);
+  if (frame.__isset.queued) m_placer.OnLoad(frame.queued.load);
+  if (!frame.__isset.refused) return;
+  const wire::Refused& refused = frame.refused;
+  m_placer.OnLoad(refused.load);
+  m_placer.OnRefused(EngineId(refused.load.engine),
+                     std::chrono::milliseconds(refused.retry_after_ms));
+}
+
 void Dispatcher::OnFrame(const HostId& /*host*/, const wire::Frame& frame) {
+  NoteLoad(frame);
   if (frame.__isset.granted) {
     if (auto open = FindAttempt(frame.granted.attempt)) {
       OnGranted(open, frame.granted);
@@ -284,6 +295,7 @@
       std::scoped_lock lock(open->mutex);
       if (open->host != host) continue;
       started = open->started;
+      m_placer.OnRefused(open->engine, kLostHostAvoided);
     }
     Fail(open, {ErrorCode::kConnectionLost, host.value(), !started, {}});
   }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -17,7 +17,8 @@
 /// Thread-safe.
 class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
  public:
-  explicit Dispatcher(io::IoThreads& threads) : m_threads(threads) {}
+  Dispatcher(io::IoThreads& threads, const FailureDomain& own_domain)
+      : m_threads(threads), m_placer(own_domain) {}
 
   /// Must be called once, before the first request.
   void SetLinks(std::shared_ptr<SideLinks> links) {
@@ -31,6 +32,10 @@
   /// The caller went away: its work is cancelled.
   void Abandon(const RequestId& id);
 
+  /// The platform's newest list of hosts.
+  void UpdateHosts(std::span<const platform::HostEntry> hosts) {
+    m_placer.UpdateHosts(hosts);
+  }
   /// A frame came from a host's side.
   void OnFrame(const HostId& host, const wire::Frame& frame);
   /// The connection to a host's side was lost.
@@ -45,6 +50,10 @@
     AttemptId attempt;
     Budget budget;
     HostId host;
+    /// The engine asked; empty for a service call.
+    EngineId engine;
+    /// Given back with the request.
+    TeamHoldPtr team_hold;
     CompletionRequest completion;
     AnswerCallbacks answer;
     int64_t next_offset = 0;
@@ -64,7 +73,10 @@
   void CancelAtSide(const OpenPtr& open, ErrorCode code);
   OpenPtr FindAttempt(const wire::Attempt& attempt);
 
+  void NoteLoad(const wire::Frame& frame);
+
   io::IoThreads& m_threads;
+  Placer m_placer;
   std::shared_ptr<SideLinks> m_links;
   ShardedMap<RequestId, OpenPtr> m_open;
 };
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -30,7 +30,8 @@
         control(std::move(control_source)),
         process_id(MakeRandomId()),
         limits{entry_options.default_timeout, entry_options.max_timeout},
-        dispatcher(std::make_shared<Dispatcher>(io)) {}
+        dispatcher(
+            std::make_shared<Dispatcher>(io, entry_options.failure_domain)) {}
 
   wire::Hello MakeHello() const;
   void Handle(const http::ServerRequest& request,
@@ -216,6 +217,7 @@
     }
   }
   m_impl->listed_leaving = is_leaving;
+  m_impl->dispatcher->UpdateHosts(hosts);
 }
 
 void Entry::StartLeaving() { m_impl->leaving = true; }
--- a/src/include/peridotshelf/ledger/admission.h
+++ b/src/include/peridotshelf/ledger/admission.h
@@ -89,11 +89,13 @@
   /// Takes limits and weights of a preset; ends nothing.
   void ApplyPreset(const control::Preset& preset,
                    std::span<const control::TeamConfig> teams);
+  /// Changes the engine's capacity; ends nothing.
+  void SetCapacity(Capacity capacity);
   /// Adopts what the engine reports after a restart of the side. What nobody
   /// claims within a lease is cancelled.
   void Rebuild(std::span<const backend::EngineStream> streams, TimePoint now);
-  /// Refuses new and waiting work from now on; running work goes on.
-  std::vector<Outcome> Leave(TimePoint now);
+  /// While leaving, new and waiting work is refused; running work goes on.
+  std::vector<Outcome> SetLeaving(bool leaving, TimePoint now);
 
   /// Decides on a request. Repeating it is harmless.
   Decision Reserve(const ReserveRequest& request, TimePoint now);
--- a/src/include/peridotshelf/settings/daemon_settings.h
+++ b/src/include/peridotshelf/settings/daemon_settings.h
@@ -56,7 +56,7 @@
   int32_t threads = 2;
   events::Level log_level = events::Level::kInfo;
   /// Time that a reservation or a running attempt is kept without its entry.
-  Duration lease = std::chrono::seconds(5);
+  Duration lease = std::chrono::seconds(4);
 };
 
 /// How `entry` is configured.
--- a/src/ledger/admission.cc
+++ b/src/ledger/admission.cc
@@ -38,10 +38,17 @@
   }
 }
 
+void Admission::SetCapacity(Capacity capacity) {
+  std::scoped_lock lock(m_mutex);
+  m_options.capacity = capacity;
+  m_ledger.SetCapacity(capacity);
+}
+
 void Admission::Rebuild(std::span<const backend::EngineStream> streams,
                         TimePoint now) {
   std::scoped_lock lock(m_mutex);
   for (const backend::EngineStream& stream : streams) {
+    if (stream.finished) continue;
     Hold hold;
     hold.attempt = stream.attempt;
     hold.tokens = stream.memory_tokens;
@@ -58,10 +65,11 @@
   m_rebuilding = false;
 }
 
-std::vector<Outcome> Admission::Leave(TimePoint now) {
+std::vector<Outcome> Admission::SetLeaving(bool leaving, TimePoint now) {
   std::scoped_lock lock(m_mutex);
-  m_leaving = true;
+  m_leaving = leaving;
   std::vector<Outcome> outcomes;
+  if (!leaving) return outcomes;
   RefuseWaiting(ErrorCode::kLeaving, now, outcomes,
                 [](const WaitingRequest&) { return true; });
   return outcomes;
--- a/src/ledger/admission_test.cc
+++ b/src/ledger/admission_test.cc
@@ -46,7 +46,7 @@
   CPPUNIT_TEST(Rebuild_Orphans_AreCancelledUnlessClaimed);
   CPPUNIT_TEST(ApplyPreset_LowerLimits_EndsNothing);
   CPPUNIT_TEST(ApplyPreset_PriorityOffset_ReordersTeams);
-  CPPUNIT_TEST(Leave_WaitingAndNew_AreRefusedWithProof);
+  CPPUNIT_TEST(SetLeaving_WaitingAndNew_AreRefusedWithProof);
   CPPUNIT_TEST(AnySequence_OfCalls_KeepsSumsAndProofs);
   CPPUNIT_TEST_SUITE_END();
 
@@ -275,15 +275,18 @@
     const auto outcomes = m_admission.Tick(m_clock.Now());
     CPPUNIT_ASSERT(As<Granted>(outcomes.at(0))->attempt == favoured.attempt);
   }
-  void Leave_WaitingAndNew_AreRefusedWithProof() {
+  void SetLeaving_WaitingAndNew_AreRefusedWithProof() {
     Start("a", 390'000);
     m_admission.Reserve(Request("b", 50'000), m_clock.Now());
-    const auto outcomes = m_admission.Leave(m_clock.Now());
+    const auto outcomes = m_admission.SetLeaving(true, m_clock.Now());
     CPPUNIT_ASSERT(As<Refused>(outcomes.at(0))->error.not_run);
     const Decision later = m_admission.Reserve(Request("c", 10), m_clock.Now());
     CPPUNIT_ASSERT(As<Refused>(later)->error.code == ErrorCode::kLeaving);
     CPPUNIT_ASSERT(As<Refused>(later)->error.not_run);
     CPPUNIT_ASSERT(m_admission.Held().tokens == 390'100);
+    m_admission.SetLeaving(false, m_clock.Now());
+    CPPUNIT_ASSERT(As<Granted>(m_admission.Reserve(Request("d", 10),
+                                                   m_clock.Now())) != nullptr);
   }
   void AnySequence_OfCalls_KeepsSumsAndProofs();
 };
--- a/src/policy/engine_pool.cc
+++ b/src/policy/engine_pool.cc
@@ -152,9 +152,12 @@
 }
 
 bool EnginePool::Fits(const EngineState& state,
-                      const PlacementRequest& request) const {
+                      const Decision& decision) const {
+  const PlacementRequest& request = decision.request;
   const control::EngineConfig& config = state.engine.config;
-  if (state.load.leaving) return false;
+  // A host may stop leaving, and only a reservation would tell.
+  const bool fresh = decision.now - state.load_at < kMaxRefusal;
+  if (state.load.leaving && fresh) return false;
   if (request.tokens() > config.memory_tokens) return false;
   return std::find(request.excluded.begin(), request.excluded.end(),
                    config.id) == request.excluded.end();
@@ -205,7 +208,7 @@
     const EngineState& state = m_engines[point->second];
     const double load = LoadOf(state, part, decision);
     Considered line{state.engine.config.id, load, Verdict::kOverBound};
-    if (!Fits(state, decision.request)) {
+    if (!Fits(state, decision)) {
       line.verdict = Verdict::kUnfit;
     } else if (m_mechanisms.refusal_memory &&
                state.refused_until > decision.now) {
@@ -245,7 +248,7 @@
   for (int i = 0; i < kMostSamples && fresh < wanted; ++i) {
     const Index index = from[any(decision.random)];
     const EngineState& state = m_engines[index];
-    if (!Fits(state, decision.request)) continue;
+    if (!Fits(state, decision)) continue;
     const bool taken = std::any_of(
         decision.choices.begin(), decision.choices.end(),
         [index](const Choice& choice) { return choice.index == index; });
@@ -259,7 +262,7 @@
   // Few engines fit: look at each, since sampling may miss them.
   for (const Index index : from) {
     const EngineState& state = m_engines[index];
-    if (!Fits(state, decision.request)) continue;
+    if (!Fits(state, decision)) continue;
     const bool refused = state.refused_until > decision.now;
     decision.choices.push_back({index, LoadOf(state, part, decision), refused});
   }
--- a/src/policy/engine_pool.h
+++ b/src/policy/engine_pool.h
@@ -80,7 +80,7 @@
   void UpdateSpill();
   double LoadOf(const EngineState& state, const Part& part,
                 const Decision& decision) const;
-  bool Fits(const EngineState& state, const PlacementRequest& request) const;
+  bool Fits(const EngineState& state, const Decision& decision) const;
   bool ChooseByPrefix(const Part& part, Decision& decision);
   void ChooseByLoad(const Part& part, Decision& decision);
   void Sample(const std::vector<Index>& from, const Part& part,
--- a/src/side/execution.cc
+++ b/src/side/execution.cc
@@ -7,6 +7,8 @@
 
 using events::EventId;
 
+TimePoint Now() { return SteadyClock().Now(); }
+
 void SendChunk(wire::Channel& channel, const AttemptId& attempt, int64_t offset,
                const std::string& data) {
   wire::Frame frame;
@@ -36,20 +38,6 @@
 void Executions::Reserve(const EnginePtr& engine,
                          const wire::ChannelPtr& channel,
                          const wire::Reserve& reserve) {
-  wire::Frame frame;
-  const Result<void> reserved = engine->admission.Reserve(reserve);
-  if (!reserved) {
-    wire::Refused refused;
-    refused.attempt = reserve.attempt;
-    refused.code = ToString(reserved.error().code);
-    refused.detail = reserved.error().detail;
-    refused.retry_after_ms =
-        ToMilliseconds(reserved.error().retry_after.value_or(Duration()));
-    refused.load = engine->admission.Load();
-    frame.__set_refused(refused);
-    channel->Send(frame);
-    return;
-  }
   auto execution = std::make_shared<Execution>();
   execution->attempt = wire::FromWire(reserve.attempt);
   execution->engine = engine;
@@ -57,16 +45,41 @@
   execution->run.attempt = execution->attempt;
   execution->run.priority = reserve.priority;
   execution->run.max_tokens = reserve.max_tokens;
-  m_executions.Insert(execution->attempt, execution);
-  wire::Granted granted;
-  granted.attempt = reserve.attempt;
-  granted.epoch = m_epoch;
-  granted.lease_ms = ToMilliseconds(m_lease);
-  granted.load = engine->admission.Load();
-  frame.__set_granted(granted);
+  // Known before it is granted: a tick may grant it at any moment.
+  const bool added = m_executions.Insert(execution->attempt, execution);
+  const wire::Frame frame = engine->admission.Reserve(
+      reserve, ProcessId(channel->peer().process_id), Now());
+  const bool ended = frame.__isset.refused || frame.__isset.failed;
+  if (added && ended) m_executions.Take(execution->attempt);
   channel->Send(frame);
 }
 
+void Executions::Deliver(const EnginePtr& engine, const AdmissionTick& tick) {
+  for (const auto& [attempt, frame] : tick.frames) {
+    const auto found = m_executions.Find(attempt);
+    if (!found) continue;
+    if (frame.__isset.refused) m_executions.Take(attempt);
+    std::scoped_lock lock((*found)->mutex);
+    if (frame.__isset.refused) (*found)->ended = true;
+    if ((*found)->channel) (*found)->channel->Send(frame);
+  }
+  for (const AttemptId& attempt : tick.cancels) {
+    if (const auto found = m_executions.Find(attempt)) {
+      CancelUnclaimed(*found);
+      continue;
+    }
+    // Found at the engine after a restart and claimed by nobody.
+    engine->client.Cancel(attempt, [engine, attempt](const Result<void>& done) {
+      if (done) engine->admission.Release(attempt, Now());
+    });
+  }
+}
+
+void Executions::TickEngine(const EnginePtr& engine, bool leaving) {
+  Deliver(engine, engine->admission.SetLeaving(leaving, Now()));
+  Deliver(engine, engine->admission.Tick(Now()));
+}
+
 void Executions::Start(const wire::ChannelPtr& channel,
                        const wire::Start& start) {
   const auto found = m_executions.Find(wire::FromWire(start.attempt));
@@ -107,6 +120,18 @@
     execution->started = true;
     run = std::move(execution->run);
   }
+  const Result<void> committed =
+      execution->engine->admission.Commit(execution->attempt, m_epoch, Now());
+  if (!committed) {
+    std::scoped_lock lock(execution->mutex);
+    execution->ended = true;
+    m_executions.Take(execution->attempt);
+    if (execution->channel) {
+      SendFailed(*execution->channel, wire::ToWire(execution->attempt),
+                 committed.error());
+    }
+    return;
+  }
   events::Log(EventId::kAttemptStarted,
               {{"attempt", execution->attempt.ToString()},
                {"engine", execution->engine->config.id.value()}});
@@ -130,6 +155,9 @@
         {{"attempt", execution->attempt.ToString()}, {"offset", chunk.offset}});
     return;
   }
+  if (chunk.offset == 0) {
+    execution->engine->admission.EndPrefill(execution->attempt, Now());
+  }
   if (execution->channel) {
     SendChunk(*execution->channel, execution->attempt, chunk.offset,
               chunk.text);
@@ -167,7 +195,7 @@
     std::scoped_lock lock(execution->mutex);
     execution->ended = true;
   }
-  execution->engine->admission.Release(execution->attempt);
+  execution->engine->admission.Release(execution->attempt, Now());
   m_executions.Take(execution->attempt);
 }
 
@@ -181,9 +209,17 @@
     std::scoped_lock lock(execution->mutex);
     started = execution->started;
   }
+  const auto result =
+      execution->engine->admission.Cancel(execution->attempt, Now());
+  const bool not_run =
+      !started && result == ledger::CancelResult::kNeverStarted;
   SendFailed(*channel, cancel.attempt,
-             {ErrorCode::kCancelled, cancel.code, !started, {}});
-  CancelUnclaimed(execution);
+             {ErrorCode::kCancelled, cancel.code, not_run, {}});
+  if (result == ledger::CancelResult::kRunning) {
+    CancelUnclaimed(execution);
+  } else {
+    End(execution);
+  }
 }
 
 void Executions::CancelUnclaimed(const ExecutionPtr& execution) {
@@ -195,9 +231,12 @@
     execution->ended = true;
   }
   // Memory counts as held until the engine confirms that it is free.
-  execution->engine->client.Cancel(
-      execution->attempt,
-      [self, execution](const Result<void>&) { self->End(execution); });
+  execution->engine->client.Cancel(execution->attempt,
+                                   [self, execution](const Result<void>& done) {
+                                     // The admission's next tick repeats a
+                                     // cancel that failed.
+                                     if (done) self->End(execution);
+                                   });
 }
 
 void Executions::Resume(const wire::ChannelPtr& channel,
@@ -208,6 +247,8 @@
                {ErrorCode::kOutcomeUnknown, "unknown attempt", false, {}});
     return;
   }
+  (*found)->engine->admission.Claim(
+      (*found)->attempt, ProcessId(channel->peer().process_id), Now());
   std::scoped_lock lock((*found)->mutex);
   (*found)->channel = channel;
   const auto& chunks = (*found)->chunks;
--- a/src/side/execution.h
+++ b/src/side/execution.h
@@ -18,9 +18,10 @@
 
 /// One engine with its admission and client.
 struct Engine {
-  Engine(const control::EngineConfig& engine_config, http::Client& http_client)
+  Engine(const control::EngineConfig& engine_config, http::Client& http_client,
+         int64_t epoch, Duration lease)
       : config(engine_config),
-        admission(engine_config),
+        admission(engine_config, epoch, lease),
         client(http_client, engine_config.url) {}
   control::EngineConfig config;
   Admission admission;
@@ -57,6 +58,11 @@
                   const wire::PayloadPart& part);
   void Cancel(const wire::ChannelPtr& channel, const wire::Cancel& cancel);
   void Resume(const wire::ChannelPtr& channel, const wire::Resume& resume);
+  /// Sends what the engine's admission decided since the last call and ends
+  /// what has lapsed. While `leaving`, all that waits is refused.
+  void TickEngine(const EnginePtr& engine, bool leaving);
+  int64_t epoch() const { return m_epoch; }
+  Duration lease() const { return m_lease; }
   /// The connection ended: its attempts have a lease time to be resumed.
   void Detach(const wire::ChannelPtr& channel);
   /// Attempts that hold memory.
@@ -69,6 +75,7 @@
               const Result<backend::EngineUsage>& usage);
   void End(const ExecutionPtr& execution);
   void CancelUnclaimed(const ExecutionPtr& execution);
+  void Deliver(const EnginePtr& engine, const AdmissionTick& tick);
 
   io::IoThreads& m_threads;
   Duration m_lease;
--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -15,6 +15,9 @@
 
 using events::EventId;
 
+/// An engine that did not list its streams is asked again after this.
+constexpr Duration kRebuildRetry = std::chrono::milliseconds(500);
+
 /// A number that grows from one start of the process to the next, since the
 /// machine's clock does; engines use it to refuse a predecessor.
 int64_t MakeEpoch() {
@@ -41,7 +44,12 @@
   void OnReserve(const wire::ChannelPtr& channel, const wire::Reserve& reserve);
   void OnServiceCall(const wire::ChannelPtr& channel, wire::ServiceCall call);
   bool IsLeaving() const;
+  bool IsConfigured(const EngineId& id) const;
   EnginePtr FindEngine(const EngineId& id);
+  void Tick();
+  void ApplyState(const control::ControlStatePtr& state);
+  void RebuildFrom(const EnginePtr& engine);
+  std::vector<EnginePtr> Engines();
   Result<std::string> FindBackendUrl(const std::string& id) const;
 
   io::IoThreads& threads;
@@ -56,6 +64,9 @@
   std::atomic<bool> listed_leaving{false};
   std::mutex engines_mutex;
   std::map<EngineId, EnginePtr> engines;
+  /// The state that the engines' admissions follow; only Tick touches it.
+  control::ControlStatePtr applied;
+  std::atomic<bool> stopped{false};
   std::unique_ptr<wire::Listener> listener;
 };
 
@@ -77,19 +88,69 @@
   return state && state->draining.contains(options.host);
 }
 
-EnginePtr Side::Impl::FindEngine(const EngineId& id) {
+bool Side::Impl::IsConfigured(const EngineId& id) const {
   const control::ControlStatePtr state = control();
-  if (!state || !state->configuration) return nullptr;
+  if (!state || !state->configuration) return false;
   const auto& configured = state->configuration->engines;
-  const auto it = std::find_if(
-      configured.begin(), configured.end(), [&](const auto& engine) {
-        return engine.id == id && engine.host == options.host;
-      });
-  if (it == configured.end()) return nullptr;
+  return std::any_of(configured.begin(), configured.end(),
+                     [&](const control::EngineConfig& engine) {
+                       return engine.id == id && engine.host == options.host;
+                     });
+}
+
+EnginePtr Side::Impl::FindEngine(const EngineId& id) {
   std::scoped_lock lock(engines_mutex);
-  EnginePtr& engine = engines[id];
-  if (!engine) engine = std::make_shared<Engine>(*it, client);
-  return engine;
+  auto it = engines.find(id);
+  return it == engines.end() ? nullptr : it->second;
+}
+
+std::vector<EnginePtr> Side::Impl::Engines() {
+  std::scoped_lock lock(engines_mutex);
+  std::vector<EnginePtr> all;
+  for (const auto& [id, engine] : engines) all.push_back(engine);
+  return all;
+}
+
+void Side::Impl::ApplyState(const control::ControlStatePtr& state) {
+  for (const control::EngineConfig& config : state->configuration->engines) {
+    if (config.host != options.host) continue;
+    EnginePtr engine = FindEngine(config.id);
+    if (!engine) {
+      engine = std::make_shared<Engine>(config, client, executions->epoch(),
+                                        executions->lease());
+      RebuildFrom(engine);
+      std::scoped_lock lock(engines_mutex);
+      engines[config.id] = engine;
+    }
+    engine->admission.ApplyState(*state);
+  }
+  applied = state;
+}
+
+void Side::Impl::RebuildFrom(const EnginePtr& engine) {
+  engine->client.ListStreams(
+      [self = shared_from_this(),
+       engine](const Result<std::vector<backend::EngineStream>>& streams) {
+        if (streams) {
+          engine->admission.Rebuild(*streams, SteadyClock().Now());
+          return;
+        }
+        self->threads.After(kRebuildRetry, [self, engine] {
+          if (!self->stopped) self->RebuildFrom(engine);
+        });
+      });
+}
+
+void Side::Impl::Tick() {
+  if (stopped) return;
+  const control::ControlStatePtr state = control();
+  if (state && state->configuration && state != applied) ApplyState(state);
+  const bool is_leaving = IsLeaving();
+  for (const EnginePtr& engine : Engines()) {
+    executions->TickEngine(engine, is_leaving);
+  }
+  threads.After(ledger::Admission::kTickInterval,
+                [self = shared_from_this()] { self->Tick(); });
 }
 
 Result<std::string> Side::Impl::FindBackendUrl(const std::string& id) const {
@@ -105,7 +166,8 @@
 
 void Side::Impl::OnReserve(const wire::ChannelPtr& channel,
                            const wire::Reserve& reserve) {
-  const EnginePtr engine = FindEngine(EngineId(reserve.engine));
+  const EngineId id(reserve.engine);
+  const EnginePtr engine = IsConfigured(id) ? FindEngine(id) : nullptr;
   const bool is_leaving = IsLeaving();
   if (engine && !is_leaving) {
     executions->Reserve(engine, channel, reserve);
@@ -136,6 +198,10 @@
 }
 
 void Side::Impl::OnFrame(const wire::ChannelPtr& channel, wire::Frame frame) {
+  const ProcessId entry(channel->peer().process_id);
+  for (const EnginePtr& engine : Engines()) {
+    engine->admission.Extend(entry, SteadyClock().Now());
+  }
   if (frame.__isset.reserve) {
     OnReserve(channel, frame.reserve);
   } else if (frame.__isset.start) {
@@ -153,7 +219,10 @@
 
 Side::Side(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
 
-Side::~Side() { m_impl->listener.reset(); }
+Side::~Side() {
+  m_impl->stopped = true;
+  m_impl->listener.reset();
+}
 
 Result<std::unique_ptr<Side>> Side::Create(io::IoThreads& threads,
                                            const SideOptions& options,
@@ -182,6 +251,7 @@
       [impl] { return impl->MakeHello(); }, std::move(callbacks));
   if (!listener) return tl::unexpected<Error>(listener.error());
   impl->listener = std::move(*listener);
+  impl->Tick();
   return std::unique_ptr<Side>(new Side(std::move(impl)));
 }
 
