Join the ledger's admission and placement with the attempts' tables

The admission decides about holds, the execution table about starts, chunks and proof: a Commit that the ledger refuses ends the attempt in the table, a cancel in the table goes through the ledger, and what the ledger ends is ended in the table. The second candidate of a placement is asked when the first refuses, without drawing on the retry budget.

Cancel carries the side process that Start went to. For an attempt that it does not know a restarted side gave proof of not-run, although its predecessor may have run it (found by the virtual-time schedules).

--- a/src/attempts/request_life.cc
+++ b/src/attempts/request_life.cc
@@ -41,22 +41,29 @@
     Conclude(event.error, now, out);
     return out;
   }
-  const size_t wanted =
-      m_plan.needs_reservation ? event.candidates.size() : size_t{1};
-  for (size_t i = 0; i < wanted; ++i) {
-    m_attempts.push_back(Attempt{event.candidates[i], {}, {}, {}, {}, {}, {}});
-    Attempt& attempt = m_attempts.back();
-    if (!m_plan.needs_reservation) {
-      StartAttempt(attempt, 0, now, out);
-      break;
-    }
-    Trace(now, TraceKind::kReserved, &attempt);
-    out.emplace_back(Reserve{IdOf(attempt), attempt.candidate,
-                             m_plan.budget.Remaining(now)});
-  }
+  // The best is last, so that the next one is taken from the end.
+  m_fallbacks.assign(event.candidates.rbegin(), event.candidates.rend());
+  do {
+    const Candidate candidate = std::move(m_fallbacks.back());
+    m_fallbacks.pop_back();
+    Ask(candidate, now, out);
+  } while (m_plan.tied && m_plan.needs_reservation && !m_fallbacks.empty());
   return out;
 }
 
+void RequestLife::Ask(const Candidate& candidate, TimePoint now,
+                      Commands& out) {
+  m_attempts.push_back(Attempt{candidate, {}, {}, {}, {}, {}, {}});
+  Attempt& attempt = m_attempts.back();
+  if (!m_plan.needs_reservation) {
+    StartAttempt(attempt, 0, now, out);
+    return;
+  }
+  Trace(now, TraceKind::kReserved, &attempt);
+  out.emplace_back(
+      Reserve{IdOf(attempt), attempt.candidate, m_plan.budget.Remaining(now)});
+}
+
 void RequestLife::StartAttempt(Attempt& attempt, int64_t epoch, TimePoint now,
                                Commands& out) {
   attempt.state = State::kRunning;
--- a/src/attempts/request_life_retry.cc
+++ b/src/attempts/request_life_retry.cc
@@ -94,8 +94,19 @@
   return std::nullopt;
 }
 
+bool RequestLife::AskNext(const Error& error, TimePoint now, Commands& out) {
+  // A second choice of the same round draws on no budget: it bounds itself.
+  if (m_fallbacks.empty() || !RetryIsSafe()) return false;
+  if (!MayFareBetterElsewhere(error.code)) return false;
+  const Candidate candidate = std::move(m_fallbacks.back());
+  m_fallbacks.pop_back();
+  Ask(candidate, now, out);
+  return true;
+}
+
 void RequestLife::RetryOrConclude(const Error& error, TimePoint now,
                                   Commands& out) {
+  if (AskNext(error, now, out)) return;
   if (const auto why = WhyNoRetry(error)) {
     Trace(now, TraceKind::kRetryForbidden, nullptr, error.code,
           std::string(*why));
--- a/src/attempts/request_life_test.cc
+++ b/src/attempts/request_life_test.cc
@@ -26,6 +26,7 @@
 class RequestLifeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestLifeTest);
   CPPUNIT_TEST(Grants_FromTwoSides_StartOneAndCancelTheOther);
+  CPPUNIT_TEST(Refusal_WithAnotherCandidate_AsksItAtOnce);
   CPPUNIT_TEST(Queue_BeyondBudget_IsGivenUpAtOnce);
   CPPUNIT_TEST(AnswerLost_Unrepeatable_IsNotRunAgain);
   CPPUNIT_TEST(AnswerLost_Repeatable_RunsElsewhere);
@@ -49,6 +50,13 @@
     CPPUNIT_ASSERT(Get<Start>(second) == nullptr);
     CPPUNIT_ASSERT(Get<Cancel>(second)->attempt == kFirstId);
   }
+  void Refusal_WithAnotherCandidate_AsksItAtOnce() {
+    Place(false, false);
+    const Error refusal{ErrorCode::kOverloaded, {}, true, {}};
+    const Commands out = m_life->On(Refused{kFirstId, refusal}, m_now);
+    CPPUNIT_ASSERT(Get<Reserve>(out)->candidate == kSecond);
+    CPPUNIT_ASSERT(m_retry_budget->tokens() == RetryBudget::kDefaultBurst);
+  }
   void Queue_BeyondBudget_IsGivenUpAtOnce() {
     Place(true);
     m_life->On(Queued{kFirstId, seconds(90)}, m_now);
@@ -140,10 +148,14 @@
   }
 
  private:
-  void Place(bool repeatable) {
-    RequestPlan plan{
-        RequestId("r"), "chat", Budget::FromRemaining(m_now, seconds(60)),
-        repeatable,     true,   7};
+  void Place(bool repeatable, bool tied = true) {
+    RequestPlan plan{RequestId("r"),
+                     "chat",
+                     Budget::FromRemaining(m_now, seconds(60)),
+                     repeatable,
+                     true,
+                     tied,
+                     7};
     m_life = std::make_unique<RequestLife>(plan, LifeOptions{}, m_retry_budget,
                                            m_now);
     m_life->Begin(m_now);
--- a/src/entry/attempt_frames.cc
+++ b/src/entry/attempt_frames.cc
@@ -1,5 +1,6 @@
 #include "entry/attempt_frames.h"
 
+#include "entry/placement.h"
 #include "peridotshelf/wire/codec.h"
 
 namespace peridotshelf::entry {
@@ -7,14 +8,6 @@
 
 constexpr int64_t kNoIssueTime = -1;
 
-wire::SizeClass::type ClassOf(int64_t prompt_tokens) {
-  constexpr int64_t kShortLimit = 8'000;
-  constexpr int64_t kMediumLimit = 100'000;
-  if (prompt_tokens < kShortLimit) return wire::SizeClass::SHORT;
-  if (prompt_tokens < kMediumLimit) return wire::SizeClass::MEDIUM;
-  return wire::SizeClass::LONG;
-}
-
 Error MakeError(const std::string& code, const std::string& detail,
                 bool not_run, int64_t retry_after_ms) {
   Error error;
@@ -38,10 +31,10 @@
   reserve.attempt = wire::ToWire(command.attempt);
   reserve.engine = command.candidate.engine.value();
   reserve.team = request.terms.team.value();
+  reserve.priority = PriorityOf(state, request.model, request.terms.team);
   reserve.prompt_tokens = request.prompt_tokens;
   reserve.max_tokens = request.max_tokens;
   reserve.remaining_ms = ToMilliseconds(command.remaining);
-  reserve.size_class = ClassOf(request.prompt_tokens);
   reserve.control_version = state.version;
   reserve.unrepeatable = unrepeatable;
   reserve.idempotency_key = request.terms.idempotency_key;
@@ -113,10 +106,12 @@
   return frame;
 }
 
-wire::Frame CancelFrame(const AttemptId& attempt, ErrorCode code) {
+wire::Frame CancelFrame(const AttemptId& attempt, ErrorCode code,
+                        const std::string& process_id) {
   wire::Frame frame;
   frame.cancel.attempt = wire::ToWire(attempt);
   frame.cancel.code = ToString(code);
+  frame.cancel.process_id = process_id;
   frame.__isset.cancel = true;
   return frame;
 }
--- a/src/entry/dispatch_commands.cc
+++ b/src/entry/dispatch_commands.cc
@@ -32,34 +32,58 @@
   }
 }
 
-Result<Candidate> Dispatcher::ChooseOnce(const Open& open) const {
-  const Reachable reachable = [this](const HostId& host) {
-    return m_links->Find(host) != nullptr;
-  };
-  if (open.completion) {
-    return PlaceCompletion(*open.state, *open.completion, reachable);
-  }
-  if (open.unrepeatable && !open.call->terms.idempotency_key.empty()) {
-    return PlaceAtHome(*open.state, *open.call);
+attempts::Placed Dispatcher::PlacePrompt(Open& open,
+                                         const attempts::Place& command) {
+  attempts::Placed placed;
+  std::vector<EngineId> excluded = command.avoid;
+  for (int draw = 0; draw < kPlacementDraws; ++draw) {
+    const auto found = m_placer.Place(
+        open.state, *open.completion, excluded,
+        [this](const HostId& host) { return m_links->Find(host) != nullptr; });
+    if (!found) {
+      placed.error = found.error();
+      break;
+    }
+    for (const auto& candidate : found->candidates) {
+      excluded.push_back(candidate.engine);
+      if (!BreakerOf(candidate.engine)->Allow(Now())) continue;
+      placed.candidates.push_back({candidate.engine, candidate.host});
+    }
+    if (!placed.candidates.empty()) break;
   }
-  return PlaceServiceCall(*open.state, *open.call, reachable);
+  return placed;
 }
 
-Result<Candidate> Dispatcher::Choose(const Open& open,
-                                     const attempts::Place& command) {
-  std::optional<Candidate> second_best;
+attempts::Placed Dispatcher::PlaceCall(const Open& open,
+                                       const attempts::Place& command) {
+  const bool at_home =
+      open.unrepeatable && !open.call->terms.idempotency_key.empty();
+  const Reachable reachable = [this](const HostId& host) {
+    return m_links->Find(host) != nullptr;
+  };
+  attempts::Placed placed;
   for (int draw = 0; draw < kPlacementDraws; ++draw) {
-    Result<Candidate> candidate = ChooseOnce(open);
-    if (!candidate) return candidate;
-    if (m_links->Find(candidate->host) == nullptr) continue;
-    const EngineId engine(candidate->backend);
+    const Result<Candidate> candidate =
+        at_home ? PlaceAtHome(*open.state, *open.call)
+                : PlaceServiceCall(*open.state, *open.call, reachable);
+    if (!candidate) {
+      placed.error = candidate.error();
+      return placed;
+    }
+    const EngineId backend(candidate->backend);
+    // A second choice is better than none.
+    placed.candidates = {{backend, candidate->host}};
     const bool avoided = std::find(command.avoid.begin(), command.avoid.end(),
-                                   engine) != command.avoid.end();
-    if (!avoided && BreakerOf(engine)->Allow(Now())) return candidate;
-    second_best = *candidate;
+                                   backend) != command.avoid.end();
+    if (at_home || (!avoided && BreakerOf(backend)->Allow(Now()))) break;
   }
-  if (second_best) return *second_best;
-  return Fail(ErrorCode::kNoBackend, "no connection to any side");
+  return placed;
+}
+
+attempts::Placed Dispatcher::Choose(Open& open,
+                                    const attempts::Place& command) {
+  return open.completion ? PlacePrompt(open, command)
+                         : PlaceCall(open, command);
 }
 
 attempts::HeardVersions Dispatcher::HeardFor(const Open& open) const {
@@ -69,15 +93,7 @@
 
 void Dispatcher::Handle(Open& open, const attempts::Place& command,
                         attempts::Commands& more) {
-  attempts::Placed placed;
-  const Result<Candidate> candidate = Choose(open, command);
-  if (candidate) {
-    placed.candidates.push_back(
-        {EngineId(candidate->backend), candidate->host});
-  } else {
-    placed.error = candidate.error();
-  }
-  Append(more, open.life->On(placed, Now()));
+  Append(more, open.life->On(Choose(open, command), Now()));
 }
 
 void Dispatcher::Unsent(Open& open, const AttemptId& attempt,
@@ -127,11 +143,15 @@
       ResumeFrame(command, open.start_processes[command.attempt.number]));
 }
 
-void Dispatcher::Handle(Open&, const attempts::Cancel& command,
+void Dispatcher::Handle(Open& open, const attempts::Cancel& command,
                         attempts::Commands&) {
   // Without a connection the side's lease ends the attempt.
   const wire::ChannelPtr channel = m_links->Find(command.host);
-  if (channel) channel->Send(CancelFrame(command.attempt, command.code));
+  if (!channel) return;
+  const auto started = open.start_processes.find(command.attempt.number);
+  channel->Send(CancelFrame(
+      command.attempt, command.code,
+      started == open.start_processes.end() ? std::string() : started->second));
 }
 
 void Dispatcher::Handle(Open& open, const attempts::DeliverChunk& command,
@@ -160,6 +180,7 @@
   }
   // The callbacks may own the caller's connection.
   open.answer = {};
+  open.team_hold.reset();
   m_traces.Add(open.life->trace());
   m_open.Take(open.id);
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -25,8 +25,8 @@
 /// out its commands. Thread-safe.
 class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
  public:
-  explicit Dispatcher(io::IoThreads& threads)
-      : m_threads(threads), m_traces(kTracesKept) {}
+  Dispatcher(io::IoThreads& threads, const FailureDomain& own_domain)
+      : m_threads(threads), m_placer(own_domain), m_traces(kTracesKept) {}
 
   /// Must be called once, before the first request.
   void SetLinks(std::shared_ptr<SideLinks> links) {
@@ -40,6 +40,10 @@
   /// The caller went away: its work is cancelled.
   void Abandon(const RequestId& id);
 
+  /// The platform's newest list of hosts.
+  void UpdateHosts(std::span<const platform::HostEntry> hosts) {
+    m_placer.UpdateHosts(hosts);
+  }
   /// A frame came from a host's side.
   void OnFrame(const HostId& host, wire::Frame frame);
   /// The connection to a host's side was lost.
@@ -64,6 +68,8 @@
     std::optional<ServiceRequest> call;
     bool unrepeatable = false;
     AnswerCallbacks answer;
+    /// Given back with the request.
+    TeamHoldPtr team_hold;
     std::optional<attempts::RequestLife> life;
     /// By attempt number.
     std::map<int32_t, EngineId> engines;
@@ -101,8 +107,10 @@
               attempts::Commands& more);
   void Handle(Open& open, const attempts::Answer& command,
               attempts::Commands& more);
-  Result<Candidate> Choose(const Open& open, const attempts::Place& command);
-  Result<Candidate> ChooseOnce(const Open& open) const;
+  attempts::Placed Choose(Open& open, const attempts::Place& command);
+  attempts::Placed PlaceCall(const Open& open, const attempts::Place& command);
+  attempts::Placed PlacePrompt(Open& open, const attempts::Place& command);
+  void NoteLoad(const wire::Frame& frame);
   void Unsent(Open& open, const AttemptId& attempt, const HostId& host,
               attempts::Commands& more);
   attempts::HeardVersions HeardFor(const Open& open) const;
@@ -113,6 +121,7 @@
   std::shared_ptr<attempts::CircuitBreaker> BreakerOf(const EngineId& engine);
 
   io::IoThreads& m_threads;
+  Placer m_placer;
   std::shared_ptr<SideLinks> m_links;
   ShardedMap<RequestId, OpenPtr> m_open;
   attempts::TraceRing m_traces;
--- a/src/include/peridotshelf/attempts/execution_table.h
+++ b/src/include/peridotshelf/attempts/execution_table.h
@@ -99,7 +99,12 @@
                      ConnectionId connection, bool same_incarnation,
                      TimePoint now);
   /// Ends an attempt; also one not heard of yet, which then never starts.
-  CancelReply Cancel(const AttemptId& attempt, ErrorCode code, TimePoint now);
+  /// Without `same_incarnation` its Start may have gone to an earlier process,
+  /// so that for an unknown one there is no proof.
+  CancelReply Cancel(const AttemptId& attempt, ErrorCode code, TimePoint now,
+                     bool same_incarnation = true);
+  /// The connection that receives the attempt, if any.
+  std::optional<ConnectionId> ConnectionOf(const AttemptId& attempt) const;
   /// The connection ended: its attempts' leases begin to run.
   void Detach(ConnectionId connection, TimePoint now);
   /// After a restart: attempts that the engine still runs. They await their
--- a/src/include/peridotshelf/attempts/request_life.h
+++ b/src/include/peridotshelf/attempts/request_life.h
@@ -37,6 +37,9 @@
   bool repeatable = true;
   /// Engines grant memory first; plain services are started at once.
   bool needs_reservation = true;
+  /// Whether all candidates are asked at once, and the first grant wins;
+  /// otherwise the next one is asked when one refuses.
+  bool tied = false;
   /// Seeds the delays of this request.
   uint32_t jitter_seed = 1;
 };
@@ -121,6 +124,8 @@
   void RetryOrConclude(const Error& error, TimePoint now, Commands& out);
   std::optional<std::string_view> WhyNoRetry(const Error& error) const;
   void PlaceAgain(Commands& out);
+  void Ask(const Candidate& candidate, TimePoint now, Commands& out);
+  bool AskNext(const Error& error, TimePoint now, Commands& out);
   void GiveUpIfHopeless(TimePoint now, Commands& out);
   void ExpireConnections(TimePoint now, Commands& out);
   void Conclude(Error error, TimePoint now, Commands& out);
@@ -133,6 +138,8 @@
   std::shared_ptr<RetryBudget> m_retry_budget;
   std::minstd_rand m_random;
   std::vector<Attempt> m_attempts;
+  /// Candidates of this round that were not asked, best last.
+  std::vector<Candidate> m_fallbacks;
   /// Index of the attempt that was started last.
   std::optional<size_t> m_running;
   int32_t m_rounds = 0;
--- a/src/side/execution.h
+++ b/src/side/execution.h
@@ -19,9 +19,10 @@
 
 /// One engine with its admission and client.
 struct Engine {
-  Engine(const control::EngineConfig& engine_config, http::Client& http_client)
+  Engine(const control::EngineConfig& engine_config, http::Client& http_client,
+         int64_t epoch, Duration lease)
       : config(engine_config),
-        admission(engine_config),
+        admission(engine_config, epoch, lease),
         client(http_client, engine_config.url) {}
   control::EngineConfig config;
   Admission admission;
@@ -48,9 +49,8 @@
 /// Takes an attempt through reservation, start, chunks and end. Thread-safe.
 class Executions : public std::enable_shared_from_this<Executions> {
  public:
-  Executions(io::IoThreads& threads, Duration lease,
-             std::shared_ptr<AttemptStreams> streams)
-      : m_threads(threads), m_lease(lease), m_streams(std::move(streams)) {}
+  Executions(io::IoThreads& threads, std::shared_ptr<AttemptStreams> streams)
+      : m_threads(threads), m_streams(std::move(streams)) {}
 
   /// Asks the engine what it runs; until it answers, nothing is reserved.
   void Recover(const EnginePtr& engine);
@@ -63,6 +63,11 @@
   /// The table has ended the attempt: frees what it holds, at the engine too
   /// if it may run there.
   void Release(const AttemptId& attempt, bool cancel_at_engine);
+  /// Sends what the engine's admission decided since the last call and ends
+  /// what has lapsed. While `leaving`, all that waits is refused.
+  void TickEngine(const EnginePtr& engine, bool leaving);
+  /// An entry resumed the attempt: its hold is that entry's.
+  void Claim(const AttemptId& attempt, const ProcessId& owner);
   /// Asks the engine again for an attempt that it ran before this process.
   void AskEngine(const AttemptId& attempt, int64_t from_offset);
   /// Attempts that hold memory.
@@ -71,8 +76,7 @@
  private:
   void AdoptStreams(const EnginePtr& engine,
                     const std::vector<backend::EngineStream>& streams);
-  void Refuse(wire::Channel& channel, const Engine& engine,
-              const wire::Reserve& reserve, const Error& error);
+  void Deliver(const EnginePtr& engine, const AdmissionTick& tick);
   void Run(const wire::ChannelPtr& channel, const ExecutionPtr& execution);
   backend::EngineCallbacks CallbacksOf(const ExecutionPtr& execution);
   void OnDone(const ExecutionPtr& execution,
@@ -82,7 +86,6 @@
   void Free(const ExecutionPtr& execution);
 
   io::IoThreads& m_threads;
-  Duration m_lease;
   std::shared_ptr<AttemptStreams> m_streams;
   ShardedMap<AttemptId, ExecutionPtr> m_executions;
 };
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -3065,6 +3065,10 @@
 void Cancel::__set_code(const std::string& val) {
   this->code = val;
 }
+
+void Cancel::__set_process_id(const std::string& val) {
+  this->process_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const Cancel& obj)
 {
   obj.printTo(out);
@@ -3109,6 +3113,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 80:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process_id);
+          this->__isset.process_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3134,6 +3146,10 @@
   xfer += oprot->writeString(this->code);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("process_id", ::apache::thrift::protocol::T_STRING, 80);
+  xfer += oprot->writeString(this->process_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3143,28 +3159,33 @@
   using ::std::swap;
   swap(a.attempt, b.attempt);
   swap(a.code, b.code);
+  swap(a.process_id, b.process_id);
   swap(a.__isset, b.__isset);
 }
 
 Cancel::Cancel(const Cancel& other64) {
   attempt = other64.attempt;
   code = other64.code;
+  process_id = other64.process_id;
   __isset = other64.__isset;
 }
 Cancel::Cancel(Cancel&& other65) noexcept {
   attempt = std::move(other65.attempt);
   code = std::move(other65.code);
+  process_id = std::move(other65.process_id);
   __isset = other65.__isset;
 }
 Cancel& Cancel::operator=(const Cancel& other66) {
   attempt = other66.attempt;
   code = other66.code;
+  process_id = other66.process_id;
   __isset = other66.__isset;
   return *this;
 }
 Cancel& Cancel::operator=(Cancel&& other67) noexcept {
   attempt = std::move(other67.attempt);
   code = std::move(other67.code);
+  process_id = std::move(other67.process_id);
   __isset = other67.__isset;
   return *this;
 }
@@ -3173,6 +3194,7 @@
   out << "Cancel(";
   out << "attempt=" << to_string(attempt);
   out << ", " << "code=" << to_string(code);
+  out << ", " << "process_id=" << to_string(process_id);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1215,9 +1215,10 @@
 std::ostream& operator<<(std::ostream& out, const Failed& obj);
 
 typedef struct _Cancel__isset {
-  _Cancel__isset() : attempt(false), code(false) {}
+  _Cancel__isset() : attempt(false), code(false), process_id(false) {}
   bool attempt :1;
   bool code :1;
+  bool process_id :1;
 } _Cancel__isset;
 
 class Cancel : public virtual ::apache::thrift::TBase {
@@ -1228,12 +1229,14 @@
   Cancel& operator=(const Cancel&);
   Cancel& operator=(Cancel&&) noexcept;
   Cancel() noexcept
-         : code() {
+         : code(),
+           process_id() {
   }
 
   virtual ~Cancel() noexcept;
   Attempt attempt;
   std::string code;
+  std::string process_id;
 
   _Cancel__isset __isset;
 
@@ -1241,12 +1244,16 @@
 
   void __set_code(const std::string& val);
 
+  void __set_process_id(const std::string& val);
+
   bool operator == (const Cancel & rhs) const
   {
     if (!(attempt == rhs.attempt))
       return false;
     if (!(code == rhs.code))
       return false;
+    if (!(process_id == rhs.process_id))
+      return false;
     return true;
   }
   bool operator != (const Cancel &rhs) const {
