--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -32,9 +32,6 @@
   return out;
 }
 
-/// How long the last answer may take to reach its entry, also over a second
-/// connection.
-constexpr Duration kAnswerLinger = std::chrono::seconds(3);
 constexpr Duration kRecoveryPoll = std::chrono::milliseconds(20);
 
 }  // namespace
@@ -55,7 +52,6 @@
   wire::Hello MakeHello() const;
   void Tick();
   size_t LiveCount() const;
-  void NoteBusy();
   /// Whether all engines said what they run, or had a lease time to.
   bool IsRecovered();
   void OnCancel(const wire::ChannelPtr& channel, const wire::Cancel& cancel);
@@ -88,8 +84,6 @@
   std::map<EngineId, EnginePtr> engines;
   /// The state that the engines' admissions follow; only Tick touches it.
   control::ControlStatePtr applied;
-  /// When something last ran here.
-  std::atomic<TimePoint> busy_at{TimePoint{}};
   std::unique_ptr<wire::Listener> listener;
 };
 
@@ -260,7 +254,6 @@
     executions->TickEngine(engine, is_leaving);
   }
   EndLapsed();
-  NoteBusy();
   std::weak_ptr<Impl> weak = weak_from_this();
   threads.After(ledger::Admission::kTickInterval, [weak] {
     if (auto alive = weak.lock()) alive->Tick();
@@ -274,10 +267,6 @@
                   executions->RunningCount() + calls->RunningCount());
 }
 
-void Side::Impl::NoteBusy() {
-  if (LiveCount() > 0) busy_at = SteadyClock().Now();
-}
-
 void Side::Impl::OnFrame(const wire::ChannelPtr& channel, wire::Frame frame) {
   if (frame.__isset.reserve) {
     OnReserve(channel, frame.reserve);
@@ -346,13 +335,6 @@
   m_impl->listed_leaving = is_leaving;
 }
 
-size_t Side::RunningCount() const {
-  const size_t live = m_impl->LiveCount();
-  if (live > 0) return live;
-  // The last frames are under way, and their connection may yet be lost.
-  const bool linger =
-      SteadyClock().Now() - m_impl->busy_at.load() < kAnswerLinger;
-  return linger ? 1 : 0;
-}
+size_t Side::RunningCount() const { return m_impl->LiveCount(); }
 
 }  // namespace peridotshelf::side
