--- a/src/attempts/attempts_test.cc
+++ b/src/attempts/attempts_test.cc
@@ -97,6 +97,7 @@
   CPPUNIT_TEST(Start_AfterLeaseLapsed_IsRefusedWithProof);
   CPPUNIT_TEST(Resume_AfterFinish_RepeatsAnswer);
   CPPUNIT_TEST(Resume_OfStartNeverSeen_ProvesNotRun);
+  CPPUNIT_TEST(Cancel_OfStartToAnEarlierProcess_ProvesNothing);
   CPPUNIT_TEST(Orphan_Unclaimed_IsCancelledAtBackend);
   CPPUNIT_TEST(Records_AfterTheRequestsEnd_AreForgotten);
   CPPUNIT_TEST_SUITE_END();
@@ -146,6 +147,17 @@
     const auto other = m_table.Resume(unknown, 0, 2, false, m_now);
     CPPUNIT_ASSERT(!other.outcome->error().not_run);
   }
+  void Cancel_OfStartToAnEarlierProcess_ProvesNothing() {
+    const AttemptId unknown{RequestId("other"), 0};
+    const auto cancel = [&](bool same_incarnation) {
+      return m_table.Cancel(unknown, ErrorCode::kCancelled, m_now,
+                            same_incarnation);
+    };
+    CPPUNIT_ASSERT(!cancel(false).error.not_run);
+    CPPUNIT_ASSERT(!cancel(true).error.not_run);
+    const auto verdict = m_table.Start(unknown, kEpoch);
+    CPPUNIT_ASSERT(!verdict || *verdict != StartVerdict::kRun);
+  }
   void Orphan_Unclaimed_IsCancelledAtBackend() {
     const std::vector<AttemptId> running = {{RequestId("x"), 0},
                                             {RequestId("y"), 0}};
--- a/src/attempts/execution_table.cc
+++ b/src/attempts/execution_table.cc
@@ -161,23 +161,32 @@
 }
 
 CancelReply ExecutionTable::Cancel(const AttemptId& attempt, ErrorCode code,
-                                   TimePoint now) {
+                                   TimePoint now, bool same_incarnation) {
   const auto [it, added] = m_records.try_emplace(attempt);
   Record& record = it->second;
   if (added) {
     ++m_live;
+    // An earlier process may have started it.
+    record.started = !same_incarnation;
     record.request_end = now + m_options.longest_window;
   }
   CancelReply reply;
   reply.error.code = code;
   reply.error.not_run = !record.started;
   if (record.state == State::kEnded) return reply;
-  reply.cancel_at_backend = record.started;
+  reply.cancel_at_backend = record.started && !added;
   reply.release_hold = !added;
   End(attempt, record, tl::unexpected<Error>(reply.error), now);
   return reply;
 }
 
+std::optional<ConnectionId> ExecutionTable::ConnectionOf(
+    const AttemptId& attempt) const {
+  auto it = m_records.find(attempt);
+  if (it == m_records.end()) return std::nullopt;
+  return it->second.connection;
+}
+
 void ExecutionTable::Detach(ConnectionId connection, TimePoint now) {
   for (auto& [attempt, record] : m_records) {
     if (record.connection != connection) continue;
--- a/src/attempts/schedule_test_world.cc
+++ b/src/attempts/schedule_test_world.cc
@@ -74,6 +74,7 @@
                    Budget::FromRemaining(m_now, kWindow),
                    !Percent(m_schedule.unrepeatable),
                    Percent(m_schedule.reserve_first),
+                   Percent(50),
                    static_cast<uint32_t>(Draw(1, 1 << 30))};
   m_records[request].repeatable = plan.repeatable;
   m_records[request].deadline = plan.budget.deadline();
--- a/src/entry/attempt_frames.h
+++ b/src/entry/attempt_frames.h
@@ -33,8 +33,10 @@
 wire::Frame ResumeFrame(const attempts::Resume& command,
                         const std::string& process_id);
 
-/// Ends an attempt.
-wire::Frame CancelFrame(const AttemptId& attempt, ErrorCode code);
+/// Ends an attempt; `process_id` as for ResumeFrame, empty if no start was
+/// sent.
+wire::Frame CancelFrame(const AttemptId& attempt, ErrorCode code,
+                        const std::string& process_id);
 
 /// The error that a side sent.
 Error ErrorOf(const wire::Failed& failed);
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -39,10 +39,16 @@
                       {}});
     return;
   }
+  const Result<TeamHoldPtr> team_hold = m_placer.Admit(*state, request);
+  if (!team_hold) {
+    answer.on_failed(team_hold.error());
+    return;
+  }
   auto open = std::make_shared<Open>();
   open->id = request.id;
   open->state = state;
   open->answer = std::move(answer);
+  open->team_hold = *team_hold;
   open->unrepeatable = unrepeatable;
   const std::string service = request.model;
   const CallerTerms terms = request.terms;
@@ -71,6 +77,7 @@
                              Budget::FromRemaining(now, terms.timeout),
                              !open->unrepeatable,
                              open->completion.has_value(),
+                             /*tied=*/false,
                              DrawSeed()};
   m_open.Insert(open->id, open);
   {
@@ -122,7 +129,18 @@
   });
 }
 
+void Dispatcher::NoteLoad(const wire::Frame& frame) {
+  if (frame.__isset.granted) m_placer.OnLoad(frame.granted.load);
+  if (frame.__isset.queued) m_placer.OnLoad(frame.queued.load);
+  if (!frame.__isset.refused) return;
+  const wire::Refused& refused = frame.refused;
+  m_placer.OnLoad(refused.load);
+  m_placer.OnRefused(EngineId(refused.load.engine),
+                     std::chrono::milliseconds(refused.retry_after_ms));
+}
+
 void Dispatcher::OnFrame(const HostId& host, wire::Frame frame) {
+  NoteLoad(frame);
   if (frame.__isset.chunk) {
     OnChunk(std::move(frame.chunk));
   } else if (frame.__isset.granted) {
@@ -155,7 +173,7 @@
   if (FeedTo(attempts::Granted{attempt, granted.epoch})) return;
   // The request was answered meanwhile; nobody else would free the grant.
   const wire::ChannelPtr channel = m_links->Find(host);
-  if (channel) channel->Send(CancelFrame(attempt, ErrorCode::kCancelled));
+  if (channel) channel->Send(CancelFrame(attempt, ErrorCode::kCancelled, {}));
 }
 
 void Dispatcher::OnChunk(wire::Chunk chunk) {
--- a/src/include/peridotshelf/attempts/messages.h
+++ b/src/include/peridotshelf/attempts/messages.h
@@ -32,7 +32,8 @@
 
 /// Events.
 
-/// Placement's reply to `Place`; without candidates, `error` says why.
+/// Placement's reply to `Place`, best first; without candidates, `error` says
+/// why.
 struct Placed {
   std::vector<Candidate> candidates;
   Error error{ErrorCode::kNoBackend, {}, false, {}};
--- a/src/side/attempt_streams.cc
+++ b/src/side/attempt_streams.cc
@@ -162,14 +162,23 @@
 
 attempts::CancelReply AttemptStreams::Cancel(const wire::ChannelPtr& channel,
                                              const AttemptId& attempt,
-                                             ErrorCode code) {
+                                             ErrorCode code,
+                                             bool same_incarnation) {
   Shard& shard = ShardOf(attempt);
   std::scoped_lock lock(shard.mutex);
-  attempts::CancelReply reply = shard.table->Cancel(attempt, code, Now());
+  attempts::CancelReply reply =
+      shard.table->Cancel(attempt, code, Now(), same_incarnation);
   if (channel) SendFailed(*channel, attempt, reply.error);
   return reply;
 }
 
+void AttemptStreams::Send(const AttemptId& attempt, const wire::Frame& frame) {
+  Shard& shard = ShardOf(attempt);
+  std::scoped_lock lock(shard.mutex);
+  const auto channel = ChannelOf(shard.table->ConnectionOf(attempt));
+  if (channel) channel->Send(frame);
+}
+
 void AttemptStreams::Recover(std::span<const AttemptId> running) {
   for (const AttemptId& attempt : running) {
     Shard& shard = ShardOf(attempt);
--- a/src/side/attempt_streams.h
+++ b/src/side/attempt_streams.h
@@ -46,7 +46,10 @@
                                bool same_incarnation);
   /// Ends the attempt; `channel`, if not null, is told.
   attempts::CancelReply Cancel(const wire::ChannelPtr& channel,
-                               const AttemptId& attempt, ErrorCode code);
+                               const AttemptId& attempt, ErrorCode code,
+                               bool same_incarnation = true);
+  /// Sends a frame to the entry that receives the attempt, if it is connected.
+  void Send(const AttemptId& attempt, const wire::Frame& frame);
   /// Attempts that the engine ran when this process started.
   void Recover(std::span<const AttemptId> running);
   /// Ends attempts whose entry is gone for longer than the lease.
--- a/src/side/execution.cc
+++ b/src/side/execution.cc
@@ -11,20 +11,10 @@
 using events::EventId;
 
 constexpr Duration kRecoverRetry = std::chrono::milliseconds(500);
-constexpr Duration kCancelRetry = std::chrono::seconds(1);
 constexpr Duration kBrokenStreamRetry = std::chrono::milliseconds(50);
 constexpr int32_t kMaxBroken = 3;
 
-wire::Frame GrantedFrame(const wire::Reserve& reserve, int64_t epoch,
-                         Duration lease, const Admission& admission) {
-  wire::Frame frame;
-  frame.granted.attempt = reserve.attempt;
-  frame.granted.epoch = epoch;
-  frame.granted.lease_ms = ToMilliseconds(lease);
-  frame.granted.load = admission.Load();
-  frame.__isset.granted = true;
-  return frame;
-}
+TimePoint Now() { return SteadyClock().Now(); }
 
 }  // namespace
 
@@ -47,65 +37,75 @@
 void Executions::AdoptStreams(
     const EnginePtr& engine,
     const std::vector<backend::EngineStream>& streams) {
+  engine->admission.Rebuild(streams, Now());
   std::vector<AttemptId> running;
   for (const backend::EngineStream& stream : streams) {
     auto execution = std::make_shared<Execution>();
     execution->attempt = stream.attempt;
     execution->engine = engine;
-    if (!m_executions.Insert(stream.attempt, execution)) continue;
-    running.push_back(stream.attempt);
-    wire::Reserve held;
-    held.attempt = wire::ToWire(stream.attempt);
-    held.prompt_tokens = stream.memory_tokens;
-    (void)engine->admission.Reserve(held);
+    if (m_executions.Insert(stream.attempt, execution)) {
+      running.push_back(stream.attempt);
+    }
   }
   m_streams->Recover(running);
   engine->recovered = true;
 }
 
-void Executions::Refuse(wire::Channel& channel, const Engine& engine,
-                        const wire::Reserve& reserve, const Error& error) {
-  wire::Frame frame;
-  frame.refused.attempt = reserve.attempt;
-  frame.refused.code = ToString(error.code);
-  frame.refused.detail = error.detail;
-  frame.refused.retry_after_ms =
-      ToMilliseconds(error.retry_after.value_or(Duration::zero()));
-  frame.refused.load = engine.admission.Load();
-  frame.__isset.refused = true;
-  channel.Send(frame);
-}
-
 void Executions::Reserve(const EnginePtr& engine,
                          const wire::ChannelPtr& channel,
                          const wire::Reserve& reserve) {
   const AttemptId attempt = wire::FromWire(reserve.attempt);
-  if (!engine->recovered) {
-    Refuse(*channel, *engine, reserve,
-           {ErrorCode::kNoBackend, "the engine has not answered yet", true,
-            kRecoverRetry});
-    return;
-  }
   const Result<void> admitted = m_streams->Admit(
       channel, attempt, std::chrono::milliseconds(reserve.remaining_ms));
   if (!admitted) {
     SendFailed(*channel, attempt, admitted.error());
     return;
   }
-  const Result<void> reserved = engine->admission.Reserve(reserve);
-  if (!reserved) {
-    m_streams->Cancel(nullptr, attempt, reserved.error().code);
-    Refuse(*channel, *engine, reserve, reserved.error());
-    return;
-  }
   auto execution = std::make_shared<Execution>();
   execution->attempt = attempt;
   execution->engine = engine;
   execution->run.attempt = attempt;
   execution->run.priority = reserve.priority;
+  // Known before it is granted: a tick may grant it at any moment.
   m_executions.Insert(attempt, execution);
-  channel->Send(
-      GrantedFrame(reserve, m_streams->epoch(), m_lease, engine->admission));
+  const wire::Frame frame = engine->admission.Reserve(
+      reserve, ProcessId(channel->peer().process_id), Now());
+  if (frame.__isset.refused || frame.__isset.failed) {
+    m_executions.Take(attempt);
+    m_streams->Cancel(nullptr, attempt, ErrorCode::kOverloaded);
+  }
+  channel->Send(frame);
+}
+
+void Executions::TickEngine(const EnginePtr& engine, bool leaving) {
+  Deliver(engine, engine->admission.SetLeaving(leaving, Now()));
+  Deliver(engine, engine->admission.Tick(Now()));
+}
+
+void Executions::Deliver(const EnginePtr& engine, const AdmissionTick& tick) {
+  for (const auto& [attempt, frame] : tick.frames) {
+    if (frame.__isset.refused || frame.__isset.failed) {
+      m_executions.Take(attempt);
+      m_streams->Cancel(nullptr, attempt, ErrorCode::kOverloaded);
+    }
+    m_streams->Send(attempt, frame);
+  }
+  for (const AttemptId& attempt : tick.cancels) {
+    m_streams->Cancel(nullptr, attempt, ErrorCode::kCancelled);
+    if (const auto found = m_executions.Find(attempt)) {
+      CancelAtEngine(*found);
+      continue;
+    }
+    auto unknown = std::make_shared<Execution>();
+    unknown->attempt = attempt;
+    unknown->engine = engine;
+    CancelAtEngine(unknown);
+  }
+}
+
+void Executions::Claim(const AttemptId& attempt, const ProcessId& owner) {
+  const auto found = m_executions.Find(attempt);
+  if (found) (*found)->engine->admission.Claim(attempt, owner, Now());
 }
 
 void Executions::Start(const wire::ChannelPtr& channel,
@@ -148,8 +148,17 @@
     std::scoped_lock lock(execution->mutex);
     run = std::move(execution->run);
   }
+  const Result<void> committed = execution->engine->admission.Commit(
+      execution->attempt, execution->epoch, Now());
+  if (!committed) {
+    m_streams->Cancel(nullptr, execution->attempt, committed.error().code);
+    m_executions.Take(execution->attempt);
+    SendFailed(*channel, execution->attempt, committed.error());
+    return;
+  }
   const auto verdict = m_streams->Start(execution->attempt, execution->epoch);
   if (!verdict) {
+    // Whoever ended it meanwhile frees what it holds.
     SendFailed(*channel, execution->attempt, verdict.error());
     return;
   }
@@ -165,6 +174,9 @@
   auto self = shared_from_this();
   backend::EngineCallbacks callbacks;
   callbacks.on_chunk = [self, execution](const backend::EngineChunk& chunk) {
+    if (chunk.offset == 0) {
+      execution->engine->admission.EndPrefill(execution->attempt, Now());
+    }
     {
       std::scoped_lock lock(execution->mutex);
       execution->next_offset = chunk.offset + 1;
@@ -244,7 +256,9 @@
   const auto found = m_executions.Find(attempt);
   if (!found) return;
   events::Log(EventId::kAttemptCancelled, {{"attempt", attempt.ToString()}});
-  if (cancel_at_engine) {
+  const ledger::CancelResult result =
+      (*found)->engine->admission.Cancel(attempt, Now());
+  if (cancel_at_engine || result == ledger::CancelResult::kRunning) {
     CancelAtEngine(*found);
   } else {
     Free(*found);
@@ -252,23 +266,19 @@
 }
 
 void Executions::CancelAtEngine(const ExecutionPtr& execution) {
-  // Memory counts as held until the engine confirms that it is free. An engine
-  // that takes no connection holds nothing.
+  // Memory counts as held until the engine confirms that it is free; a cancel
+  // that failed comes back from the admission's tick. An engine that takes no
+  // connection holds nothing.
+  execution->engine->admission.Cancel(execution->attempt, Now());
   execution->engine->client.Cancel(
       execution->attempt,
       [self = shared_from_this(), execution](const Result<void>& cancelled) {
-        if (cancelled || cancelled.error().not_run) {
-          self->Free(execution);
-          return;
-        }
-        self->m_threads.After(kCancelRetry, [self, execution] {
-          self->CancelAtEngine(execution);
-        });
+        if (cancelled || cancelled.error().not_run) self->Free(execution);
       });
 }
 
 void Executions::Free(const ExecutionPtr& execution) {
-  execution->engine->admission.Release(execution->attempt);
+  execution->engine->admission.Release(execution->attempt, Now());
   m_executions.Take(execution->attempt);
 }
 
--- a/src/side/once_keeper.cc
+++ b/src/side/once_keeper.cc
@@ -43,6 +43,8 @@
 void OnceKeeper::Accept(const control::ControlState& state) {
   if (!state.configuration) return;
   std::scoped_lock lock(m_mutex);
+  if (state.version <= m_version) return;
+  m_version = state.version;
   for (const auto& service : state.configuration->services) {
     if (service.kind != control::ServiceKind::kPlain) continue;
     auto [home, added] = m_homes.try_emplace(service.name, m_host, m_start);
--- a/src/side/once_keeper.h
+++ b/src/side/once_keeper.h
@@ -35,6 +35,8 @@
   const HostId m_host;
   const TimePoint m_start;
   std::mutex m_mutex;
+  /// The newest version taken.
+  ControlVersion m_version = 0;
   attempts::OnceTable m_table;
   std::map<std::string, attempts::HomeHistory> m_homes;
 };
--- a/src/side/side.cc
+++ b/src/side/side.cc
@@ -32,7 +32,6 @@
   return out;
 }
 
-constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kRecoveryPoll = std::chrono::milliseconds(20);
 
 }  // namespace
@@ -47,12 +46,12 @@
         streams(std::make_shared<AttemptStreams>(
             MakeEpoch(), MakeExecutionOptions(side_options))),
         keeper(std::make_shared<OnceKeeper>(side_options.host)),
-        executions(
-            std::make_shared<Executions>(io, side_options.lease, streams)),
+        executions(std::make_shared<Executions>(io, streams)),
         calls(std::make_shared<ServiceCalls>(client, streams, keeper)) {}
 
   wire::Hello MakeHello() const;
   void Tick();
+  size_t LiveCount() const;
   /// Whether all engines said what they run, or had a lease time to.
   bool IsRecovered();
   void OnCancel(const wire::ChannelPtr& channel, const wire::Cancel& cancel);
@@ -61,7 +60,11 @@
   void OnReserve(const wire::ChannelPtr& channel, const wire::Reserve& reserve);
   void OnServiceCall(const wire::ChannelPtr& channel, wire::ServiceCall call);
   bool IsLeaving() const;
+  bool IsConfigured(const EngineId& id) const;
   EnginePtr FindEngine(const EngineId& id);
+  std::vector<EnginePtr> Engines();
+  void ApplyState(const control::ControlStatePtr& state);
+  void EndLapsed();
   Result<std::string> FindBackendUrl(const std::string& id) const;
 
   io::IoThreads& threads;
@@ -79,6 +82,8 @@
   std::atomic<bool> listed_leaving{false};
   std::mutex engines_mutex;
   std::map<EngineId, EnginePtr> engines;
+  /// The state that the engines' admissions follow; only Tick touches it.
+  control::ControlStatePtr applied;
   std::unique_ptr<wire::Listener> listener;
 };
 
@@ -102,22 +107,44 @@
   return state && state->draining.contains(options.host);
 }
 
-EnginePtr Side::Impl::FindEngine(const EngineId& id) {
+bool Side::Impl::IsConfigured(const EngineId& id) const {
   const control::ControlStatePtr state = control();
-  if (!state || !state->configuration) return nullptr;
+  if (!state || !state->configuration) return false;
   const auto& configured = state->configuration->engines;
-  const auto it = std::find_if(
-      configured.begin(), configured.end(), [&](const auto& engine) {
-        return engine.id == id && engine.host == options.host;
-      });
-  if (it == configured.end()) return nullptr;
+  return std::any_of(configured.begin(), configured.end(),
+                     [&](const control::EngineConfig& engine) {
+                       return engine.id == id && engine.host == options.host;
+                     });
+}
+
+EnginePtr Side::Impl::FindEngine(const EngineId& id) {
+  std::scoped_lock lock(engines_mutex);
+  auto it = engines.find(id);
+  return it == engines.end() ? nullptr : it->second;
+}
+
+std::vector<EnginePtr> Side::Impl::Engines() {
   std::scoped_lock lock(engines_mutex);
-  EnginePtr& engine = engines[id];
-  if (!engine) {
-    engine = std::make_shared<Engine>(*it, client);
-    executions->Recover(engine);
+  std::vector<EnginePtr> all;
+  for (const auto& [id, engine] : engines) all.push_back(engine);
+  return all;
+}
+
+void Side::Impl::ApplyState(const control::ControlStatePtr& state) {
+  keeper->Accept(*state);
+  for (const control::EngineConfig& config : state->configuration->engines) {
+    if (config.host != options.host) continue;
+    EnginePtr engine = FindEngine(config.id);
+    if (!engine) {
+      engine = std::make_shared<Engine>(config, client, streams->epoch(),
+                                        options.lease);
+      executions->Recover(engine);
+      std::scoped_lock lock(engines_mutex);
+      engines[config.id] = engine;
+    }
+    engine->admission.ApplyState(*state);
   }
-  return engine;
+  applied = state;
 }
 
 Result<std::string> Side::Impl::FindBackendUrl(const std::string& id) const {
@@ -133,7 +160,8 @@
 
 void Side::Impl::OnReserve(const wire::ChannelPtr& channel,
                            const wire::Reserve& reserve) {
-  const EnginePtr engine = FindEngine(EngineId(reserve.engine));
+  const EngineId id(reserve.engine);
+  const EnginePtr engine = IsConfigured(id) ? FindEngine(id) : nullptr;
   const bool is_leaving = IsLeaving();
   if (engine && !is_leaving) {
     executions->Reserve(engine, channel, reserve);
@@ -169,9 +197,12 @@
 void Side::Impl::OnCancel(const wire::ChannelPtr& channel,
                           const wire::Cancel& cancel) {
   const AttemptId attempt = wire::FromWire(cancel.attempt);
+  const bool same_incarnation =
+      cancel.process_id.empty() || cancel.process_id == process_id;
   const attempts::CancelReply reply = streams->Cancel(
       channel, attempt,
-      ParseErrorCode(cancel.code).value_or(ErrorCode::kCancelled));
+      ParseErrorCode(cancel.code).value_or(ErrorCode::kCancelled),
+      same_incarnation);
   if (reply.release_hold) executions->Release(attempt, reply.cancel_at_backend);
   if (reply.cancel_at_backend) calls->Abandon(attempt);
 }
@@ -190,6 +221,7 @@
   const attempts::ResumeReply reply =
       streams->Resume(channel, resume, same_incarnation);
   if (reply.release_hold) executions->Release(attempt, false);
+  executions->Claim(attempt, ProcessId(channel->peer().process_id));
   if (reply.ask_engine) executions->AskEngine(attempt, resume.from_offset);
 }
 
@@ -205,26 +237,36 @@
   return true;
 }
 
-void Side::Impl::Tick() {
-  // Engines are met before the first request, to learn what they still run.
-  const control::ControlStatePtr state = control();
-  if (state && state->configuration) {
-    keeper->Accept(*state);
-    for (const auto& engine : state->configuration->engines) {
-      if (engine.host == options.host) FindEngine(engine.id);
-    }
-  }
+void Side::Impl::EndLapsed() {
   for (const attempts::LapsedAttempt& lapsed : streams->Tick()) {
     executions->Release(lapsed.attempt, lapsed.cancel_at_backend);
     calls->Abandon(lapsed.attempt);
   }
   keeper->Tick();
+}
+
+void Side::Impl::Tick() {
+  const control::ControlStatePtr state = control();
+  // Engines are met before the first request, to learn what they still run.
+  if (state && state->configuration && state != applied) ApplyState(state);
+  const bool is_leaving = IsLeaving();
+  for (const EnginePtr& engine : Engines()) {
+    executions->TickEngine(engine, is_leaving);
+  }
+  EndLapsed();
   std::weak_ptr<Impl> weak = weak_from_this();
-  threads.After(kTickInterval, [weak] {
+  threads.After(ledger::Admission::kTickInterval, [weak] {
     if (auto alive = weak.lock()) alive->Tick();
   });
 }
 
+size_t Side::Impl::LiveCount() const {
+  // An attempt is in the table until its answer, and at its backend server
+  // until that has let go of it.
+  return std::max(streams->LiveCount(),
+                  executions->RunningCount() + calls->RunningCount());
+}
+
 void Side::Impl::OnFrame(const wire::ChannelPtr& channel, wire::Frame frame) {
   if (frame.__isset.reserve) {
     OnReserve(channel, frame.reserve);
@@ -257,6 +299,10 @@
   };
   callbacks.on_frame = [impl](const wire::ChannelPtr& channel,
                               wire::Frame frame) {
+    const ProcessId entry(channel->peer().process_id);
+    for (const EnginePtr& engine : impl->Engines()) {
+      engine->admission.Extend(entry, SteadyClock().Now());
+    }
     const auto& peers = impl->options.peers;
     if (peers && peers->OnFrame(channel, frame)) return;
     impl->OnFrame(channel, std::move(frame));
@@ -301,8 +347,6 @@
 
 bool Side::IsLeaving() const { return m_impl->IsLeaving(); }
 
-size_t Side::RunningCount() const {
-  return m_impl->executions->RunningCount() + m_impl->calls->RunningCount();
-}
+size_t Side::RunningCount() const { return m_impl->LiveCount(); }
 
 }  // namespace peridotshelf::side
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -150,6 +150,7 @@
 struct Cancel {
   1: Attempt attempt
   2: string code
+  80: string process_id          // as in Resume; empty if no Start was sent
 }
 
 // Asks on a new connection for the chunks from an offset on.
