Let tests listen on whatever ports are free

Cause: standin_relay failed whenever another run on the machine held its fixed ports (seen twice; ss showed the holder). Ruled out: a range for each test, which collides as soon as two trees are tested at once. After: standin, wire and dispatcher tests pass while another fleet runs.

--- a/src/entry/dispatcher_test.cc
+++ b/src/entry/dispatcher_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
 #include "peridotshelf/wire/channel.h"
 
@@ -157,10 +158,8 @@
       }
     };
     callbacks.on_closed = [](const wire::ChannelPtr&, const Error&) {};
-    // The first port that is free.
-    uint16_t port = 23400;
+    const uint16_t port = testing::FreePort();
     auto listener = Listen(port, callbacks);
-    while (!listener && port < 23999) listener = Listen(++port, callbacks);
     CPPUNIT_ASSERT(listener.has_value());
     m_listener = std::move(*listener);
     platform::HostEntry host;
--- a/src/standin/platform_standin_test.cc
+++ b/src/standin/platform_standin_test.cc
@@ -10,6 +10,7 @@
 #include "peridotshelf/platform/log_client.h"
 #include "peridotshelf/standin/hosts_standin.h"
 #include "peridotshelf/standin/log_standin.h"
+#include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::standin {
@@ -18,10 +19,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr uint16_t kLogPort = 21010;
-constexpr uint16_t kHostsPort = 21011;
-const char kLogUrl[] = "http://127.0.0.1:21010";
-const char kHostsUrl[] = "http://127.0.0.1:21011";
+const uint16_t kLogPort = testing::FreePort();
+const uint16_t kHostsPort = testing::FreePort();
+const std::string kLogUrl = "http://127.0.0.1:" + std::to_string(kLogPort);
+const std::string kHostsUrl = "http://127.0.0.1:" + std::to_string(kHostsPort);
 
 /// Waits for a value that a callback brings.
 template <class T>
--- a/src/standin/relay_test.cc
+++ b/src/standin/relay_test.cc
@@ -2,15 +2,12 @@
 
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/http/server.h"
+#include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::standin {
 namespace {
 
-constexpr uint16_t kTargetPort = 24010;
-constexpr uint16_t kRelayPort = 24011;
-constexpr uint16_t kControlPort = 24012;
-
 std::string Url(uint16_t port, const std::string& path) {
   return "http://127.0.0.1:" + std::to_string(port) + path;
 }
@@ -29,7 +26,7 @@
   void setUp() override {
     m_threads = std::make_unique<io::IoThreads>(2);
     http::ServerOptions options;
-    options.port = kTargetPort;
+    options.port = m_target_port;
     auto target = http::Server::Create(
         *m_threads, options,
         [](const http::ServerRequest&, const http::ResponderPtr& responder) {
@@ -38,9 +35,9 @@
     CPPUNIT_ASSERT(target.has_value());
     m_target = std::move(*target);
     RelayOptions relay_options;
-    relay_options.port = kRelayPort;
-    relay_options.target_port = kTargetPort;
-    relay_options.control_port = kControlPort;
+    relay_options.port = m_relay_port;
+    relay_options.target_port = m_target_port;
+    relay_options.control_port = m_control_port;
     auto relay = Relay::Create(*m_threads, relay_options);
     CPPUNIT_ASSERT(relay.has_value());
     m_relay = std::move(*relay);
@@ -77,17 +74,20 @@
   }
 
  private:
-  static Result<http::ClientResponse> Call(http::Client& client) {
+  const uint16_t m_target_port = testing::FreePort();
+  const uint16_t m_relay_port = testing::FreePort();
+  const uint16_t m_control_port = testing::FreePort();
+  Result<http::ClientResponse> Call(http::Client& client) const {
     http::ClientRequest request;
-    request.url = Url(kRelayPort, "/");
+    request.url = Url(m_relay_port, "/");
     request.timeout = std::chrono::seconds(2);
     return client.FetchAndWait(request);
   }
-  static int Order(const std::string& body) {
+  int Order(const std::string& body) const {
     http::Client client;
     http::ClientRequest request;
     request.method = "POST";
-    request.url = Url(kControlPort, "/control");
+    request.url = Url(m_control_port, "/control");
     request.body = body;
     return client.FetchAndWait(request)->status;
   }
--- a/src/wire/channel_test.cc
+++ b/src/wire/channel_test.cc
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <thread>
 
+#include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
 #include "wire/open_attempts.h"
 
@@ -123,20 +124,13 @@
 
  private:
   ChannelPtr Join(ChannelOptions server, ChannelOptions client) {
-    constexpr uint16_t kFirstPort = 20900;
-    constexpr uint16_t kLastPort = 20999;
     server.traffic = m_server.traffic;
     client.traffic = m_client.traffic;
-    Endpoint endpoint{"127.0.0.1", kFirstPort};
-    while (!m_listener && endpoint.port <= kLastPort) {
-      auto listener = Listener::Create(m_threads, endpoint, server,
-                                       m_server.Source(), m_server.Callbacks());
-      if (listener) {
-        m_listener = std::move(*listener);
-      } else {
-        ++endpoint.port;
-      }
-    }
+    const Endpoint endpoint{"127.0.0.1", testing::FreePort()};
+    auto listener = Listener::Create(m_threads, endpoint, server,
+                                     m_server.Source(), m_server.Callbacks());
+    CPPUNIT_ASSERT(listener.has_value());
+    m_listener = std::move(*listener);
     Connect(m_threads, endpoint, client, m_client.Source(),
             m_client.Callbacks());
     return m_client.opened.get_future().get();
