Test that a deep record cannot exhaust the stack

The case with open brackets alone passed without the depth limit, since the parser refuses them anyway. Whole JSON of 100000 levels crashes without it.

--- a/src/control/fold_test.cc
+++ b/src/control/fold_test.cc
@@ -138,8 +138,12 @@
     CPPUNIT_ASSERT(
         OutcomeAfterConfig(preset + std::string(kMaxChangeBytes, ' ')) ==
         RecordOutcome::kOversize);
-    CPPUNIT_ASSERT(OutcomeAfterConfig(std::string(1 << 19, '[')) ==
-                   RecordOutcome::kTorn);
+    // Whole JSON, but so deep that writing it out would exhaust the stack.
+    const size_t depth = 100000;
+    const std::string deep =
+        R"({"a":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    CPPUNIT_ASSERT(OutcomeAfterConfig(Change(RecordKind::kConfig, "deep", 1,
+                                             deep)) == RecordOutcome::kTorn);
   }
   void Sequence_Any_FoldsAlikeWithAndWithoutSnapshot() {
     testing::CheckProperty("fold", [] {
