Run schedules of faults in virtual time over the joined libraries

Cause: the request's life, the execution table, the admission and the checker were each tested alone. Joined by a small network in virtual time that delays, cuts and falls silent, with kills, freezes, hang-ups and rolling replacement, their history is now judged by the same rules as that of processes.

A rule is added: no answer is lost without a failed process. The control rules now follow a process over its restarts, and the bound on a leaving server counts from a thaw, as a frozen side cannot be told.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 ARGS ?=
 SEEDS ?= 10000
 
-.PHONY: all deps configure build test demo format format-check lint clean
+.PHONY: all deps configure build test demo explore format format-check lint clean
 
 all: build
 
@@ -23,6 +23,9 @@
 demo: build
 	$(BUILD)/bin/peridotshelf demo $(ARGS)
 
+explore: build
+	$(BUILD)/bin/explore --seeds $(SEEDS)
+
 format:
 	src/build-scripts/sources | xargs clang-format -i
 
--- /dev/null
+++ b/src/explore/timeline.h
@@ -0,0 +1,50 @@
+/// Virtual time: actions run in the order of their times.
+#pragma once
+
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "peridotshelf/base/clock.h"
+
+namespace peridotshelf::explore {
+
+/// The clock and agenda of one schedule. Actions of one point in time run in
+/// the order in which they were added.
+class Timeline {
+ public:
+  TimePoint Now() const { return m_now; }
+  void At(TimePoint at, std::function<void()> action) {
+    m_actions.push({std::max(at, m_now), m_next_order++, std::move(action)});
+  }
+  void After(Duration delay, std::function<void()> action) {
+    At(m_now + delay, std::move(action));
+  }
+  /// Runs all actions up to `end`.
+  void RunUntil(TimePoint end) {
+    while (!m_actions.empty() && m_actions.top().at <= end) {
+      const Action next = m_actions.top();
+      m_actions.pop();
+      m_now = next.at;
+      next.run();
+    }
+    m_now = end;
+  }
+
+ private:
+  struct Action {
+    TimePoint at;
+    uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Action& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  TimePoint m_now{std::chrono::hours(1)};
+  uint64_t m_next_order = 0;
+  std::priority_queue<Action> m_actions;
+};
+
+}  // namespace peridotshelf::explore
--- /dev/null
+++ b/src/explore/world_faults.cc
@@ -0,0 +1,212 @@
+// The faults of a schedule.
+#include <algorithm>
+
+#include "explore/world.h"
+
+namespace peridotshelf::explore {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A peer that is silent for longer is given up.
+constexpr Duration kSilenceLimit = milliseconds(1'600);
+/// Hang-ups hit one of the first calls.
+constexpr size_t kHangUpCalls = 8;
+/// How long a stopping process looks whether it is idle.
+constexpr Duration kIdlePoll = milliseconds(100);
+/// How long an idle side stays, so that entries whose connection broke can
+/// fetch the end of an answer.
+constexpr Duration kStopLinger = milliseconds(3'000);
+/// How long the platform takes to tell a host that it is to leave.
+constexpr int64_t kLeaveWordMs = 800;
+
+}  // namespace
+
+void World::Apply(const Fault& fault) {
+  const size_t entry = fault.target % kEntries;
+  const size_t side = fault.target / kEntries % kSides;
+  const Duration length = milliseconds(fault.length_ms);
+  switch (fault.kind) {
+    case FaultKind::kCutLink:
+      return m_network.Cut(entry, side);
+    case FaultKind::kSilenceLink:
+      return m_network.Silence(entry, side);
+    case FaultKind::kKillEntry:
+      return KillEntry(entry);
+    case FaultKind::kKillSide:
+      return KillSide(side);
+    case FaultKind::kKillEngine:
+      return KillEngine(side);
+    case FaultKind::kFreezeEntry:
+      return FreezeEntry(entry, length);
+    case FaultKind::kFreezeSide:
+      return FreezeSide(side, length);
+    case FaultKind::kHangUp:
+      return m_entries[entry]->HangUp(fault.target / kEntries % kHangUpCalls);
+    case FaultKind::kReplaceEntry:
+      return ReplaceEntry(entry);
+    case FaultKind::kReplaceSide:
+      return ReplaceSide(side);
+  }
+}
+
+std::vector<history::BackendId> World::BackendsOf(size_t side) const {
+  return {m_sides[side]->engine().id()};
+}
+
+void World::KillEntry(size_t entry) {
+  Process& process = m_entry_processes[entry];
+  if (!process.alive) return;
+  m_context.Record(ProcessId("world"), history::ProcessKilled{process.id, {}});
+  process.alive = false;
+  m_entries[entry]->Die();
+  m_network.CutAllOfEntry(entry);
+  m_context.timeline().After(milliseconds(m_context.Draw(200, 2'000)),
+                             [this, entry] { StartEntry(entry); });
+}
+
+void World::StartEntry(size_t entry) {
+  Process& process = m_entry_processes[entry];
+  ++process.incarnation;
+  process.alive = true;
+  process.leaving = false;
+  process.frozen_until = {};
+  m_context.Record(process.id, history::ProcessStarted{process.id});
+}
+
+void World::KillSide(size_t side) {
+  Process& process = m_side_processes[side];
+  if (!process.alive) return;
+  m_context.Record(ProcessId("world"),
+                   history::ProcessKilled{process.id, BackendsOf(side)});
+  process.alive = false;
+  m_sides[side]->Die();
+  m_network.CutAllOfSide(side);
+  m_context.timeline().After(milliseconds(m_context.Draw(200, 1'500)),
+                             [this, side] { StartSide(side, false); });
+}
+
+void World::StartSide(size_t side, bool new_host) {
+  Process& process = m_side_processes[side];
+  ++process.incarnation;
+  process.alive = true;
+  process.frozen_until = {};
+  // A host that was leaving still is when only its process starts again.
+  if (new_host) process.leaving = false;
+  m_context.Record(process.id, history::ProcessStarted{process.id});
+  if (new_host) {
+    m_sides[side]->Replace();
+  } else {
+    m_sides[side]->Start();
+  }
+  if (!process.leaving) return;
+  m_sides[side]->StartLeaving();
+  FinishSide(side, process.incarnation);
+}
+
+void World::KillEngine(size_t side) {
+  const ProcessId engine(m_sides[side]->engine().id().value());
+  m_context.Record(ProcessId("world"),
+                   history::ProcessKilled{engine, BackendsOf(side)});
+  m_sides[side]->engine().Kill();
+  m_context.Record(engine, history::ProcessStarted{engine});
+}
+
+void World::FreezeEntry(size_t entry, Duration length) {
+  Freeze(m_entry_processes[entry], length, {});
+  if (length <= kSilenceLimit) return;
+  m_context.timeline().After(kSilenceLimit,
+                             [this, entry] { m_network.CutAllOfEntry(entry); });
+}
+
+void World::FreezeSide(size_t side, Duration length) {
+  Freeze(m_side_processes[side], length, BackendsOf(side));
+  if (length <= kSilenceLimit) return;
+  m_context.timeline().After(kSilenceLimit,
+                             [this, side] { m_network.CutAllOfSide(side); });
+}
+
+void World::Freeze(Process& process, Duration length,
+                   std::vector<history::BackendId> backends) {
+  if (!process.Serves(m_context.Now())) return;
+  process.frozen_until = m_context.Now() + length;
+  const int64_t incarnation = process.incarnation;
+  m_context.Record(ProcessId("world"),
+                   history::ProcessFrozen{process.id, std::move(backends)});
+  m_context.timeline().After(length, [this, &process, incarnation] {
+    if (process.incarnation != incarnation) return;
+    m_context.Record(ProcessId("world"), history::ProcessThawed{process.id});
+  });
+}
+
+void World::ReplaceEntry(size_t entry) {
+  Process& process = m_entry_processes[entry];
+  if (!process.Serves(m_context.Now()) || process.leaving) return;
+  process.leaving = true;
+  m_context.Record(ProcessId("world"), history::PlannedStop{process.id, {}});
+  FinishEntry(entry, process.incarnation);
+}
+
+void World::FinishEntry(size_t entry, int64_t incarnation) {
+  Process& process = m_entry_processes[entry];
+  if (process.incarnation != incarnation || !process.alive) return;
+  const bool waits = m_context.Has(Mechanism::kGracefulStop);
+  if (waits && !m_entries[entry]->idle()) {
+    m_context.timeline().After(kIdlePoll, [this, entry, incarnation] {
+      FinishEntry(entry, incarnation);
+    });
+    return;
+  }
+  process.alive = false;
+  m_entries[entry]->Die();
+  m_context.Record(process.id, history::ProcessEnded{process.id});
+  m_network.CutAllOfEntry(entry);
+  m_context.timeline().After(milliseconds(500),
+                             [this, entry] { StartEntry(entry); });
+}
+
+void World::ReplaceSide(size_t side) {
+  Process& process = m_side_processes[side];
+  if (!process.Serves(m_context.Now()) || process.leaving) return;
+  process.leaving = true;
+  process.leaving_since = m_context.Now();
+  m_context.Record(ProcessId("world"),
+                   history::LeaveMark{m_sides[side]->engine().id()});
+  m_context.Record(ProcessId("world"),
+                   history::PlannedStop{process.id, BackendsOf(side)});
+  m_context.timeline().After(
+      milliseconds(m_context.Draw(0, kLeaveWordMs)), [this, side] {
+        RunIn(m_context, m_side_processes[side], [this, side] {
+          m_sides[side]->StartLeaving();
+          m_side_processes[side].idle_since = m_context.Now();
+          FinishSide(side, m_side_processes[side].incarnation);
+        });
+      });
+}
+
+void World::FinishSide(size_t side, int64_t incarnation) {
+  Process& process = m_side_processes[side];
+  if (process.incarnation != incarnation || !process.alive) return;
+  const bool idle = m_sides[side]->idle() && m_sides[side]->engine().idle();
+  const bool frozen = process.FrozenAt(m_context.Now());
+  const bool waits = m_context.Has(Mechanism::kGracefulStop);
+  const Duration linger =
+      m_context.Has(Mechanism::kStopLinger) ? kStopLinger : Duration::zero();
+  if (!idle) process.idle_since = m_context.Now();
+  const bool lingers = process.idle_since + linger > m_context.Now();
+  if (frozen || (waits && (!idle || lingers))) {
+    m_context.timeline().After(kIdlePoll, [this, side, incarnation] {
+      FinishSide(side, incarnation);
+    });
+    return;
+  }
+  process.alive = false;
+  m_sides[side]->Die();
+  m_sides[side]->engine().Kill();
+  m_context.Record(process.id, history::ProcessEnded{process.id});
+  m_network.CutAllOfSide(side);
+  m_context.timeline().After(milliseconds(500),
+                             [this, side] { StartSide(side, true); });
+}
+
+}  // namespace peridotshelf::explore
--- a/src/history/checker.cc
+++ b/src/history/checker.cc
@@ -20,6 +20,8 @@
       return "orphans_released";
     case Invariant::kLeavingTakesNoWork:
       return "leaving_takes_no_work";
+    case Invariant::kNoAnswerLost:
+      return "no_answer_lost";
     case Invariant::kStopCutsNothing:
       return "stop_cuts_nothing";
     case Invariant::kOneControlOrder:
@@ -44,8 +46,9 @@
                                 const Limits& limits) {
   return CheckRules<AnsweredInTime, WholeAnswer, NotRunTrue, AtMostOnce,
                     NoMemoryHeld, OrphansReleased, LeavingTakesNoWork,
-                    StopCutsNothing, OneControlOrder, ChangeInForce,
-                    ShortNotStarved, GivenUpAtOnce>(events, limits);
+                    NoAnswerLost, StopCutsNothing, OneControlOrder,
+                    ChangeInForce, ShortNotStarved, GivenUpAtOnce>(events,
+                                                                   limits);
 }
 
 }  // namespace peridotshelf::history
--- a/src/history/index.cc
+++ b/src/history/index.cc
@@ -82,6 +82,11 @@
          (!disturbance.end || *disturbance.end >= from);
 }
 
+bool Concerns(const Disturbance& disturbance, const BackendId& backend) {
+  const auto& backends = disturbance.backends;
+  return std::find(backends.begin(), backends.end(), backend) != backends.end();
+}
+
 }  // namespace
 
 Index::Index(std::span<const HistoryEvent> events) : m_events(events) {
@@ -126,11 +131,26 @@
                       TimePoint to) const {
   return std::any_of(m_disturbances.begin(), m_disturbances.end(),
                      [&](const Disturbance& disturbance) {
-                       const auto& backends = disturbance.backends;
                        return Touches(disturbance, from, to) &&
-                              std::find(backends.begin(), backends.end(),
-                                        backend) != backends.end();
+                              Concerns(disturbance, backend);
+                     });
+}
+
+bool Index::AnyDisturbed(TimePoint from, TimePoint to) const {
+  return std::any_of(m_disturbances.begin(), m_disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       return Touches(disturbance, from, to);
                      });
 }
 
+TimePoint Index::ThawedBefore(const BackendId& backend, TimePoint from,
+                              TimePoint to) const {
+  TimePoint thawed = from;
+  for (const Disturbance& disturbance : m_disturbances) {
+    if (!disturbance.end || !Concerns(disturbance, backend)) continue;
+    if (*disturbance.end <= to) thawed = std::max(thawed, *disturbance.end);
+  }
+  return thawed;
+}
+
 }  // namespace peridotshelf::history
--- a/src/history/rules_backends.cc
+++ b/src/history/rules_backends.cc
@@ -59,6 +59,8 @@
   if (index.Disturbed(call.invocation.entry, call.begin, end.time)) return true;
   if (!call.request) return false;
   const auto executions = index.ExecutionsOf(*call.request);
+  // Its start may have died on the way to any process that failed.
+  if (executions.empty()) return index.AnyDisturbed(call.begin, end.time);
   return std::any_of(
       executions.begin(), executions.end(), [&](const Execution* execution) {
         return index.Disturbed(execution->backend, execution->begin, end.time);
@@ -131,11 +133,11 @@
                                std::vector<Violation>& found) {
   ForEach<LeaveMark>(index.events(), [&](const HistoryEvent& event,
                                          const LeaveMark& body) {
-    const TimePoint latest = event.time + limits.leave_bound;
     for (const Execution& execution : index.executions()) {
-      if (execution.backend != body.backend || execution.begin <= latest) {
-        continue;
-      }
+      if (execution.backend != body.backend) continue;
+      const TimePoint told =
+          index.ThawedBefore(body.backend, event.time, execution.begin);
+      if (execution.begin <= told + limits.leave_bound) continue;
       found.push_back(
           {kInvariant, execution.begin, body.backend.value(),
            "begins " + execution.attempt.ToString() + " " +
@@ -145,6 +147,18 @@
   });
 }
 
+void NoAnswerLost::Check(const Index& index, const Limits&,
+                         std::vector<Violation>& found) {
+  for (const auto& [id, call] : index.calls()) {
+    if (call.ends.empty() || Excused(index, call)) continue;
+    const CallEnd& end = call.ends.front();
+    if (end.outcome != CallOutcome::kRefused || end.not_run) continue;
+    found.push_back({kInvariant, end.time, id.value(),
+                     std::string(peridotshelf::ToString(end.code)) +
+                         " although no process failed"});
+  }
+}
+
 void StopCutsNothing::Check(const Index& index, const Limits&,
                             std::vector<Violation>& found) {
   for (const auto& [id, call] : index.calls()) {
--- a/src/history/rules_backends_test.cc
+++ b/src/history/rules_backends_test.cc
@@ -65,6 +65,7 @@
 class LeavingTakesNoWorkTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LeavingTakesNoWorkTest);
   CPPUNIT_TEST(Begin_WithinTheBoundOrElsewhere_Passes);
+  CPPUNIT_TEST(Begin_SoonAfterItsSideThaws_Passes);
   CPPUNIT_TEST(Begin_AfterTheBound_Fails);
   CPPUNIT_TEST_SUITE_END();
 
@@ -75,6 +76,16 @@
     history.At(2'900).Begin("a", "m1").At(3'100).Begin("b", "m2");
     CPPUNIT_ASSERT(history.Check<LeavingTakesNoWork>().empty());
   }
+  void Begin_SoonAfterItsSideThaws_Passes() {
+    HistoryBuilder history;
+    history.Call("a").Add(LeaveMark{BackendId("m1")});
+    history.Add(ProcessFrozen{ProcessId("s1"), {BackendId("m1")}});
+    history.At(5'000).Add(ProcessThawed{ProcessId("s1")});
+    history.At(7'900).Begin("a", "m1");
+    CPPUNIT_ASSERT(history.Check<LeavingTakesNoWork>().empty());
+    history.At(8'100).Begin("a", "m1", 2);
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<LeavingTakesNoWork>().size());
+  }
   void Begin_AfterTheBound_Fails() {
     HistoryBuilder history;
     history.Call("a").Add(LeaveMark{BackendId("m1")});
@@ -138,6 +149,37 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StopCutsNothingTest);
 
+class NoAnswerLostTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NoAnswerLostTest);
+  CPPUNIT_TEST(Refusal_ExplainedByAFaultOrTheCallersTime_Passes);
+  CPPUNIT_TEST(Refusal_WithoutAFault_Fails);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Refusal_ExplainedByAFaultOrTheCallersTime_Passes() {
+    HistoryBuilder history;
+    history.Call("a").Call("b").Begin("a", "m1").Begin("b", "m2");
+    history.At(5).Add(ProcessKilled{ProcessId("m1"), {BackendId("m1")}});
+    Refuse(history, "a", ErrorCode::kBackendFailed);
+    history.At(10'000);
+    Refuse(history, "b", ErrorCode::kOutOfTime);
+    CPPUNIT_ASSERT(history.Check<NoAnswerLost>().empty());
+  }
+  void Refusal_WithoutAFault_Fails() {
+    HistoryBuilder history;
+    history.Call("a").Begin("a", "m1").At(5);
+    Refuse(history, "a", ErrorCode::kConnectionLost);
+    CPPUNIT_ASSERT_EQUAL(kOne, history.Check<NoAnswerLost>().size());
+  }
+
+ private:
+  static void Refuse(HistoryBuilder& history, const std::string& call,
+                     ErrorCode code) {
+    history.Add(Refusal{CallId(call), code, false});
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(NoAnswerLostTest);
+
 class ShortNotStarvedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ShortNotStarvedTest);
   CPPUNIT_TEST(Short_OvertakenAFewTimes_Passes);
--- a/src/history/rules_control.cc
+++ b/src/history/rules_control.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "peridotshelf/history/rules.h"
 
@@ -22,23 +23,45 @@
   }
 };
 
-/// Each process that ever reported a version in force.
-std::map<ProcessId, Presence> FindPresences(const Index& index) {
+/// Collects the presence of each process that ever reported a version.
+class PresenceFinder {
+ public:
+  void Take(const HistoryEvent& event) {
+    std::visit([&](const auto& body) { On(event, body); }, event.body);
+  }
   std::map<ProcessId, Presence> presences;
-  ForEach<ControlInForce>(
-      index.events(), [&](const HistoryEvent& event, const auto& body) {
-        auto [entry, fresh] = presences.try_emplace(event.process);
-        if (fresh) entry->second.begin = event.time;
-        entry->second.in_force.emplace_back(event.time, body);
-      });
-  const auto end_presence = [&](const HistoryEvent& event, const auto& body) {
-    const auto entry = presences.find(body.process);
-    if (entry != presences.end()) entry->second.end = event.time;
-  };
-  ForEach<PlannedStop>(index.events(), end_presence);
-  ForEach<ProcessEnded>(index.events(), end_presence);
-  ForEach<ProcessKilled>(index.events(), end_presence);
-  return presences;
+
+ private:
+  void On(const HistoryEvent& event, const ControlInForce& body) {
+    auto [entry, fresh] = presences.try_emplace(event.process);
+    Presence& presence = entry->second;
+    // A report after the end comes from the process's next start.
+    if (fresh || presence.end) presence.begin = event.time;
+    presence.end.reset();
+    presence.in_force.emplace_back(event.time, body);
+  }
+  void On(const HistoryEvent& event, const PlannedStop& body) {
+    End(body.process, event.time);
+  }
+  void On(const HistoryEvent& event, const ProcessEnded& body) {
+    End(body.process, event.time);
+  }
+  void On(const HistoryEvent& event, const ProcessKilled& body) {
+    End(body.process, event.time);
+  }
+  template <class Other>
+  void On(const HistoryEvent&, const Other&) {}
+
+  void End(const ProcessId& process, TimePoint time) {
+    const auto entry = presences.find(process);
+    if (entry != presences.end()) entry->second.end = time;
+  }
+};
+
+std::map<ProcessId, Presence> FindPresences(const Index& index) {
+  PresenceFinder finder;
+  for (const HistoryEvent& event : index.events()) finder.Take(event);
+  return std::move(finder.presences);
 }
 
 /// When the log, if it is away at any time in [from, to], is back for good.
--- a/src/include/peridotshelf/history/checker.h
+++ b/src/include/peridotshelf/history/checker.h
@@ -22,6 +22,7 @@
   kNoMemoryHeld,        ///< Engines end with no memory held.
   kOrphansReleased,     ///< A dead entry's executions end within a bound.
   kLeavingTakesNoWork,  ///< A leaving backend server is given no new work.
+  kNoAnswerLost,        ///< Only faults of processes lose an answer.
   kStopCutsNothing,     ///< A planned stop ends no request.
   kOneControlOrder,     ///< All follow one order of versions, forwards only.
   kChangeInForce,       ///< Accepted changes are in force within a bound.
--- a/src/include/peridotshelf/history/index.h
+++ b/src/include/peridotshelf/history/index.h
@@ -83,6 +83,12 @@
   bool Disturbed(const ProcessId& process, TimePoint from, TimePoint to) const;
   /// Whether a kill or freeze that concerns `backend` touches [from, to].
   bool Disturbed(const BackendId& backend, TimePoint from, TimePoint to) const;
+  /// Whether any kill or freeze touches [from, to].
+  bool AnyDisturbed(TimePoint from, TimePoint to) const;
+  /// When the last disturbance of `backend` after `from` and before `to`
+  /// ended; `from` if there was none.
+  TimePoint ThawedBefore(const BackendId& backend, TimePoint from,
+                         TimePoint to) const;
 
  private:
   struct Builder;
--- a/src/include/peridotshelf/history/rules.h
+++ b/src/include/peridotshelf/history/rules.h
@@ -52,13 +52,23 @@
                     std::vector<Violation>& found);
 };
 
-/// After its leave mark and a bound, nothing begins at a backend server.
+/// After its leave mark and a bound, nothing begins at a backend server. While
+/// its side is frozen it cannot be told, so the bound counts from the thaw.
 struct LeavingTakesNoWork {
   static constexpr Invariant kInvariant = Invariant::kLeavingTakesNoWork;
   static void Check(const Index& index, const Limits& limits,
                     std::vector<Violation>& found);
 };
 
+/// A request that may have run ends without its answer only by its caller, by
+/// its time, or by a kill or freeze of a process that served it. A connection
+/// that breaks or falls silent is no excuse.
+struct NoAnswerLost {
+  static constexpr Invariant kInvariant = Invariant::kNoAnswerLost;
+  static void Check(const Index& index, const Limits& limits,
+                    std::vector<Violation>& found);
+};
+
 /// Requests in flight at a planned stop are answered, and no caller loses
 /// its connection, unless a fault or the caller's own time explains it.
 struct StopCutsNothing {
