Judge whole processes by their histories under kills, freezes and outages

Cause: the checker had no run of real processes to judge. Stand-in engines and services now record what they run and hold, callers in Python record what they ask for and are told, and the daemons' logs tell the version in force; the new command check-history judges all files of a run together.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 JOBS ?= $(shell nproc)
 ARGS ?=
 SEEDS ?= 10000
+MINUTES ?= 30
 
-.PHONY: all deps configure build test demo explore format format-check lint clean
+.PHONY: all deps configure build test demo explore soak format format-check lint clean
 
 all: build
 
@@ -26,6 +27,9 @@
 explore: build
 	$(BUILD)/bin/explore --seeds $(SEEDS)
 
+soak: build
+	python3 testsuite/soak.py $(BUILD)/bin/peridotshelf $(MINUTES)
+
 format:
 	src/build-scripts/sources | xargs clang-format -i
 
--- a/src/explore/entry_model.h
+++ b/src/explore/entry_model.h
@@ -98,7 +98,8 @@
   std::array<Process, kSides>& m_sides;
   std::array<std::unique_ptr<SideModel>, kSides>& m_side_models;
   const size_t m_number;
-  attempts::RetryBudget m_retry_budget{1.0};
+  std::shared_ptr<attempts::RetryBudget> m_retry_budget =
+      std::make_shared<attempts::RetryBudget>(1.0);
   std::map<size_t, Open> m_open;
 };
 
--- a/src/history/checker.cc
+++ b/src/history/checker.cc
@@ -36,6 +36,15 @@
   return "unknown";
 }
 
+Limits WithSlack(Limits limits, Duration slack) {
+  limits.answer_grace += slack;
+  limits.leave_bound += slack;
+  limits.change_bound += slack;
+  limits.orphan_bound += slack;
+  limits.give_up_bound += slack;
+  return limits;
+}
+
 std::ostream& operator<<(std::ostream& out, const Violation& violation) {
   return out << ToString(violation.invariant) << " at "
              << ToMilliseconds(violation.time.time_since_epoch())
--- a/src/history/index.cc
+++ b/src/history/index.cc
@@ -37,11 +37,10 @@
     End(body.call, {time, CallOutcome::kHungUp});
   }
   void operator()(const ExecutionBegin& body) {
-    const size_t position = index.m_executions.size();
+    running.emplace(std::pair(body.attempt, body.backend),
+                    index.m_executions.size());
     index.m_executions.push_back(
         {body.attempt, body.backend, body.idempotency_key, time, {}});
-    running.emplace(std::pair(body.attempt, body.backend), position);
-    index.m_executions_of_request[body.attempt.request].push_back(position);
   }
   void operator()(const ExecutionEnd& body) {
     const auto [first, last] =
@@ -95,6 +94,31 @@
     builder.time = event.time;
     std::visit(builder, event.body);
   }
+  LinkByKey();
+  for (size_t i = 0; i < m_executions.size(); ++i) {
+    m_executions_of_request[m_executions[i].attempt.request].push_back(i);
+  }
+}
+
+void Index::LinkByKey() {
+  std::map<std::string, std::vector<Call*>> calls_of_key;
+  for (auto& [id, call] : m_calls) {
+    calls_of_key[call.invocation.idempotency_key].push_back(&call);
+  }
+  for (Execution& execution : m_executions) {
+    if (!execution.attempt.request.empty()) continue;
+    const auto found = calls_of_key.find(execution.idempotency_key);
+    if (execution.idempotency_key.empty() || found == calls_of_key.end() ||
+        found->second.size() != 1) {
+      continue;
+    }
+    Call& call = *found->second.front();
+    if (!call.request) {
+      call.request = RequestId("key " + execution.idempotency_key);
+      m_call_of_request[*call.request] = call.invocation.call;
+    }
+    execution.attempt.request = *call.request;
+  }
 }
 
 TimePoint Index::end() const {
--- a/src/history/rules_calls_test.cc
+++ b/src/history/rules_calls_test.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(Refusal_WithoutThePromise_MayHaveRun);
   CPPUNIT_TEST(Refusal_OfWhatRanBefore_Fails);
   CPPUNIT_TEST(Refusal_OfWhatRunsLater_Fails);
+  CPPUNIT_TEST(Refusal_OfWhatRanUnderItsKey_Fails);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -134,6 +135,13 @@
     history.At(9'000).Begin("a", "m1", 2);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, history.Check<NotRunTrue>().size());
   }
+  void Refusal_OfWhatRanUnderItsKey_Fails() {
+    HistoryBuilder history;
+    history.Call("a", Unrepeatable("k"));
+    history.Add(ExecutionBegin{{}, BackendId("service"), "k"});
+    Refuse(history, "a", true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, history.Check<NotRunTrue>().size());
+  }
 
  private:
   static void Refuse(HistoryBuilder& history, const std::string& call,
--- a/src/include/peridotshelf/history/checker.h
+++ b/src/include/peridotshelf/history/checker.h
@@ -62,6 +62,10 @@
   int64_t max_bypasses = 8;
 };
 
+/// `limits` with `slack` added to each bound on time, for runs of processes on
+/// a machine that has other work.
+Limits WithSlack(Limits limits, Duration slack);
+
 /// One rule: reports what it finds wrong in a history.
 template <class R>
 concept Rule = requires(const Index& index, const Limits& limits,
--- a/src/include/peridotshelf/history/index.h
+++ b/src/include/peridotshelf/history/index.h
@@ -93,6 +93,10 @@
  private:
   struct Builder;
 
+  /// Plain services see only the key; one that a single call bears tells whose
+  /// execution it was.
+  void LinkByKey();
+
   std::span<const HistoryEvent> m_events;
   std::map<CallId, Call> m_calls;
   std::map<RequestId, CallId> m_call_of_request;
--- a/src/include/peridotshelf/settings/standin_settings.h
+++ b/src/include/peridotshelf/settings/standin_settings.h
@@ -26,6 +26,10 @@
   Duration chunk_interval{};
   /// Whether an order with an older fencing number is refused.
   bool checks_fencing = false;
+  /// The engine's name in the history.
+  std::string name = "engine";
+  /// File to which the history is appended; empty for none.
+  std::string history;
 };
 
 /// What `peridotshelf standin service` is told.
@@ -34,6 +38,10 @@
   uint16_t port = 0;
   /// Time before each answer.
   Duration delay{};
+  /// The service's name in the history.
+  std::string name = "service";
+  /// File to which the history is appended; empty for none.
+  std::string history;
 };
 
 /// What `peridotshelf standin log` is told.
@@ -54,10 +62,22 @@
   Duration lag{};
 };
 
+/// What `peridotshelf standin relay` is told.
+struct RelaySettings {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  /// Where connections are forwarded to.
+  std::string target_address = "127.0.0.1";
+  uint16_t target_port = 0;
+  /// Port of the control interface.
+  uint16_t control_port = 0;
+};
+
 /// How each stand-in is configured.
 const Schema<EngineStandinSettings>& EngineStandinSchema();
 const Schema<ServiceStandinSettings>& ServiceStandinSchema();
 const Schema<LogStandinSettings>& LogStandinSchema();
 const Schema<HostsStandinSettings>& HostsStandinSchema();
+const Schema<RelaySettings>& RelaySchema();
 
 }  // namespace peridotshelf::settings
--- a/src/include/peridotshelf/standin/engine_standin.h
+++ b/src/include/peridotshelf/standin/engine_standin.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/history/recorder.h"
 #include "peridotshelf/http/server.h"
 #include "peridotshelf/io/io_threads.h"
 
@@ -26,6 +27,10 @@
   Duration token_interval = std::chrono::nanoseconds(0);
   /// Whether orders and runs with an older epoch are refused.
   bool checks_fencing = true;
+  /// The engine's name in the history.
+  std::string name = "engine";
+  /// Takes what the engine runs and holds; null for none.
+  std::shared_ptr<history::Recorder> recorder;
 };
 
 /// The text that an engine generates as chunk `index` for a prompt (the JSON
--- a/src/include/peridotshelf/standin/service_standin.h
+++ b/src/include/peridotshelf/standin/service_standin.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/history/recorder.h"
 #include "peridotshelf/http/server.h"
 #include "peridotshelf/io/io_threads.h"
 
@@ -16,6 +17,10 @@
   std::string address = "127.0.0.1";
   uint16_t port = 0;
   Duration delay = std::chrono::nanoseconds(0);
+  /// The service's name in the history.
+  std::string name = "service";
+  /// Takes what the service runs; null for none.
+  std::shared_ptr<history::Recorder> recorder;
 };
 
 /// Serves any path until destroyed; `GET /executions` lists the keys run.
--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -19,7 +19,7 @@
 /// What daemons are doing.
 ExitCode RunStatus(Arguments args);
 ExitCode RunDemo(Arguments args);
-/// `standin KIND`: engine, service, log or hosts.
+/// `standin KIND`: engine, service, log, hosts or relay.
 ExitCode RunStandin(Arguments args);
 ExitCode RunPublish(Arguments args);
 ExitCode RunPreset(Arguments args);
@@ -28,5 +28,7 @@
 ExitCode RunAudit(Arguments args);
 ExitCode RunRecover(Arguments args);
 ExitCode RunCheck(Arguments args);
+/// `check-history FILE...`: judges what a run recorded.
+ExitCode RunCheckHistory(Arguments args);
 
 }  // namespace peridotshelf::program
--- a/src/peridotshelf/command_standin.cc
+++ b/src/peridotshelf/command_standin.cc
@@ -6,6 +6,7 @@
 #include "peridotshelf/standin/engine_standin.h"
 #include "peridotshelf/standin/hosts_standin.h"
 #include "peridotshelf/standin/log_standin.h"
+#include "peridotshelf/standin/relay.h"
 #include "peridotshelf/standin/service_standin.h"
 #include "peridotshelf/stop_signal.h"
 
@@ -15,7 +16,16 @@
 constexpr size_t kThreads = 2;
 constexpr auto kOneSecond = std::chrono::seconds(1);
 
-standin::EngineStandinOptions ToOptions(
+/// Opens the file for the history, if one is named.
+Result<std::shared_ptr<history::Recorder>> OpenRecorder(
+    const std::string& path, const std::string& name) {
+  if (path.empty()) return std::shared_ptr<history::Recorder>();
+  auto recorder = history::Recorder::Open(path, ProcessId(name));
+  if (!recorder) return tl::unexpected<Error>(recorder.error());
+  return std::shared_ptr<history::Recorder>(std::move(*recorder));
+}
+
+Result<standin::EngineStandinOptions> ToOptions(
     const settings::EngineStandinSettings& given) {
   standin::EngineStandinOptions options;
   options.address = given.address;
@@ -29,15 +39,27 @@
   }
   options.token_interval = given.chunk_interval;
   options.checks_fencing = given.checks_fencing;
+  options.name = given.name;
+  auto recorder = OpenRecorder(given.history, given.name);
+  if (!recorder) return tl::unexpected<Error>(recorder.error());
+  options.recorder = std::move(*recorder);
   return options;
 }
 
-standin::ServiceStandinOptions ToOptions(
+Result<standin::ServiceStandinOptions> ToOptions(
     const settings::ServiceStandinSettings& given) {
-  return {given.address, given.port, given.delay};
+  auto recorder = OpenRecorder(given.history, given.name);
+  if (!recorder) return tl::unexpected<Error>(recorder.error());
+  return standin::ServiceStandinOptions{given.address, given.port, given.delay,
+                                        given.name, std::move(*recorder)};
+}
+
+Result<standin::RelayOptions> ToOptions(const settings::RelaySettings& given) {
+  return standin::RelayOptions{given.address, given.port, given.target_address,
+                               given.target_port, given.control_port};
 }
 
-standin::LogStandinOptions ToOptions(
+Result<standin::LogStandinOptions> ToOptions(
     const settings::LogStandinSettings& given) {
   standin::LogStandinOptions options;
   options.address = given.address;
@@ -47,9 +69,14 @@
   return options;
 }
 
-standin::HostsStandinOptions ToOptions(
+Result<standin::HostsStandinOptions> ToOptions(
     const settings::HostsStandinSettings& given) {
-  return {given.address, given.port, given.lag};
+  return standin::HostsStandinOptions{given.address, given.port, given.lag};
+}
+
+ExitCode ReportFailure(const Error& error) {
+  std::cerr << "peridotshelf: " << error.detail << "\n";
+  return ExitCode::kCannotListen;
 }
 
 /// Runs one stand-in until a stop signal.
@@ -60,11 +87,10 @@
   if (!parsed) return parsed.error();
   const StopSignal stop;
   io::IoThreads threads(kThreads);
-  auto standin = Standin::Create(threads, ToOptions(*parsed));
-  if (!standin) {
-    std::cerr << "peridotshelf: " << standin.error().detail << "\n";
-    return ExitCode::kCannotListen;
-  }
+  const auto options = ToOptions(*parsed);
+  if (!options) return ReportFailure(options.error());
+  auto standin = Standin::Create(threads, *options);
+  if (!standin) return ReportFailure(standin.error());
   stop.Wait();
   standin->reset();
   threads.Stop();
@@ -89,7 +115,11 @@
   if (kind == "hosts") {
     return Serve<standin::HostsStandin>(settings::HostsStandinSchema(), rest);
   }
-  std::cerr << "usage: peridotshelf standin engine|service|log|hosts [FLAGS]\n";
+  if (kind == "relay") {
+    return Serve<standin::Relay>(settings::RelaySchema(), rest);
+  }
+  std::cerr << "usage: peridotshelf standin engine|service|log|hosts|relay "
+               "[FLAGS]\n";
   return kind == "--help" ? ExitCode::kSuccess : ExitCode::kBadSettings;
 }
 
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -29,7 +29,7 @@
     Command{"explain", "show what was decided about a request", &RunExplain},
     Command{"load", "send prompts and report what callers see", &RunLoad},
     Command{"demo", "run a whole small fleet on loopback", &RunDemo},
-    Command{"standin", "stand in for engine, service, log or hosts",
+    Command{"standin", "stand in for engine, service, log, hosts or network",
             &RunStandin},
     Command{"publish", "publish a configuration document", &RunPublish},
     Command{"preset", "put a preset in force", &RunPreset},
@@ -39,13 +39,14 @@
     Command{"recover", "begin anew on a log that lost its history",
             &RunRecover},
     Command{"check", "check a configuration file and settings", &RunCheck},
+    Command{"check-history", "judge what a run recorded", &RunCheckHistory},
     Command{"version", "print the version", &PrintVersion},
 };
 
 void PrintUsage(std::ostream& out) {
   out << "usage: peridotshelf COMMAND [FLAGS]; COMMAND --help explains\n\n";
   for (const Command& command : kCommands) {
-    out << "  " << command.name << std::string(12 - command.name.size(), ' ')
+    out << "  " << command.name << std::string(15 - command.name.size(), ' ')
         << command.summary << "\n";
   }
 }
--- a/src/settings/standin_settings.cc
+++ b/src/settings/standin_settings.cc
@@ -9,6 +9,13 @@
 constexpr Range<int64_t> kDelayMs{0, 600'000};
 constexpr Range<int64_t> kRecords{1, 100'000'000};
 
+/// Where a stand-in records what it runs.
+template <class S>
+void AddHistory(SettingsBuilder<S>& builder) {
+  builder.Name(&S::name, {"--name", "Name in the history."})
+      .Text(&S::history, {"--history", "File to append the history to."});
+}
+
 /// Where a stand-in listens.
 template <class S>
 void AddListener(SettingsBuilder<S>& builder) {
@@ -38,6 +45,7 @@
           &S::checks_fencing,
           {"--checks-fencing", "Refuse orders with an older fencing number."})
       .Example("peridotshelf standin engine --port 9100");
+  AddHistory(builder);
   return builder.Build();
 }
 
@@ -50,6 +58,7 @@
       .Milliseconds(&S::delay, {"--delay-ms", "Time before each answer."},
                     kDelayMs)
       .Example("peridotshelf standin service --port 9200");
+  AddHistory(builder);
   return builder.Build();
 }
 
@@ -81,6 +90,20 @@
   return builder.Build();
 }
 
+Schema<RelaySettings> MakeRelaySchema() {
+  using S = RelaySettings;
+  SettingsBuilder<S> builder("standin relay",
+                             "Forwards connections and disturbs them as told.");
+  AddListener(builder);
+  builder.Address(&S::target_address, {"--target-address", "Address to reach."})
+      .Port(&S::target_port, {"--target-port", "Port to reach.", true})
+      .Port(&S::control_port, {"--control-port", "Port for control.", true})
+      .Example(
+          "peridotshelf standin relay --port 9300 --target-port 7400 "
+          "--control-port 9301");
+  return builder.Build();
+}
+
 }  // namespace
 
 const Schema<EngineStandinSettings>& EngineStandinSchema() {
@@ -103,4 +126,9 @@
   return schema;
 }
 
+const Schema<RelaySettings>& RelaySchema() {
+  static const Schema<RelaySettings> schema = MakeRelaySchema();
+  return schema;
+}
+
 }  // namespace peridotshelf::settings
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -102,6 +102,15 @@
   return HashOf(json::parse(prompt_json, nullptr, /*allow_exceptions=*/false));
 }
 
+/// The attempt behind a name such as "REQUEST.2".
+AttemptId ParseAttempt(const std::string& name) {
+  const size_t dot = name.rfind('.');
+  if (dot == std::string::npos) return {RequestId(name), 0};
+  return {
+      RequestId(name.substr(0, dot)),
+      static_cast<int32_t>(std::strtol(name.c_str() + dot + 1, nullptr, 10))};
+}
+
 struct EngineStandin::Impl : std::enable_shared_from_this<Impl> {
   Impl(io::IoThreads& io, EngineStandinOptions engine_options)
       : threads(io), options(std::move(engine_options)) {}
@@ -122,6 +131,9 @@
   void Generate(const RunPtr& run);
   void Serve(Run& run);
   void KeepAlive(const RunPtr& run);
+  void RecordBegin(const Run& run);
+  void RecordEnd(const Run& run, history::ExecutionOutcome outcome);
+  void RecordMemory();
   Duration PrefillTime(int64_t tokens) const;
 
   io::IoThreads& threads;
@@ -171,9 +183,31 @@
   run->order = std::move(order);
   run->consumer = responder;
   runs.emplace(run->order.attempt, run);
+  RecordBegin(*run);
   return run;
 }
 
+void EngineStandin::Impl::RecordBegin(const Run& run) {
+  if (!options.recorder) return;
+  options.recorder->Record(history::ExecutionBegin{
+      ParseAttempt(run.order.attempt), history::BackendId(options.name), {}});
+  RecordMemory();
+}
+
+void EngineStandin::Impl::RecordEnd(const Run& run,
+                                    history::ExecutionOutcome outcome) {
+  if (!options.recorder) return;
+  options.recorder->Record(
+      history::ExecutionEnd{ParseAttempt(run.order.attempt),
+                            history::BackendId(options.name), outcome});
+  RecordMemory();
+}
+
+void EngineStandin::Impl::RecordMemory() {
+  options.recorder->Record(
+      history::MemoryHeld{history::BackendId(options.name), used_tokens});
+}
+
 void EngineStandin::Impl::Start(const http::ServerRequest& request,
                                 const http::ResponderPtr& responder) {
   Result<RunOrder> order = ReadOrder(request.body);
@@ -219,6 +253,7 @@
     used_tokens -= run->MemoryTokens();
     used_slots -= 1;
     run->finished = true;
+    RecordEnd(*run, history::ExecutionOutcome::kCompleted);
     threads.After(kFinishedRunKept, [self = shared_from_this(), run] {
       std::scoped_lock inner(self->mutex);
       self->runs.erase(run->order.attempt);
@@ -282,6 +317,7 @@
       if (!run.finished) {
         used_tokens -= run.MemoryTokens();
         used_slots -= 1;
+        RecordEnd(run, history::ExecutionOutcome::kCancelled);
       }
       run.cancelled = true;
       if (run.consumer) run.consumer->EndStream();
--- a/src/standin/service_standin.cc
+++ b/src/standin/service_standin.cc
@@ -30,6 +30,10 @@
       request.FindHeader("Idempotency-Key").value_or(std::string_view()));
   std::scoped_lock lock(mutex);
   executions.push_back(key);
+  if (options.recorder) {
+    options.recorder->Record(
+        history::ExecutionBegin{{}, history::BackendId(options.name), key});
+  }
   return json{{"method", request.method},       {"path", request.path},
               {"query", request.query},         {"key", key},
               {"execution", executions.size()}, {"body", request.body}};
--- /dev/null
+++ b/testsuite/operator_race/run.py
@@ -0,0 +1,39 @@
+"""Operators race one another with changes to one version: one wins, and all
+processes follow one order."""
+
+import concurrent.futures
+import os
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "common"))
+from bench import Bench  # noqa: E402
+
+ROUNDS = 6
+LOST = 6
+
+
+def main(program, seed=int(seed)):
+    with Bench(program, seed=int(seed), sides=2) as bench:
+        bench.start_all()
+        bench.callers.start(4)
+        version = max(bench.accepted)
+        for number in range(ROUNDS):
+            with concurrent.futures.ThreadPoolExecutor(2) as pool:
+                racers = [pool.submit(
+                    bench.operate, "preset", preset, "--if-version", version,
+                    "--change-id", f"{preset}-{number}")
+                    for preset in ("peak", "ordinary")]
+                results = [racer.result() for racer in racers]
+            codes = sorted(code for code, _ in results)
+            assert codes == [0, LOST], results
+            for preset, (code, line) in zip(("peak", "ordinary"), results):
+                if code == 0:
+                    version = line["version"]
+                    bench.accept(version, f"{preset}-{number}")
+        bench.wait_versions(version)
+        bench.finish()
+    print("operator race: passed")
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
