--- a/src/include/peridotshelf/history/checker.h
+++ b/src/include/peridotshelf/history/checker.h
@@ -22,6 +22,7 @@
   kNoMemoryHeld,        ///< Engines end with no memory held.
   kOrphansReleased,     ///< A dead entry's executions end within a bound.
   kLeavingTakesNoWork,  ///< A leaving backend server is given no new work.
+  kNoAnswerLost,        ///< Only faults of processes lose an answer.
   kStopCutsNothing,     ///< A planned stop ends no request.
   kOneControlOrder,     ///< All follow one order of versions, forwards only.
   kChangeInForce,       ///< Accepted changes are in force within a bound.
@@ -61,6 +62,10 @@
   int64_t max_bypasses = 8;
 };
 
+/// `limits` with `slack` added to each bound on time, for runs of processes on
+/// a machine that has other work.
+Limits WithSlack(Limits limits, Duration slack);
+
 /// One rule: reports what it finds wrong in a history.
 template <class R>
 concept Rule = requires(const Index& index, const Limits& limits,
