--- a/src/include/peridotshelf/ledger/admission.h
+++ b/src/include/peridotshelf/ledger/admission.h
@@ -89,11 +89,13 @@
   /// Takes limits and weights of a preset; ends nothing.
   void ApplyPreset(const control::Preset& preset,
                    std::span<const control::TeamConfig> teams);
+  /// Changes the engine's capacity; ends nothing.
+  void SetCapacity(Capacity capacity);
   /// Adopts what the engine reports after a restart of the side. What nobody
   /// claims within a lease is cancelled.
   void Rebuild(std::span<const backend::EngineStream> streams, TimePoint now);
-  /// Refuses new and waiting work from now on; running work goes on.
-  std::vector<Outcome> Leave(TimePoint now);
+  /// While leaving, new and waiting work is refused; running work goes on.
+  std::vector<Outcome> SetLeaving(bool leaving, TimePoint now);
 
   /// Decides on a request. Repeating it is harmless.
   Decision Reserve(const ReserveRequest& request, TimePoint now);
@@ -115,7 +117,7 @@
   std::vector<Outcome> Tick(TimePoint now);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
-  policy::EngineLoad Load() const;
+  policy::EngineLoad Load(TimePoint now) const;
   /// Held memory and slots.
   Capacity Held() const;
   /// Predicted against actual waits, all classes together.
@@ -133,6 +135,14 @@
     /// When the engine was last asked to cancel.
     TimePoint cancel_sent;
   };
+  /// The head of a lane that waits for memory.
+  struct Blocked {
+    /// Empty if the lane's head does not wait for memory.
+    AttemptId attempt;
+    TimePoint since;
+    /// What started past it.
+    int64_t bypassed_tokens = 0;
+  };
   /// Short, medium and long requests wait apart: none blocks another class.
   static constexpr size_t kLanes = 3;
 
@@ -144,12 +154,18 @@
   Granted Grant(const ReserveRequest& request, TimePoint now);
   bool MayStart(const ReserveRequest& request) const;
   bool PassesBlocked(const ReserveRequest& request) const;
+  bool FitsShortReserve(const ReserveRequest& request) const;
+  void Unblock(const AttemptId& attempt);
+  /// Wait-die: a part of a gang does not wait for an older gang's hold.
+  bool YieldsToOlderGang(const ReserveRequest& request) const;
   void StopWaiting(const AttemptId& attempt);
   bool EngineHolds(const AttemptId& attempt) const;
   Duration ServiceTime(const ReserveRequest& request) const;
   Duration PredictWait(const ReserveRequest& request, TimePoint now) const;
   Duration MemoryWait(const ReserveRequest& request, TimePoint now) const;
   Duration PrefillLimitWait(const ReserveRequest& request, TimePoint now) const;
+  Duration RemainingPrefill(const Hold& hold, TimePoint now) const;
+  Duration PrefillBacklog(TimePoint now) const;
   Duration PredictedEnd(const Hold& hold, TimePoint now) const;
   void GrantWaiting(TimePoint now, std::vector<Outcome>& outcomes);
   bool GrantHead(FairQueue& lane, TimePoint now,
@@ -175,9 +191,8 @@
   std::unordered_map<ProcessId, TimePoint> m_owner_leases;
   /// The lane in which each waiting attempt is.
   std::unordered_map<AttemptId, size_t> m_waiting;
-  /// The head of a lane that waits for memory, and what passed it since.
-  AttemptId m_blocked;
-  int64_t m_bypassed_tokens = 0;
+  /// By lane; the short lane has none.
+  std::array<Blocked, kLanes> m_blocked;
   bool m_rebuilding;
   bool m_leaving = false;
 };
--- a/src/include/peridotshelf/ledger/fair_queue.h
+++ b/src/include/peridotshelf/ledger/fair_queue.h
@@ -28,6 +28,8 @@
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
   policy::SizeClass size_class = policy::SizeClass::kShort;
+  /// For a part of a gang: when its request was admitted, on the side's clock.
+  std::optional<TimePoint> gang_since;
   Budget budget = Budget::FromRemaining({}, {});
 
   /// Memory the attempt needs, in tokens.
--- a/src/include/peridotshelf/ledger/ledger.h
+++ b/src/include/peridotshelf/ledger/ledger.h
@@ -37,6 +37,8 @@
   policy::SizeClass size_class = policy::SizeClass::kShort;
   int64_t tokens = 0;
   HoldState state = HoldState::kReserved;
+  /// For a part of a gang: when its request was admitted.
+  std::optional<TimePoint> gang_since;
   /// Whether the first token is still to come.
   bool prefilling = true;
   /// When the side ends the hold, on its own clock.
@@ -76,7 +78,8 @@
   Result<void> Commit(const AttemptId& attempt, TimePoint lease_end);
   /// The first token came.
   void EndPrefill(const AttemptId& attempt);
-  /// Moves the lease end of all running holds of `owner`.
+  /// Moves the lease end of all of `owner`'s holds that run or are parts of a
+  /// gang that still gathers.
   void Extend(const ProcessId& owner, TimePoint lease_end);
   /// Gives an orphaned or running hold to `owner`; false if there is none.
   bool Claim(const AttemptId& attempt, const ProcessId& owner,
--- a/src/include/peridotshelf/policy/engine_load.h
+++ b/src/include/peridotshelf/policy/engine_load.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include "peridotshelf/base/clock.h"
+
 namespace peridotshelf::policy {
 
 /// One engine's load at one moment, by its side's account.
@@ -14,6 +16,8 @@
   /// Long prefills under way.
   int32_t running_long = 0;
   bool leaving = false;
+  /// Predicted time until all prompts that run or wait are read.
+  Duration prefill_backlog{};
 };
 
 }  // namespace peridotshelf::policy
--- a/src/include/peridotshelf/policy/size_class.h
+++ b/src/include/peridotshelf/policy/size_class.h
@@ -31,4 +31,16 @@
   return size_class == SizeClass::kLong || size_class == SizeClass::kGiant;
 }
 
+/// The priority under which an engine runs a request: the team's first; then
+/// short prompts, which delay others least.
+constexpr int32_t EnginePriority(int32_t team_priority, SizeClass size_class) {
+  return team_priority * 2 + (size_class == SizeClass::kShort ? 1 : 0);
+}
+
+/// Whether the class belongs on the engines kept for long prompts. Medium ones
+/// do: their prefill, too, multiplies the time between a short one's tokens.
+constexpr bool UsesLongPool(SizeClass size_class) {
+  return size_class != SizeClass::kShort;
+}
+
 }  // namespace peridotshelf::policy
--- a/src/ledger/admission.cc
+++ b/src/ledger/admission.cc
@@ -38,10 +38,17 @@
   }
 }
 
+void Admission::SetCapacity(Capacity capacity) {
+  std::scoped_lock lock(m_mutex);
+  m_options.capacity = capacity;
+  m_ledger.SetCapacity(capacity);
+}
+
 void Admission::Rebuild(std::span<const backend::EngineStream> streams,
                         TimePoint now) {
   std::scoped_lock lock(m_mutex);
   for (const backend::EngineStream& stream : streams) {
+    if (stream.finished) continue;
     Hold hold;
     hold.attempt = stream.attempt;
     hold.tokens = stream.memory_tokens;
@@ -58,10 +65,11 @@
   m_rebuilding = false;
 }
 
-std::vector<Outcome> Admission::Leave(TimePoint now) {
+std::vector<Outcome> Admission::SetLeaving(bool leaving, TimePoint now) {
   std::scoped_lock lock(m_mutex);
-  m_leaving = true;
+  m_leaving = leaving;
   std::vector<Outcome> outcomes;
+  if (!leaving) return outcomes;
   RefuseWaiting(ErrorCode::kLeaving, now, outcomes,
                 [](const WaitingRequest&) { return true; });
   return outcomes;
@@ -116,7 +124,7 @@
       lane.size() == 0 || lane.Peek()->request.priority < request.priority;
   if (first && MayStart(request)) return Grant(request, now);
   const Duration wait = PredictWait(request, now);
-  if (wait + service > remaining) {
+  if (wait + service > remaining || YieldsToOlderGang(request)) {
     return Refuse(request, ErrorCode::kOverloaded, now);
   }
   const TimePoint latest_start = request.budget.deadline() - service;
@@ -227,7 +235,7 @@
   return outcomes;
 }
 
-policy::EngineLoad Admission::Load() const {
+policy::EngineLoad Admission::Load(TimePoint now) const {
   std::scoped_lock lock(m_mutex);
   const Capacity free = m_ledger.free();
   policy::EngineLoad load;
@@ -239,6 +247,7 @@
   }
   load.running_long = m_ledger.long_prefills();
   load.leaving = m_leaving;
+  load.prefill_backlog = PrefillBacklog(now);
   return load;
 }
 
--- a/src/ledger/admission_queue.cc
+++ b/src/ledger/admission_queue.cc
@@ -44,7 +44,10 @@
   hold.team = request.team;
   hold.size_class = request.size_class;
   hold.tokens = request.tokens();
-  hold.lease_end = now + m_options.reservation_lease;
+  hold.gang_since = request.gang_since;
+  const Duration lease =
+      request.gang_since ? m_options.owner_lease : m_options.reservation_lease;
+  hold.lease_end = now + lease;
   Progress progress;
   progress.prompt_tokens = request.prompt_tokens;
   progress.max_tokens = request.max_tokens;
@@ -52,14 +55,11 @@
   m_progress[request.attempt] = progress;
   // Reserve cannot fail: the attempt was looked up before.
   (void)m_ledger.Reserve(std::move(hold));
-  if (m_blocked == request.attempt) {
-    m_blocked = {};
-    m_bypassed_tokens = 0;
-  } else if (!m_blocked.request.empty()) {
-    m_bypassed_tokens += request.tokens();
+  Unblock(request.attempt);
+  for (Blocked& blocked : m_blocked) {
+    blocked.bypassed_tokens += request.tokens();
   }
-  return {request.attempt, request.owner, m_options.epoch,
-          m_options.reservation_lease};
+  return {request.attempt, request.owner, m_options.epoch, lease};
 }
 
 bool Admission::MayStart(const ReserveRequest& request) const {
@@ -69,15 +69,44 @@
 }
 
 bool Admission::PassesBlocked(const ReserveRequest& request) const {
-  if (m_blocked.request.empty() || m_blocked == request.attempt) return true;
-  const auto memory = static_cast<double>(m_options.capacity.tokens);
-  const auto bypassed = static_cast<double>(m_bypassed_tokens);
-  if (bypassed < m_bypass_fraction * memory) return true;
+  const Blocked& own = m_blocked.at(LaneOf(request.size_class));
+  const bool is_blocked = own.attempt == request.attempt;
+  const double bound =
+      m_bypass_fraction * static_cast<double>(m_options.capacity.tokens);
+  for (const Blocked& blocked : m_blocked) {
+    if (blocked.attempt.request.empty()) continue;
+    if (static_cast<double>(blocked.bypassed_tokens) < bound) continue;
+    // Of two that are blocked, the one that waits longer goes first.
+    if (is_blocked && own.since <= blocked.since) continue;
+    return FitsShortReserve(request);
+  }
+  return true;
+}
+
+bool Admission::FitsShortReserve(const ReserveRequest& request) const {
   if (request.size_class != SizeClass::kShort) return false;
   const Capacity held = m_ledger.held_by_short();
-  const auto tokens = static_cast<double>(held.tokens + request.tokens());
-  return tokens <= m_limits.short_reserve * memory &&
-         held.slots < m_limits.short_reserve * m_options.capacity.slots;
+  const Capacity total = m_options.capacity;
+  const double tokens_limit =
+      m_limits.short_reserve * static_cast<double>(total.tokens);
+  return static_cast<double>(held.tokens + request.tokens()) <= tokens_limit &&
+         held.slots < m_limits.short_reserve * total.slots;
+}
+
+void Admission::Unblock(const AttemptId& attempt) {
+  for (Blocked& blocked : m_blocked) {
+    if (blocked.attempt == attempt) blocked = {};
+  }
+}
+
+bool Admission::YieldsToOlderGang(const ReserveRequest& request) const {
+  if (!request.gang_since) return false;
+  const auto& holds = m_ledger.holds();
+  return std::any_of(holds.begin(), holds.end(), [&](const auto& item) {
+    const Hold& hold = item.second;
+    return hold.state == HoldState::kReserved && hold.gang_since &&
+           *hold.gang_since < *request.gang_since;
+  });
 }
 
 void Admission::StopWaiting(const AttemptId& attempt) {
@@ -85,7 +114,7 @@
   if (it == m_waiting.end()) return;
   m_lanes.at(it->second).Remove(attempt);
   m_waiting.erase(it);
-  if (m_blocked == attempt) m_blocked = {};
+  Unblock(attempt);
 }
 
 bool Admission::EngineHolds(const AttemptId& attempt) const {
@@ -107,9 +136,29 @@
   const Progress& progress = it->second;
   const Duration decode = m_times.Decode(progress.max_tokens);
   if (!hold.prefilling) return progress.first_token + decode - now;
+  return RemainingPrefill(hold, now) + decode;
+}
+
+Duration Admission::RemainingPrefill(const Hold& hold, TimePoint now) const {
+  auto it = m_progress.find(hold.attempt);
+  if (!hold.prefilling || it == m_progress.end()) return Duration::zero();
   const Duration prefill =
-      m_times.Prefill(progress.prompt_tokens, hold.size_class);
-  return std::max(Duration::zero(), progress.started + prefill - now) + decode;
+      m_times.Prefill(it->second.prompt_tokens, hold.size_class);
+  return std::max(Duration::zero(), it->second.started + prefill - now);
+}
+
+Duration Admission::PrefillBacklog(TimePoint now) const {
+  Duration backlog{};
+  for (const auto& [attempt, hold] : m_ledger.holds()) {
+    backlog += RemainingPrefill(hold, now);
+  }
+  for (const FairQueue& lane : m_lanes) {
+    lane.ForEach([&](const WaitingRequest& waiting) {
+      const ReserveRequest& request = waiting.request;
+      backlog += m_times.Prefill(request.prompt_tokens, request.size_class);
+    });
+  }
+  return backlog;
 }
 
 Duration Admission::PredictWait(const ReserveRequest& request,
@@ -157,12 +206,7 @@
                                      TimePoint now) const {
   Duration work{};
   for (const auto& [attempt, hold] : m_ledger.holds()) {
-    if (!IsLong(hold.size_class) || !hold.prefilling) continue;
-    auto it = m_progress.find(attempt);
-    if (it == m_progress.end()) continue;
-    const Duration prefill =
-        m_times.Prefill(it->second.prompt_tokens, hold.size_class);
-    work += std::max(Duration::zero(), it->second.started + prefill - now);
+    if (IsLong(hold.size_class)) work += RemainingPrefill(hold, now);
   }
   if (m_ledger.long_prefills() < m_limits.max_long_prefills) work = {};
   m_lanes.at(LaneOf(request.size_class))
@@ -191,9 +235,12 @@
         m_ledger.WhyNot(request.tokens(), request.size_class, m_limits);
     const bool blocks = obstacle == Obstacle::kMemory &&
                         request.size_class != SizeClass::kShort;
-    if (blocks && m_blocked.request.empty()) {
-      m_blocked = request.attempt;
-      m_bypassed_tokens = 0;
+    Blocked& blocked = m_blocked.at(LaneOf(request.size_class));
+    // A head that overtook the blocked one inherits what passed.
+    if (blocks && blocked.attempt.request.empty()) {
+      blocked = {request.attempt, now, 0};
+    } else if (blocks) {
+      blocked.attempt = request.attempt;
     }
     return false;
   }
@@ -211,7 +258,7 @@
     for (const WaitingRequest& waiting : lane.RemoveIf(condition)) {
       const AttemptId& attempt = waiting.request.attempt;
       m_waiting.erase(attempt);
-      if (m_blocked == attempt) m_blocked = {};
+      Unblock(attempt);
       outcomes.emplace_back(Refuse(waiting.request, code, now));
     }
   }
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -73,8 +73,10 @@
 
 void Ledger::Extend(const ProcessId& owner, TimePoint lease_end) {
   for (auto& [attempt, hold] : m_holds) {
-    const bool running = hold.state == HoldState::kRunning;
-    if (running && hold.owner == owner) hold.lease_end = lease_end;
+    const bool gathering =
+        hold.state == HoldState::kReserved && hold.gang_since.has_value();
+    const bool renewed = hold.state == HoldState::kRunning || gathering;
+    if (renewed && hold.owner == owner) hold.lease_end = lease_end;
   }
 }
 
--- a/src/policy/engine_pool.cc
+++ b/src/policy/engine_pool.cc
@@ -22,20 +22,18 @@
 constexpr double kBoundSlack = 0.1;
 /// Engines sampled by load; more only if some do not fit.
 constexpr int kSamples = 2;
-constexpr int kMostSamples = 8;
+/// Prompts that are not short wait for seconds behind one another.
+constexpr int kLongPoolSamples = 8;
+constexpr int kMostSamples = 16;
 /// Hints fade to the mean with this time constant.
-constexpr double kHintSeconds = 5;
-/// What one long prefill adds to an engine's load for other prompts.
-constexpr double kLongPrefillLoad = 0.5;
+constexpr double kHintSeconds = 15;
+/// What a second of prefill that runs or waits adds to an engine's load.
+constexpr double kLoadPerBacklogSecond = 0.5;
 /// Added to the load of an engine of the other part when it is compared.
 constexpr double kOtherPartLoad = 0.2;
 /// Mean loads at which short prompts begin and cease to use the long pool.
 constexpr double kShortSpillBegin = 0.9;
 constexpr double kShortSpillEnd = 0.7;
-/// Long prompts cease to use general engines at this part of their begin.
-constexpr double kSpillEndFraction = 0.7;
-constexpr double kMinLongSpill = 0.3;
-constexpr double kMaxLongSpill = 3;
 /// Bounds of how long a refusal is remembered.
 constexpr Duration kMinRefusal = std::chrono::milliseconds(100);
 constexpr Duration kMaxRefusal = std::chrono::seconds(2);
@@ -78,8 +76,6 @@
     m_index_of[config.id] = i;
     m_largest_memory = std::max(m_largest_memory, config.memory_tokens);
   }
-  m_long_spill_load = std::clamp(preset.short_weight / preset.long_weight,
-                                 kMinLongSpill, kMaxLongSpill);
   Divide(preset);
   BuildParts();
 }
@@ -106,12 +102,8 @@
 }
 
 void EnginePool::BuildParts() {
-  const bool general_spills = m_general.spills;
-  const bool long_spills = m_long.spills;
   m_general = {};
   m_long = {};
-  m_general.spills = general_spills;
-  m_long.spills = long_spills;
   for (Index i = 0; i < m_engines.size(); ++i) {
     const EngineState& state = m_engines[i];
     Part& part = state.in_long_pool ? m_long : m_general;
@@ -131,19 +123,13 @@
 
 void EnginePool::UpdateSpill() {
   const double general = m_general.MeanLoad();
-  if (general >= kShortSpillBegin) m_general.spills = true;
-  if (general <= kShortSpillEnd) m_general.spills = false;
-  const double long_load = m_long.MeanLoad();
-  if (long_load >= m_long_spill_load) m_long.spills = true;
-  if (long_load <= m_long_spill_load * kSpillEndFraction) {
-    m_long.spills = false;
-  }
+  if (general >= kShortSpillBegin) m_short_spill = true;
+  if (general <= kShortSpillEnd) m_short_spill = false;
 }
 
 double EnginePool::LoadOf(const EngineState& state, const Part& part,
                           const Decision& decision) const {
-  const double load =
-      state.reported_load + kLongPrefillLoad * state.load.running_long;
+  const double load = state.reported_load;
   if (!m_mechanisms.hint_aging) return load + state.pending_load;
   const std::chrono::duration<double> age = decision.now - state.load_at;
   const double weight = std::exp(-age.count() / kHintSeconds);
@@ -152,9 +138,12 @@
 }
 
 bool EnginePool::Fits(const EngineState& state,
-                      const PlacementRequest& request) const {
+                      const Decision& decision) const {
+  const PlacementRequest& request = decision.request;
   const control::EngineConfig& config = state.engine.config;
-  if (state.load.leaving) return false;
+  // A host may stop leaving, and only a reservation would tell.
+  const bool fresh = decision.now - state.load_at < kMaxRefusal;
+  if (state.load.leaving && fresh) return false;
   if (request.tokens() > config.memory_tokens) return false;
   return std::find(request.excluded.begin(), request.excluded.end(),
                    config.id) == request.excluded.end();
@@ -171,13 +160,15 @@
       ClassOf(request.prompt_tokens, request.max_tokens, m_largest_memory);
   Decision decision{request, size_class, now, random, {}, {}};
   UpdateSpill();
-  const bool wants_long = IsLong(size_class) && !m_long.all.empty();
+  const bool wants_long = UsesLongPool(size_class) && !m_long.all.empty();
   Part& own = wants_long || m_general.all.empty() ? m_long : m_general;
   const Part& other = &own == &m_long ? m_general : m_long;
-  const bool by_prefix =
-      m_mechanisms.prefix_affinity && ChooseByPrefix(own, decision);
+  // A cached long prefix is not worth the wait behind another long prompt.
+  const bool by_prefix = m_mechanisms.prefix_affinity && !IsLong(size_class) &&
+                         ChooseByPrefix(own, decision);
   if (!by_prefix) ChooseByLoad(own, decision);
-  if (!by_prefix && own.spills && !other.all.empty()) {
+  const bool spills = &own == &m_general && m_short_spill;
+  if (!by_prefix && spills && !other.all.empty()) {
     const size_t before = decision.choices.size();
     Sample(other.all, other, decision);
     for (size_t i = before; i < decision.choices.size(); ++i) {
@@ -205,7 +196,7 @@
     const EngineState& state = m_engines[point->second];
     const double load = LoadOf(state, part, decision);
     Considered line{state.engine.config.id, load, Verdict::kOverBound};
-    if (!Fits(state, decision.request)) {
+    if (!Fits(state, decision)) {
       line.verdict = Verdict::kUnfit;
     } else if (m_mechanisms.refusal_memory &&
                state.refused_until > decision.now) {
@@ -223,7 +214,10 @@
 
 void EnginePool::ChooseByLoad(const Part& part, Decision& decision) {
   const bool by_prefix = !decision.choices.empty();
-  if (m_mechanisms.own_domain && !part.own_domain.empty()) {
+  // The way to another domain is as nothing beside a longer prefill.
+  const bool near =
+      m_mechanisms.own_domain && !UsesLongPool(decision.size_class);
+  if (near && !part.own_domain.empty()) {
     Sample(part.own_domain, part, decision);
     const bool room = std::any_of(
         decision.choices.begin(), decision.choices.end(), [](const Choice& c) {
@@ -238,14 +232,16 @@
 void EnginePool::Sample(const std::vector<Index>& from, const Part& part,
                         Decision& decision) {
   if (from.empty()) return;
-  const int wanted = m_mechanisms.two_choices ? kSamples : 1;
+  const int samples =
+      UsesLongPool(decision.size_class) ? kLongPoolSamples : kSamples;
+  const int wanted = m_mechanisms.two_choices ? samples : 1;
   const size_t before = decision.choices.size();
   std::uniform_int_distribution<size_t> any(0, from.size() - 1);
   int fresh = 0;
   for (int i = 0; i < kMostSamples && fresh < wanted; ++i) {
     const Index index = from[any(decision.random)];
     const EngineState& state = m_engines[index];
-    if (!Fits(state, decision.request)) continue;
+    if (!Fits(state, decision)) continue;
     const bool taken = std::any_of(
         decision.choices.begin(), decision.choices.end(),
         [index](const Choice& choice) { return choice.index == index; });
@@ -259,7 +255,7 @@
   // Few engines fit: look at each, since sampling may miss them.
   for (const Index index : from) {
     const EngineState& state = m_engines[index];
-    if (!Fits(state, decision.request)) continue;
+    if (!Fits(state, decision)) continue;
     const bool refused = state.refused_until > decision.now;
     decision.choices.push_back({index, LoadOf(state, part, decision), refused});
   }
@@ -277,7 +273,7 @@
   });
   if (choices.front().refused) result.reason = PlacementReason::kAllRefused;
   const bool from_long = m_engines[choices.front().index].in_long_pool;
-  const bool wants_long = IsLong(decision.size_class);
+  const bool wants_long = UsesLongPool(decision.size_class);
   if (from_long != wants_long && !m_long.all.empty() &&
       !m_general.all.empty()) {
     result.reason = PlacementReason::kSpill;
@@ -329,7 +325,11 @@
       static_cast<double>(slots) / std::max(1, config.slots);
   state.load = load;
   state.load_at = taken_at;
-  SetLoad(state, std::max(by_tokens, by_slots), 0);
+  const std::chrono::duration<double> backlog = load.prefill_backlog;
+  SetLoad(
+      state,
+      std::max(by_tokens, by_slots) + kLoadPerBacklogSecond * backlog.count(),
+      0);
 }
 
 void EnginePool::OnRefused(const EngineId& engine, TimePoint now,
--- a/src/policy/engine_pool.h
+++ b/src/policy/engine_pool.h
@@ -53,8 +53,6 @@
     std::vector<std::pair<uint64_t, Index>> ring;
     /// Sum of the engines' reported and pending loads.
     double load_sum = 0;
-    /// Whether requests meant for this part also go to the other.
-    bool spills = false;
 
     double MeanLoad() const {
       return all.empty() ? 0 : load_sum / static_cast<double>(all.size());
@@ -80,7 +78,7 @@
   void UpdateSpill();
   double LoadOf(const EngineState& state, const Part& part,
                 const Decision& decision) const;
-  bool Fits(const EngineState& state, const PlacementRequest& request) const;
+  bool Fits(const EngineState& state, const Decision& decision) const;
   bool ChooseByPrefix(const Part& part, Decision& decision);
   void ChooseByLoad(const Part& part, Decision& decision);
   void Sample(const std::vector<Index>& from, const Part& part,
@@ -97,8 +95,9 @@
   Part m_general;
   Part m_long;
   int64_t m_largest_memory = 0;
-  /// Mean load above which long prompts also go to general engines.
-  double m_long_spill_load = 1;
+  /// Whether short prompts also go to the long part. Never the reverse: one
+  /// long prefill would slow all short ones of its engine.
+  bool m_short_spill = false;
 };
 
 }  // namespace peridotshelf::policy
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -509,6 +509,10 @@
 void EngineLoad::__set_running_long(const int32_t val) {
   this->running_long = val;
 }
+
+void EngineLoad::__set_prefill_backlog_ms(const int64_t val) {
+  this->prefill_backlog_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj)
 {
   obj.printTo(out);
@@ -593,6 +597,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 60:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefill_backlog_ms);
+          this->__isset.prefill_backlog_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -638,6 +650,10 @@
   xfer += oprot->writeI32(this->running_long);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("prefill_backlog_ms", ::apache::thrift::protocol::T_I64, 60);
+  xfer += oprot->writeI64(this->prefill_backlog_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -652,6 +668,7 @@
   swap(a.queued_tokens, b.queued_tokens);
   swap(a.leaving, b.leaving);
   swap(a.running_long, b.running_long);
+  swap(a.prefill_backlog_ms, b.prefill_backlog_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -663,6 +680,7 @@
   queued_tokens = other9.queued_tokens;
   leaving = other9.leaving;
   running_long = other9.running_long;
+  prefill_backlog_ms = other9.prefill_backlog_ms;
   __isset = other9.__isset;
 }
 EngineLoad::EngineLoad(EngineLoad&& other10) noexcept {
@@ -673,6 +691,7 @@
   queued_tokens = other10.queued_tokens;
   leaving = other10.leaving;
   running_long = other10.running_long;
+  prefill_backlog_ms = other10.prefill_backlog_ms;
   __isset = other10.__isset;
 }
 EngineLoad& EngineLoad::operator=(const EngineLoad& other11) {
@@ -683,6 +702,7 @@
   queued_tokens = other11.queued_tokens;
   leaving = other11.leaving;
   running_long = other11.running_long;
+  prefill_backlog_ms = other11.prefill_backlog_ms;
   __isset = other11.__isset;
   return *this;
 }
@@ -694,6 +714,7 @@
   queued_tokens = other12.queued_tokens;
   leaving = other12.leaving;
   running_long = other12.running_long;
+  prefill_backlog_ms = other12.prefill_backlog_ms;
   __isset = other12.__isset;
   return *this;
 }
@@ -707,6 +728,7 @@
   out << ", " << "queued_tokens=" << to_string(queued_tokens);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "running_long=" << to_string(running_long);
+  out << ", " << "prefill_backlog_ms=" << to_string(prefill_backlog_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -258,7 +258,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _EngineLoad__isset {
-  _EngineLoad__isset() : engine(false), free_tokens(false), free_slots(false), queued(false), queued_tokens(false), leaving(false), running_long(false) {}
+  _EngineLoad__isset() : engine(false), free_tokens(false), free_slots(false), queued(false), queued_tokens(false), leaving(false), running_long(false), prefill_backlog_ms(false) {}
   bool engine :1;
   bool free_tokens :1;
   bool free_slots :1;
@@ -266,6 +266,7 @@
   bool queued_tokens :1;
   bool leaving :1;
   bool running_long :1;
+  bool prefill_backlog_ms :1;
 } _EngineLoad__isset;
 
 class EngineLoad : public virtual ::apache::thrift::TBase {
@@ -282,7 +283,8 @@
                queued(0),
                queued_tokens(0),
                leaving(0),
-               running_long(0) {
+               running_long(0),
+               prefill_backlog_ms(0) {
   }
 
   virtual ~EngineLoad() noexcept;
@@ -293,6 +295,7 @@
   int64_t queued_tokens;
   bool leaving;
   int32_t running_long;
+  int64_t prefill_backlog_ms;
 
   _EngineLoad__isset __isset;
 
@@ -310,6 +313,8 @@
 
   void __set_running_long(const int32_t val);
 
+  void __set_prefill_backlog_ms(const int64_t val);
+
   bool operator == (const EngineLoad & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -326,6 +331,8 @@
       return false;
     if (!(running_long == rhs.running_long))
       return false;
+    if (!(prefill_backlog_ms == rhs.prefill_backlog_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -35,6 +35,7 @@
   5: i64 queued_tokens
   6: bool leaving
   7: i32 running_long
+  60: i64 prefill_backlog_ms   // until all prompts that run or wait are read
 }
 
 struct Attempt {
