--- a/src/ledger/admission.cc
+++ b/src/ledger/admission.cc
@@ -124,7 +124,7 @@
       lane.size() == 0 || lane.Peek()->request.priority < request.priority;
   if (first && MayStart(request)) return Grant(request, now);
   const Duration wait = PredictWait(request, now);
-  if (wait + service > remaining) {
+  if (wait + service > remaining || YieldsToOlderGang(request)) {
     return Refuse(request, ErrorCode::kOverloaded, now);
   }
   const TimePoint latest_start = request.budget.deadline() - service;
@@ -235,7 +235,7 @@
   return outcomes;
 }
 
-policy::EngineLoad Admission::Load() const {
+policy::EngineLoad Admission::Load(TimePoint now) const {
   std::scoped_lock lock(m_mutex);
   const Capacity free = m_ledger.free();
   policy::EngineLoad load;
@@ -247,6 +247,7 @@
   }
   load.running_long = m_ledger.long_prefills();
   load.leaving = m_leaving;
+  load.prefill_backlog = PrefillBacklog(now);
   return load;
 }
 
--- a/src/ledger/admission_test.cc
+++ b/src/ledger/admission_test.cc
@@ -101,7 +101,8 @@
     const Granted* granted = As<Granted>(decision);
     CPPUNIT_ASSERT(granted != nullptr && granted->epoch == kEpoch);
     CPPUNIT_ASSERT(m_admission.Held().tokens == 1100);
-    CPPUNIT_ASSERT(m_admission.Load().free_tokens == kMemory - 1100);
+    CPPUNIT_ASSERT(m_admission.Load(m_clock.Now()).free_tokens ==
+                   kMemory - 1100);
   }
   void Reserve_Repeated_KeepsOneHold() {
     const ReserveRequest request = Request("a", 1000);
@@ -177,7 +178,7 @@
     const AttemptId running = Start("a", 390'000);
     m_admission.Reserve(Request("b", 2000), m_clock.Now());
     m_admission.Reserve(Request("c", 50'000), m_clock.Now());
-    CPPUNIT_ASSERT(m_admission.Load().queued == 1);
+    CPPUNIT_ASSERT(m_admission.Load(m_clock.Now()).queued == 1);
     const auto outcomes =
         Pass(Options().owner_lease + Admission::kTickInterval, false);
     CPPUNIT_ASSERT(Options().owner_lease + Admission::kTickInterval <
@@ -185,7 +186,7 @@
     CPPUNIT_ASSERT_EQUAL(1, CountOf<CancelAtEngine>(outcomes));
     m_admission.Release(running, m_clock.Now());
     CPPUNIT_ASSERT(m_admission.Held() == Capacity{});
-    CPPUNIT_ASSERT(m_admission.Load().queued == 0);
+    CPPUNIT_ASSERT(m_admission.Load(m_clock.Now()).queued == 0);
   }
   void Tick_UnconfirmedCancel_IsRepeated() {
     m_admission.Cancel(Start("a", 1000), m_clock.Now());
@@ -196,9 +197,10 @@
     Start("a", 390'000);
     // The running one is predicted to end in 30 s; it does not.
     m_admission.Reserve(Request("b", 50'000, seconds(50)), m_clock.Now());
-    CPPUNIT_ASSERT(m_admission.Load().queued == 1);
+    CPPUNIT_ASSERT(m_admission.Load(m_clock.Now()).queued == 1);
     const TimePoint deadline = m_clock.Now() + seconds(50);
-    while (m_admission.Load().queued == 1) Pass(Admission::kTickInterval);
+    while (m_admission.Load(m_clock.Now()).queued == 1)
+      Pass(Admission::kTickInterval);
     // Its prefill and decode need over two seconds.
     CPPUNIT_ASSERT(deadline - m_clock.Now() > seconds(2));
     CPPUNIT_ASSERT(deadline - m_clock.Now() < seconds(5));
@@ -337,7 +339,7 @@
       }
     }
     RC_ASSERT(m_admission.Held() == Capacity{});
-    RC_ASSERT(m_admission.Load().queued == 0);
+    RC_ASSERT(m_admission.Load(m_clock.Now()).queued == 0);
     RC_ASSERT(m_engine.empty());
   }
 
