--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -44,7 +44,7 @@
       : m_strand(asio::make_strand(context)),
         m_socket(m_strand),
         m_timer(m_strand),
-        m_options(options),
+        m_options(std::move(options)),
         m_hello(std::move(hello)),
         m_callbacks(std::move(callbacks)) {}
 
@@ -331,7 +331,7 @@
        HelloSource hello_source, ChannelCallbacks channel_callbacks)
       : context(io),
         acceptor(io),
-        options(channel_options),
+        options(std::move(channel_options)),
         hello(std::move(hello_source)),
         callbacks(std::move(channel_callbacks)) {}
 
@@ -368,7 +368,7 @@
                                                    ChannelCallbacks callbacks) {
   const Result<tcp::endpoint> address = Parse(endpoint);
   if (!address) return tl::unexpected<Error>(address.error());
-  auto impl = std::make_shared<Impl>(threads.context(), options,
+  auto impl = std::make_shared<Impl>(threads.context(), std::move(options),
                                      std::move(hello), std::move(callbacks));
   asio::error_code error;
   impl->acceptor.open(address->protocol(), error);
@@ -392,8 +392,9 @@
 void Connect(io::IoThreads& threads, const Endpoint& endpoint,
              ChannelOptions options, HelloSource hello,
              ChannelCallbacks callbacks) {
-  auto channel = std::make_shared<TcpChannel>(
-      threads.context(), options, std::move(hello), std::move(callbacks));
+  auto channel =
+      std::make_shared<TcpChannel>(threads.context(), std::move(options),
+                                   std::move(hello), std::move(callbacks));
   const Result<tcp::endpoint> address = Parse(endpoint);
   if (!address) {
     channel->Close(address.error());
