--- a/src/explore/entry_model.cc
+++ b/src/explore/entry_model.cc
@@ -49,6 +49,7 @@
       Budget::FromRemaining(now, plan.budget),
       !plan.unrepeatable || !m_context.Has(Mechanism::kProofBeforeRetry),
       /*needs_reservation=*/true,
+      /*tied=*/false,
       static_cast<uint32_t>(m_context.Draw(1, 1 << 30))};
   Open& open = m_open[plan.number];
   open.plan = plan;
--- a/src/side/admission.cc
+++ b/src/side/admission.cc
@@ -131,7 +131,7 @@
 }
 
 wire::EngineLoad Admission::Load() const {
-  const policy::EngineLoad load = m_admission.Load();
+  const policy::EngineLoad load = m_admission.Load(SteadyClock().Now());
   wire::EngineLoad reply;
   reply.engine = m_engine.id.value();
   reply.free_tokens = load.free_tokens;
