--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -94,6 +94,7 @@
     m_last_heartbeat = m_last_heard;
     Frame frame;
     frame.__set_hello(m_hello());
+    m_sent_version = frame.hello.control_version;
     Enqueue(Encode(frame), /*control=*/true);
     ReadLength();
     Tick();
@@ -114,7 +115,8 @@
   void Tick() {
     const Duration step =
         m_attempts.in_use() ? m_options.heartbeat_interval / 2 : kIdleTick;
-    m_timer.expires_after(step);
+    m_check_at = std::chrono::steady_clock::now() + step;
+    m_timer.expires_at(m_check_at);
     m_timer.async_wait(
         [self = shared_from_this()](const asio::error_code& error) {
           if (error || self->m_ended) return;
@@ -155,8 +157,9 @@
     if (!m_attempts.Apply(change) || m_ended) return;
     const TimePoint now = std::chrono::steady_clock::now();
     if (sent) m_answer_due = now + m_options.silence_limit;
-    SendHeartbeat(now, m_sent_version);
-    Tick();
+    SendHeartbeat(now, m_hello().control_version);
+    // Attempts that come and go must not put the check off for ever.
+    if (m_check_at - now > m_options.heartbeat_interval / 2) Tick();
   }
 
   void ReadLength() {
@@ -296,6 +299,8 @@
   std::optional<TimePoint> m_answer_due;
   Duration m_peer_interval{};
   int64_t m_sent_version = 0;
+  /// When the timer runs `Check`.
+  TimePoint m_check_at{};
   OpenAttempts m_attempts;
   bool m_open = false;
   bool m_ended = false;
--- a/src/wire/channel_test.cc
+++ b/src/wire/channel_test.cc
@@ -62,6 +62,9 @@
   std::promise<std::string> closed;
   std::promise<void> got_request;
   std::once_flag request_once;
+  /// What this end says of itself, and last heard of the other.
+  std::atomic<int64_t> version{0};
+  std::atomic<int64_t> heard_version{0};
   std::shared_ptr<Traffic> traffic = std::make_shared<Traffic>();
 
   ChannelCallbacks Callbacks() {
@@ -70,6 +73,9 @@
       opened.set_value(channel);
     };
     callbacks.on_frame = [this](const ChannelPtr&, const Frame& frame) {
+      if (frame.__isset.heartbeat) {
+        heard_version = frame.heartbeat.control_version;
+      }
       if (!frame.__isset.reserve) return;
       std::call_once(request_once, [this] { got_request.set_value(); });
     };
@@ -79,9 +85,10 @@
     return callbacks;
   }
   HelloSource Source() const {
-    return [] {
+    return [this] {
       Hello hello;
       hello.protocol_version = kProtocolVersion;
+      hello.control_version = version;
       return hello;
     };
   }
@@ -90,6 +97,7 @@
 class ChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChannelTest);
   CPPUNIT_TEST(Peer_SilentAfterAttempt_IsDroppedWithinLimit);
+  CPPUNIT_TEST(Version_ChangedWhileShortAttemptsFlow_IsHeard);
   CPPUNIT_TEST(Bytes_OfControlAndRequests_AreCountedApart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +117,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("peer is silent"),
                          m_client.closed.get_future().get());
   }
+  void Version_ChangedWhileShortAttemptsFlow_IsHeard() {
+    constexpr int kMostAttempts = 1000;
+    const ChannelPtr channel = Join({}, {});
+    m_server.version = 7;
+    for (int i = 0; i < kMostAttempts && m_client.heard_version != 7; ++i) {
+      channel->Send(ReserveFrame(std::to_string(i)));
+      channel->Send(RefusedFrame(std::to_string(i)));
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, m_client.heard_version.load());
+  }
   void Bytes_OfControlAndRequests_AreCountedApart() {
     const ChannelPtr channel = Join({}, {});
     channel->Send(ReserveFrame("a"));
