--- a/src/side/once_keeper.cc
+++ b/src/side/once_keeper.cc
@@ -68,7 +68,10 @@
                          now);
   const attempts::HomeDuty duty = home->second.DutyFor(scoped_key);
   if (duty.awaiting_release) {
-    return NotHome("not all sides are known to have this configuration");
+    return NotHome("sides were heard at versions " +
+                   std::to_string(call.oldest_heard_version) + " to " +
+                   std::to_string(call.newest_heard_version) +
+                   ", not all at this one's " + std::to_string(state.version));
   }
   if (!duty.mine) return NotHome("the key belongs to another host");
   attempts::OnceCall once;
