--- a/src/entry/side_links.cc
+++ b/src/entry/side_links.cc
@@ -27,7 +27,7 @@
                      HostHandler on_opened, HostHandler on_lost,
                      std::shared_ptr<control::PeerLink> peers)
     : m_threads(threads),
-      m_options(options),
+      m_options(std::move(options)),
       m_hello(std::move(hello)),
       m_on_frame(std::move(on_frame)),
       m_on_opened(std::move(on_opened)),
--- a/src/explore/side_model.cc
+++ b/src/explore/side_model.cc
@@ -247,7 +247,8 @@
 
 void SideModel::StartLeaving() {
   if (!m_context.Has(Mechanism::kLeaveRefusal)) return;
-  for (const ledger::Outcome& outcome : m_admission->SetLeaving(true, m_context.Now())) {
+  for (const ledger::Outcome& outcome :
+       m_admission->SetLeaving(true, m_context.Now())) {
     std::visit([this](const auto& decision) { Handle(decision); }, outcome);
   }
 }
--- a/src/membership/membership_bench.cc
+++ b/src/membership/membership_bench.cc
@@ -61,12 +61,7 @@
       .count();
 }
 
-}  // namespace
-}  // namespace peridotshelf::membership
-
-int main() {
-  using namespace peridotshelf::
-      membership;  // NOLINT(google-build-using-namespace)
+void PrintTable() {
   std::printf(
       "| members | quiet, B/s | one death a second, B/s | version at all, s "
       "|\n|---|---|---|---|\n");
@@ -74,5 +69,12 @@
     std::printf("| %zu | %.0f | %.0f | %.2f |\n", members, QuietRate(members),
                 RateWithDeaths(members), SpreadTime(members));
   }
+}
+
+}  // namespace
+}  // namespace peridotshelf::membership
+
+int main() {
+  peridotshelf::membership::PrintTable();
   return 0;
 }
