Announce the heartbeat's interval as soon as a connection opens

Cause: until a peer's first heartbeat, up to 10 s after its Hello, the other end held it to the limit of a connection in use, so idle connections were dropped as silent after 1.6 s and opened again, over and over. Seen when the channel's test waited on an idle connection. The first heartbeat now follows the Hello.

--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -99,6 +99,8 @@
     frame.__set_hello(m_hello());
     m_sent_version = frame.hello.control_version;
     Enqueue(Encode(frame), /*control=*/true);
+    // Says how long this end may be silent while idle.
+    SendHeartbeat(m_last_heard, m_sent_version);
     Read();
     Tick();
   }
--- a/src/wire/channel_test.cc
+++ b/src/wire/channel_test.cc
@@ -103,20 +103,25 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // The listener's end never speaks after its Hello: its heartbeats are an
-  // hour apart, so only the caller's own rule can find the silence.
+  // The listener has announced heartbeats so far apart that its silence would
+  // show only after 18 s. Then its process stops while the connection stays
+  // open: only the rule of the end that opens an attempt finds it sooner.
   void Peer_SilentAfterAttempt_IsDroppedWithinLimit() {
-    ChannelOptions silent;
-    silent.heartbeat_interval = std::chrono::hours(1);
-    silent.idle_heartbeat_interval = std::chrono::hours(1);
-    silent.silence_limit = std::chrono::hours(3);
+    constexpr auto kWellBeforeThat = std::chrono::seconds(10);
+    ChannelOptions listener;
+    listener.idle_heartbeat_interval = std::chrono::hours(1);
     ChannelOptions caller;
     caller.silence_limit = std::chrono::milliseconds(300);
-    const ChannelPtr channel = Join(silent, caller);
+    const ChannelPtr channel = Join(listener, caller);
+    auto closed = m_client.closed.get_future();
+    // Idle for longer than the limit that holds while in use: not dropped.
+    CPPUNIT_ASSERT(closed.wait_for(std::chrono::milliseconds(1500)) ==
+                   std::future_status::timeout);
+    m_server_threads.Stop();
     channel->Send(ReserveFrame("a"));
-    m_server.got_request.get_future().wait();
-    CPPUNIT_ASSERT_EQUAL(std::string("peer is silent"),
-                         m_client.closed.get_future().get());
+    CPPUNIT_ASSERT(closed.wait_for(kWellBeforeThat) ==
+                   std::future_status::ready);
+    CPPUNIT_ASSERT_EQUAL(std::string("peer is silent"), closed.get());
   }
   void Version_ChangedWhileShortAttemptsFlow_IsHeard() {
     constexpr int kMostAttempts = 1000;
@@ -141,25 +146,33 @@
     m_client.closed.get_future().wait();
   }
 
+  // Sockets belong to the threads' context, so they are closed before it goes,
+  // and no callback runs once the threads have stopped.
+  void tearDown() override {
+    m_listener.reset();
+    m_server_threads.Stop();
+    m_client_threads.Stop();
+  }
+
  private:
   ChannelPtr Join(ChannelOptions server, ChannelOptions client) {
     server.traffic = m_server.traffic;
     client.traffic = m_client.traffic;
     const Endpoint endpoint{"127.0.0.1", testing::FreePort()};
-    auto listener = Listener::Create(m_threads, endpoint, server,
+    auto listener = Listener::Create(m_server_threads, endpoint, server,
                                      m_server.Source(), m_server.Callbacks());
     CPPUNIT_ASSERT(listener.has_value());
     m_listener = std::move(*listener);
-    Connect(m_threads, endpoint, client, m_client.Source(),
+    Connect(m_client_threads, endpoint, client, m_client.Source(),
             m_client.Callbacks());
     return m_client.opened.get_future().get();
   }
 
+  io::IoThreads m_server_threads{1};
+  io::IoThreads m_client_threads{1};
   End m_server;
   End m_client;
   std::unique_ptr<Listener> m_listener;
-  /// Last, so that no callback runs after the others are gone.
-  io::IoThreads m_threads{2};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ChannelTest);
 
