Tell the peer when a connection has become idle

Cause: after the last attempt this end waited 10 s for its next heartbeat while the peer still held it to the interval in use, so each connection was dropped as silent 1.6 s after its last attempt (seen in make demo: event 801). Ruled out: a lost frame, since it came on an idle loopback every time. The end of use is now announced like its begin. After: 9 of 9 wire tests (the silence test now goes through use and idleness); six process cases passed: attempts, kill, silent, whole path, burst, lease end. The whole ctest was not run again.

--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -159,9 +159,14 @@
   /// opens, heartbeats become frequent at both ends; the end that sent it
   /// expects to hear from the other soon, whatever interval that announced.
   void Apply(const AttemptChange& change, bool sent) {
-    if (!m_attempts.Apply(change) || m_ended) return;
+    const bool was_in_use = m_attempts.in_use();
+    m_attempts.Apply(change);
+    const bool in_use = m_attempts.in_use();
+    if (m_ended || in_use == was_in_use) return;
     const TimePoint now = std::chrono::steady_clock::now();
-    if (sent) m_answer_due = now + m_options.silence_limit;
+    if (sent && in_use) m_answer_due = now + m_options.silence_limit;
+    // The other end must know of a longer interval too, or it would drop a
+    // connection that has become idle.
     SendHeartbeat(now, m_hello().control_version);
     // Attempts that come and go must not put the check off for ever.
     if (m_check_at - now > m_options.heartbeat_interval / 2) Tick();
--- a/src/wire/channel_test.cc
+++ b/src/wire/channel_test.cc
@@ -114,6 +114,8 @@
     caller.silence_limit = std::chrono::milliseconds(300);
     const ChannelPtr channel = Join(listener, caller);
     auto closed = m_client.closed.get_future();
+    channel->Send(ReserveFrame("earlier"));
+    channel->Send(RefusedFrame("earlier"));
     // Idle for longer than the limit that holds while in use: not dropped.
     CPPUNIT_ASSERT(closed.wait_for(std::chrono::milliseconds(1500)) ==
                    std::future_status::timeout);
