--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -1,6 +1,7 @@
 find_package(Threads REQUIRED)
 find_package(CURL REQUIRED)
 find_package(fmt REQUIRED)
+find_package(OpenSSL REQUIRED)
 find_library(CPPUNIT_LIBRARY cppunit REQUIRED)
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 find_library(THRIFT_LIBRARY thrift REQUIRED)
--- /dev/null
+++ b/src/discovery/engine_directory.cc
@@ -0,0 +1,70 @@
+#include "peridotshelf/discovery/engine_directory.h"
+
+#include <algorithm>
+
+namespace peridotshelf::discovery {
+
+void EngineDirectory::Update(const EngineRecord& record) {
+  m_entries[record.id] = Entry{record, std::nullopt};
+}
+
+void EngineDirectory::Remove(const std::string& id, TimePoint now) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) return;
+  // An engine that was leaving has left; there is nothing to wait for.
+  const bool in_grace = m_registry_lost || now < m_grace_until;
+  if (!in_grace || found->second.record.state == EngineState::kLeaving) {
+    m_entries.erase(found);
+    return;
+  }
+  if (!found->second.gone_at) found->second.gone_at = now;
+}
+
+void EngineDirectory::KeepOnly(const std::vector<std::string>& ids,
+                               TimePoint now) {
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : m_entries) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) Remove(id, now);
+}
+
+void EngineDirectory::NoteRegistryLost() { m_registry_lost = true; }
+
+void EngineDirectory::NoteRegistryBack(TimePoint now) {
+  m_registry_lost = false;
+  m_grace_until = now + m_return_grace;
+}
+
+void EngineDirectory::Expire(TimePoint now) {
+  if (m_registry_lost || now < m_grace_until) return;
+  std::erase_if(m_entries, [](const auto& item) {
+    return item.second.gone_at.has_value();
+  });
+}
+
+std::vector<const EngineRecord*> EngineDirectory::ReadyOf(
+    std::string_view service) const {
+  std::vector<const EngineRecord*> ready;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.record.service == service &&
+        entry.record.state == EngineState::kReady) {
+      ready.push_back(&entry.record);
+    }
+  }
+  // The same order in each process and run.
+  std::sort(ready.begin(), ready.end(),
+            [](const EngineRecord* a, const EngineRecord* b) {
+              return a->id < b->id;
+            });
+  return ready;
+}
+
+const EngineRecord* EngineDirectory::Find(const std::string& id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+}  // namespace peridotshelf::discovery
--- a/src/events/log.cc
+++ b/src/events/log.cc
@@ -1,20 +1,81 @@
 #include "peridotshelf/events/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 
 namespace peridotshelf::events {
 namespace {
 
+/// Writes whole lines to standard output and drops those that would have to
+/// wait. A pipe takes up to PIPE_BUF bytes at once when it polls writable.
+class StandardOutputAppender : public log4cplus::Appender {
+ public:
+  StandardOutputAppender() = default;
+  ~StandardOutputAppender() override { destructorImpl(); }
+  // The names and signatures are log4cplus's.
+  void close() override { closed = true; }
+  /// Lines that were dropped since the last call.
+  int64_t TakeDropped() { return m_dropped.exchange(0); }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const std::string line = event.getMessage() + "\n";
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool writable =
+        poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    if (!writable || write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++m_dropped;
+    }
+  }
+
+ private:
+  std::atomic<int64_t> m_dropped{0};
+};
+
+/// Counts the lines of each event in the present second.
+class LineLimiter {
+ public:
+  /// Whether one more line of `id` may be written at `now`. Fills `suppressed`
+  /// with what the last second left out, once a second has passed.
+  bool Allow(EventId id, Level level, std::chrono::steady_clock::time_point now,
+             std::map<EventId, int64_t>& suppressed) {
+    std::scoped_lock lock(m_mutex);
+    if (now - m_second_began >= std::chrono::seconds(1)) {
+      m_second_began = now;
+      m_written.clear();
+      suppressed.swap(m_suppressed);
+      m_suppressed.clear();
+    }
+    const int limit =
+        level >= Level::kWarning ? 2 * kMaxLinesPerSecond : kMaxLinesPerSecond;
+    if (++m_written[id] <= limit) return true;
+    ++m_suppressed[id];
+    return false;
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::chrono::steady_clock::time_point m_second_began{};
+  std::map<EventId, int> m_written;
+  std::map<EventId, int64_t> m_suppressed;
+};
+
 struct State {
   log4cplus::Logger logger;
   std::string process;
+  StandardOutputAppender* appender = nullptr;
+  LineLimiter limiter;
 };
 std::atomic<State*> g_state{nullptr};
 
@@ -67,26 +128,39 @@
 
 void StartLogging(Level threshold, std::string_view process) {
   log4cplus::initialize();
-  auto layout = std::make_unique<log4cplus::PatternLayout>("%m%n");
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
-  appender->setLayout(std::move(layout));
+  auto* output = new StandardOutputAppender();
+  log4cplus::SharedAppenderPtr appender(output);
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
   auto logger = log4cplus::Logger::getRoot();
   logger.removeAllAppenders();
   logger.addAppender(appender);
   logger.setLogLevel(ToLogLevel(threshold));
   // Threads may still log while the process ends, so the state is never freed.
-  g_state.store(new State{logger, std::string(process)});
+  auto* state = new State{logger, std::string(process), output, {}};
+  g_state.store(state);
 }
 
 void Log(EventId id, std::initializer_list<Field> fields) {
   State* state = g_state.load();
   if (state == nullptr) return;
-  const log4cplus::LogLevel level = ToLogLevel(InfoOf(id).level);
-  if (!state->logger.isEnabledFor(level)) return;
-  state->logger.log(level,
-                    FormatLine(id, state->process, CurrentTime(), fields));
+  const Level level = InfoOf(id).level;
+  if (!state->logger.isEnabledFor(ToLogLevel(level))) return;
+  std::map<EventId, int64_t> suppressed;
+  const bool allowed = state->limiter.Allow(
+      id, level, std::chrono::steady_clock::now(), suppressed);
+  const auto write = [&](EventId event, std::initializer_list<Field> values) {
+    state->logger.log(ToLogLevel(InfoOf(event).level),
+                      FormatLine(event, state->process, CurrentTime(), values));
+  };
+  for (const auto& [event, count] : suppressed) {
+    write(EventId::kEventsSuppressed,
+          {{"of", InfoOf(event).name}, {"count", count}, {"cause", "rate"}});
+  }
+  if (allowed) write(id, fields);
+  if (const int64_t dropped = state->appender->TakeDropped(); dropped > 0) {
+    write(EventId::kEventsSuppressed,
+          {{"of", "any"}, {"count", dropped}, {"cause", "output_full"}});
+  }
 }
 
 std::string FormatLine(EventId id, std::string_view process,
--- /dev/null
+++ b/src/gateway/messages.cc
@@ -0,0 +1,53 @@
+#include "peridotshelf/gateway/messages.h"
+
+#include <charconv>
+
+namespace peridotshelf::gateway {
+namespace {
+
+constexpr std::string_view kBlankLine = "\n\n";
+constexpr std::string_view kBlankLineCrLf = "\r\n\r\n";
+
+/// Length of the first whole event in `bytes`; 0 if there is none.
+size_t FirstEventLength(std::string_view bytes) {
+  const size_t plain = bytes.find(kBlankLine);
+  const size_t crlf = bytes.find(kBlankLineCrLf);
+  if (plain == std::string_view::npos && crlf == std::string_view::npos) {
+    return 0;
+  }
+  if (plain < crlf) return plain + kBlankLine.size();
+  return crlf + kBlankLineCrLf.size();
+}
+
+}  // namespace
+
+std::optional<int64_t> EventNumber(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    std::string_view line = event.substr(0, event.find('\n'));
+    event.remove_prefix(std::min(event.size(), line.size() + 1));
+    if (!line.starts_with(kField)) continue;
+    line.remove_prefix(kField.size());
+    while (line.starts_with(' ')) line.remove_prefix(1);
+    int64_t number = 0;
+    const auto [end, error] =
+        std::from_chars(line.data(), line.data() + line.size(), number);
+    if (error == std::errc()) return number;
+  }
+  return std::nullopt;
+}
+
+void EventSplitter::Feed(
+    std::string_view bytes,
+    const std::function<void(std::string_view event)>& on_event) {
+  m_rest.append(bytes);
+  size_t begin = 0;
+  while (const size_t length =
+             FirstEventLength(std::string_view(m_rest).substr(begin))) {
+    on_event(std::string_view(m_rest).substr(begin, length));
+    begin += length;
+  }
+  m_rest.erase(0, begin);
+}
+
+}  // namespace peridotshelf::gateway
--- /dev/null
+++ b/src/gateway/peer_exchange.cc
@@ -0,0 +1,323 @@
+#include "peridotshelf/gateway/peer_exchange.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "peridotshelf/events/log.h"
+#include "wire/gen-cpp/peridotshelf_types.h"
+
+namespace peridotshelf::gateway {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using asio::ip::udp;
+using events::EventId;
+using scheduling::Work;
+
+constexpr size_t kMaxDatagramBytes = 60000;
+/// Engines in one datagram; more go in further ones.
+constexpr size_t kMaxEnginesPerDatagram = 60;
+/// A peer that is not heard from is still greeted at every this many repeats.
+constexpr int64_t kGreetEveryRepeats = 4;
+constexpr double kThousandths = 1000.0;
+
+std::string Encode(const wire::EntryLoad& load) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  load.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+Result<wire::EntryLoad> Decode(std::string_view bytes) {
+  try {
+    std::string copy(bytes);
+    auto buffer =
+        std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(copy.data()),
+                                        static_cast<uint32_t>(copy.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(
+        buffer, static_cast<int32_t>(kMaxDatagramBytes),
+        static_cast<int32_t>(kMaxDatagramBytes));
+    wire::EntryLoad load;
+    load.read(&protocol);
+    return load;
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kProtocol, error.what());
+  }
+}
+
+int32_t MillisLeft(TimePoint now, TimePoint at) {
+  return static_cast<int32_t>(std::max<int64_t>(0, ToMilliseconds(at - now)));
+}
+
+wire::EngineWork ToWire(const Work& work, TimePoint now) {
+  wire::EngineWork out;
+  out.id = static_cast<int64_t>(work.id);
+  out.reading = work.reading;
+  out.is_part = work.is_part;
+  out.is_late = work.is_late;
+  out.memory_tokens = work.memory_tokens;
+  out.read_left_ms = MillisLeft(now, work.read_end);
+  out.end_left_ms = MillisLeft(now, work.end);
+  out.max_pause_ms = static_cast<int32_t>(work.max_pause_ms);
+  out.value_thousandths = static_cast<int32_t>(work.value * kThousandths);
+  return out;
+}
+
+Work FromWire(const wire::EngineWork& in, TimePoint now) {
+  Work work;
+  work.id = static_cast<uint64_t>(in.id);
+  work.reading = in.reading;
+  work.is_part = in.is_part;
+  work.is_late = in.is_late;
+  work.memory_tokens = std::max<int64_t>(in.memory_tokens, 0);
+  work.read_end = now + std::chrono::milliseconds(in.read_left_ms);
+  work.end = now + std::chrono::milliseconds(in.end_left_ms);
+  work.max_pause_ms = in.max_pause_ms;
+  work.value = in.value_thousandths / kThousandths;
+  return work;
+}
+
+struct Peer {
+  udp::endpoint endpoint;
+  std::string process_id;
+  int64_t last_sequence = 0;
+  TimePoint heard_at{};
+  bool is_live = false;
+  bool is_leaving = false;
+};
+
+}  // namespace
+
+struct PeerExchange::Impl : std::enable_shared_from_this<PeerExchange::Impl> {
+  Impl(io::IoThreads& io, scheduling::LoadBoard& loads,
+       const PeerExchangeOptions& given)
+      : threads(io),
+        board(loads),
+        options(given),
+        socket(io.context()),
+        process_id(MakeRandomId()) {}
+
+  io::IoThreads& threads;
+  scheduling::LoadBoard& board;
+  PeerExchangeOptions options;
+  udp::socket socket;
+  std::string process_id;
+  int64_t sequence = 0;
+  int64_t repeats = 0;
+  bool leaving = false;
+  bool stopped = false;
+  bool flush_due = false;
+  std::set<std::string> changed;
+  std::unordered_map<std::string, Peer> peers;
+  std::function<void()> on_peer_change = [] {};
+  udp::endpoint sender;
+  std::array<char, kMaxDatagramBytes> buffer{};
+
+  void Receive();
+  void Take(std::string_view bytes);
+  void Flush();
+  void Repeat();
+  void SendTo(Peer& peer, const std::string& bytes);
+  void SendWorks(const std::vector<std::string>& engines, bool complete);
+  wire::EntryLoad NewLoad();
+  void AddWorks(wire::EntryLoad& load, const std::string& engine) const;
+};
+
+wire::EntryLoad PeerExchange::Impl::NewLoad() {
+  wire::EntryLoad load;
+  load.process_id = process_id;
+  load.sequence = ++sequence;
+  load.leaving = leaving;
+  return load;
+}
+
+void PeerExchange::Impl::AddWorks(wire::EntryLoad& load,
+                                  const std::string& engine) const {
+  const TimePoint now = SteadyClock().Now();
+  wire::EngineWorks works;
+  works.engine = engine;
+  for (const Work& work : board.OwnAt(engine)) {
+    works.works.push_back(ToWire(work, now));
+  }
+  load.engines.push_back(std::move(works));
+}
+
+void PeerExchange::Impl::SendTo(Peer& peer, const std::string& bytes) {
+  asio::error_code ignored;
+  // A datagram that cannot be sent is lost like any other.
+  socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
+}
+
+void PeerExchange::Impl::SendWorks(const std::vector<std::string>& engines,
+                                   bool complete) {
+  size_t begin = 0;
+  do {
+    const size_t end = std::min(engines.size(), begin + kMaxEnginesPerDatagram);
+    wire::EntryLoad load = NewLoad();
+    load.complete = complete && engines.size() <= kMaxEnginesPerDatagram;
+    for (size_t i = begin; i < end; ++i) AddWorks(load, engines[i]);
+    const std::string bytes = Encode(load);
+    for (auto& [address, peer] : peers) {
+      if (peer.is_live) SendTo(peer, bytes);
+    }
+    begin = end;
+  } while (begin < engines.size());
+}
+
+void PeerExchange::Impl::Flush() {
+  flush_due = false;
+  const std::vector<std::string> engines(changed.begin(), changed.end());
+  changed.clear();
+  SendWorks(engines, /*complete=*/false);
+}
+
+void PeerExchange::Impl::Repeat() {
+  if (stopped) return;
+  const TimePoint now = SteadyClock().Now();
+  for (auto& [address, peer] : peers) {
+    if (peer.is_live && now - peer.heard_at > options.peer_timeout) {
+      peer.is_live = false;
+      board.DropPeer(address);
+      events::Log(EventId::kPeerLost, {{"peer", address}});
+    }
+  }
+  SendWorks(board.OwnEngines(), /*complete=*/true);
+  if (repeats++ % kGreetEveryRepeats == 0) {
+    wire::EntryLoad greeting = NewLoad();
+    greeting.wants_reply = true;
+    const std::string bytes = Encode(greeting);
+    for (auto& [address, peer] : peers) {
+      if (!peer.is_live) SendTo(peer, bytes);
+    }
+  }
+  threads.After(options.repeat,
+                [self = shared_from_this()] { self->Repeat(); });
+}
+
+void PeerExchange::Impl::Receive() {
+  socket.async_receive_from(
+      asio::buffer(buffer), sender,
+      [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
+        if (self->stopped) return;
+        if (!error) {
+          self->Take(std::string_view(self->buffer.data(), bytes));
+        }
+        self->Receive();
+      });
+}
+
+void PeerExchange::Impl::Take(std::string_view bytes) {
+  const std::string address =
+      sender.address().to_string() + ":" + std::to_string(sender.port());
+  const auto load = Decode(bytes);
+  if (!load) {
+    events::Log(EventId::kPeerFrameRejected,
+                {{"peer", address}, {"reason", load.error().detail}});
+    return;
+  }
+  if (load->process_id == process_id) return;
+  const TimePoint now = SteadyClock().Now();
+  Peer& peer = peers[address];
+  peer.endpoint = sender;
+  const bool restarted = peer.process_id != load->process_id;
+  if (restarted) {
+    board.DropPeer(address);
+    peer.process_id = load->process_id;
+    peer.last_sequence = 0;
+  }
+  if (load->sequence <= peer.last_sequence) return;
+  peer.last_sequence = load->sequence;
+  peer.heard_at = now;
+  peer.is_leaving = load->leaving;
+  if (!std::exchange(peer.is_live, true)) {
+    events::Log(EventId::kPeerConnected, {{"peer", address}});
+  }
+  if (load->wants_reply) SendTo(peer, Encode(NewLoad()));
+  if (load->complete) board.DropPeer(address);
+  for (const wire::EngineWorks& works : load->engines) {
+    std::vector<Work> decoded;
+    decoded.reserve(works.works.size());
+    for (const wire::EngineWork& work : works.works) {
+      decoded.push_back(FromWire(work, now));
+    }
+    board.SetPeer(address, works.engine, std::move(decoded));
+  }
+  on_peer_change();
+}
+
+Result<std::unique_ptr<PeerExchange>> PeerExchange::Create(
+    io::IoThreads& threads, scheduling::LoadBoard& board,
+    const PeerExchangeOptions& options) {
+  auto impl = std::make_shared<Impl>(threads, board, options);
+  asio::error_code error;
+  const udp::endpoint endpoint(asio::ip::make_address(options.own.ip, error),
+                               options.own.port);
+  if (!error) impl->socket.open(endpoint.protocol(), error);
+  if (!error) impl->socket.bind(endpoint, error);
+  if (error) {
+    return Fail(ErrorCode::kInternal, "cannot receive datagrams on " +
+                                          options.own.ToString() + ": " +
+                                          error.message());
+  }
+  impl->socket.non_blocking(true, error);
+  threads.Post([impl] {
+    impl->Receive();
+    impl->Repeat();
+  });
+  return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(impl)));
+}
+
+PeerExchange::PeerExchange(std::shared_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+
+PeerExchange::~PeerExchange() { m_impl->stopped = true; }
+
+void PeerExchange::AddPeer(const std::string& address) {
+  if (address == m_impl->options.own.ToString()) return;
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return;
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  if (error || m_impl->peers.contains(address)) return;
+  const int port = std::atoi(address.c_str() + colon + 1);
+  Peer& peer = m_impl->peers[address];
+  peer.endpoint = udp::endpoint(ip, static_cast<uint16_t>(port));
+  wire::EntryLoad greeting = m_impl->NewLoad();
+  greeting.wants_reply = true;
+  m_impl->SendTo(peer, Encode(greeting));
+}
+
+void PeerExchange::NoteChange(const std::string& engine) {
+  m_impl->changed.insert(engine);
+  if (std::exchange(m_impl->flush_due, true)) return;
+  m_impl->threads.After(m_impl->options.gather,
+                        [impl = m_impl] { impl->Flush(); });
+}
+
+void PeerExchange::OnPeerChange(std::function<void()> callback) {
+  m_impl->on_peer_change = std::move(callback);
+}
+
+void PeerExchange::Leave() {
+  m_impl->leaving = true;
+  m_impl->SendWorks(m_impl->board.OwnEngines(), /*complete=*/true);
+}
+
+size_t PeerExchange::LiveEntries() const {
+  size_t live = 1;
+  for (const auto& [address, peer] : m_impl->peers)
+    live += peer.is_live ? 1 : 0;
+  return live;
+}
+
+}  // namespace peridotshelf::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,8 +1,10 @@
 #include "peridotshelf/http/client.h"
 
 #include <curl/curl.h>
+#include <strings.h>
 
 #include <atomic>
+#include <cctype>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -28,6 +30,7 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   bool head_reported = false;
+  std::vector<Header> response_headers;
   /// Bytes sent and received, and when they last grew.
   curl_off_t bytes = 0;
   TimePoint progressed_at = SteadyClock().Now();
@@ -50,9 +53,35 @@
                        &etag) == CURLHE_OK) {
     head.etag = etag->value;
   }
+  head.headers = std::move(call.response_headers);
   call.callbacks.on_head(head);
 }
 
+/// Collects the headers; a new status line begins another answer, as after an
+/// informational one.
+size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  const size_t bytes = size * count;
+  std::string_view line(data, bytes);
+  if (line.starts_with("HTTP/")) {
+    call->response_headers.clear();
+    return bytes;
+  }
+  while (!line.empty() &&
+         std::isspace(static_cast<unsigned char>(line.back()))) {
+    line.remove_suffix(1);
+  }
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return bytes;
+  std::string_view value = line.substr(colon + 1);
+  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    value.remove_prefix(1);
+  }
+  call->response_headers.push_back(
+      {std::string(line.substr(0, colon)), std::string(value)});
+  return bytes;
+}
+
 size_t OnBytes(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
   ReportHead(*call);
@@ -67,6 +96,15 @@
   return static_cast<CurlLong>(ToMilliseconds(span));
 }
 
+/// Keeps libcurl from adding headers that the request does not have.
+void SuppressDefaultHeaders(Call& call) {
+  for (const char* name : {"Accept", "Content-Type", "User-Agent"}) {
+    if (FindHeader(call.request.headers, name)) continue;
+    call.headers =
+        curl_slist_append(call.headers, (std::string(name) + ":").c_str());
+  }
+}
+
 void Configure(Call& call) {
   CURL* handle = call.handle;
   const ClientRequest& request = call.request;
@@ -75,6 +113,8 @@
   curl_easy_setopt(handle, CURLOPT_PRIVATE, &call);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBytes);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &call);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kBufferBytes);
@@ -85,20 +125,32 @@
   }
   if (request.fresh_connection) {
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
-  if (request.method != "GET") {
-    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  if (!request.target.empty()) {
+    curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, request.target.c_str());
   }
-  if (!request.body.empty() || request.method == "POST") {
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+  const std::string& body =
+      request.shared_body ? *request.shared_body : request.body;
+  if (!body.empty() || request.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(request.body.size()));
+                     static_cast<curl_off_t>(body.size()));
   }
+  if (request.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  } else if (request.method != "GET") {
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+  if (request.exact_headers) SuppressDefaultHeaders(call);
   // Without this libcurl waits for "100 Continue" before large bodies.
   call.headers = curl_slist_append(call.headers, "Expect:");
   for (const Header& header : request.headers) {
-    call.headers = curl_slist_append(
-        call.headers, (header.name + ": " + header.value).c_str());
+    // libcurl takes "Name:" as an order to leave the header out.
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    call.headers = curl_slist_append(call.headers, line.c_str());
   }
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call.headers);
 }
@@ -142,6 +194,22 @@
 
 }  // namespace
 
+std::optional<std::string_view> FindHeader(std::span<const Header> headers,
+                                           std::string_view name) {
+  for (const Header& header : headers) {
+    if (strncasecmp(header.name.c_str(), name.data(), name.size()) == 0 &&
+        header.name.size() == name.size()) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string_view> ClientResponseHead::FindHeader(
+    std::string_view name) const {
+  return http::FindHeader(headers, name);
+}
+
 struct Client::Impl {
   CURLM* multi = nullptr;
   std::mutex mutex;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -140,6 +140,15 @@
     m_request.reset();
   }
 
+  // RESTinio offers no way to reset a connection: the answer stays without its
+  // last chunk until the caller hangs up.
+  void Abort() override {
+    std::scoped_lock lock(m_mutex);
+    m_ended = true;
+    m_stream.reset();
+    m_request.reset();
+  }
+
   void Flush() {
     std::scoped_lock lock(m_mutex);
     m_flush_due = false;
@@ -220,6 +229,7 @@
   out.method = request->header().method().c_str();
   out.path = std::string(request->header().path());
   out.query = std::string(request->header().query());
+  out.target = request->header().request_target();
   request->header().for_each_field(
       [&out](const restinio::http_header_field_t& field) {
         out.headers.push_back({field.name(), field.value()});
@@ -229,21 +239,11 @@
   return out;
 }
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
-    return std::tolower(static_cast<unsigned char>(x)) ==
-           std::tolower(static_cast<unsigned char>(y));
-  });
-}
-
 }  // namespace
 
 std::optional<std::string_view> ServerRequest::FindHeader(
     std::string_view name) const {
-  for (const Header& header : headers) {
-    if (EqualsIgnoringCase(header.name, name)) return header.value;
-  }
-  return std::nullopt;
+  return http::FindHeader(headers, name);
 }
 
 std::optional<std::string_view> ServerRequest::FindQuery(
--- /dev/null
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -0,0 +1,162 @@
+/// Follows a topic of records by key, through outages and lost history.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotshelf/base/clock.h"
+#include "peridotshelf/base/error.h"
+#include "peridotshelf/io/io_threads.h"
+
+namespace peridotshelf::discovery {
+
+/// The newest word on one key.
+struct KeyedRecord {
+  std::string key;
+  /// None if the key was dropped.
+  std::optional<std::string> value;
+};
+
+/// Part of a topic, in order.
+struct RecordPage {
+  std::vector<KeyedRecord> records;
+  /// Where to read on.
+  int64_t next_offset = 0;
+  /// The wanted offset is no longer kept: the newest records have to be read.
+  bool history_lost = false;
+};
+
+/// A topic that keeps the newest record of each key for good.
+template <class S>
+concept KeyedTopic = requires(S& source, int64_t from, Duration wait,
+                              std::function<void(Result<RecordPage>)> on_page) {
+  // The newest record of each key; `next_offset` is at most the end as it was
+  // when the read began, so that nothing is missed by reading on from there.
+  source.ReadNewest(on_page);
+  // Records from an offset on; waits up to `wait` for one to come.
+  source.ReadFrom(from, wait, on_page);
+};
+
+/// When a follower calls its topic.
+struct FollowTiming {
+  /// How long a call may wait at the topic for something new.
+  Duration wait{};
+  /// Pause between the end of one call and the next.
+  Duration pause{};
+  /// Pause after a failed call; doubles up to `max_retry_pause`.
+  Duration retry_pause = std::chrono::milliseconds(150);
+  Duration max_retry_pause = std::chrono::milliseconds(600);
+};
+
+/// What a follower tells. All callbacks run on the thread of its `IoThreads`.
+struct FollowCallbacks {
+  /// All keys at once; others do not exist.
+  std::function<void(const std::vector<KeyedRecord>&)> on_all;
+  /// What came since.
+  std::function<void(const std::vector<KeyedRecord>&)> on_changes;
+  std::function<void(const Error&)> on_lost;
+  std::function<void()> on_back;
+};
+
+/// Follows one topic from `Start` until destroyed.
+template <KeyedTopic Source>
+class RecordFollower {
+ public:
+  RecordFollower(io::IoThreads& threads, Source source, FollowTiming timing,
+                 FollowCallbacks callbacks)
+      : m_state(std::make_shared<State>(threads, std::move(source), timing,
+                                        std::move(callbacks))) {}
+  ~RecordFollower() { m_state->stopped = true; }
+  RecordFollower(const RecordFollower&) = delete;
+  RecordFollower& operator=(const RecordFollower&) = delete;
+
+  void Start() {
+    m_state->threads.Post([state = m_state] { Next(state); });
+  }
+  /// When the topic was last read whole or found unchanged.
+  TimePoint fresh_at() const { return m_state->fresh_at; }
+  uint64_t call_count() const { return m_state->calls; }
+
+ private:
+  struct State {
+    State(io::IoThreads& io, Source from, FollowTiming when,
+          FollowCallbacks tell)
+        : threads(io),
+          source(std::move(from)),
+          timing(when),
+          callbacks(std::move(tell)) {}
+    io::IoThreads& threads;
+    Source source;
+    FollowTiming timing;
+    FollowCallbacks callbacks;
+    std::optional<int64_t> next_offset;
+    Duration retry_pause{};
+    bool lost = false;
+    bool stopped = false;
+    TimePoint fresh_at{};
+    uint64_t calls = 0;
+  };
+  using StatePtr = std::shared_ptr<State>;
+
+  static void Next(const StatePtr& state) {
+    if (state->stopped) return;
+    ++state->calls;
+    auto on_page = [state](Result<RecordPage> page) {
+      state->threads.Post([state, page = std::move(page)] {
+        if (!state->stopped) Take(state, page);
+      });
+    };
+    if (state->next_offset) {
+      state->source.ReadFrom(*state->next_offset, state->timing.wait, on_page);
+    } else {
+      state->source.ReadNewest(on_page);
+    }
+  }
+
+  static void Take(const StatePtr& state, const Result<RecordPage>& page) {
+    const FollowTiming& timing = state->timing;
+    if (!page) {
+      if (!std::exchange(state->lost, true)) {
+        state->callbacks.on_lost(page.error());
+      }
+      state->retry_pause = std::clamp(
+          state->retry_pause * 2, timing.retry_pause, timing.max_retry_pause);
+      NextAfter(state, state->retry_pause);
+      return;
+    }
+    state->retry_pause = Duration::zero();
+    if (std::exchange(state->lost, false)) state->callbacks.on_back();
+    if (page->history_lost) {
+      state->next_offset.reset();
+      Next(state);
+      return;
+    }
+    const bool whole = !state->next_offset.has_value();
+    state->next_offset = page->next_offset;
+    state->fresh_at = SteadyClock().Now();
+    if (whole) {
+      state->callbacks.on_all(page->records);
+    } else {
+      state->callbacks.on_changes(page->records);
+    }
+    NextAfter(state, timing.pause);
+  }
+
+  static void NextAfter(const StatePtr& state, Duration pause) {
+    if (pause <= Duration::zero()) {
+      Next(state);
+      return;
+    }
+    state->threads.After(pause, [state] { Next(state); });
+  }
+
+  StatePtr m_state;
+};
+
+}  // namespace peridotshelf::discovery
--- a/src/include/peridotshelf/events/log.h
+++ b/src/include/peridotshelf/events/log.h
@@ -28,8 +28,15 @@
       : key(k), value(static_cast<int64_t>(v)) {}
 };
 
-/// Sends events of at least `threshold` to standard error. `process` names
+/// Lines of one event that are written in a second; of failures, the double.
+inline constexpr int kMaxLinesPerSecond = 100;
+
+/// Sends events of at least `threshold` to standard output. `process` names
 /// this process in every line. Call once, before the first `Log`.
+///
+/// Logging never waits: events beyond `kMaxLinesPerSecond`, and lines for which
+/// standard output has no room, are left out and counted in an
+/// `events_suppressed` event.
 void StartLogging(Level threshold, std::string_view process);
 
 /// Logs one event with its fields; does nothing before `StartLogging`.
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +27,13 @@
   std::string url;
   std::vector<Header> headers;
   std::string body;
+  /// Sent in place of `body` if set, so that several calls share one copy.
+  std::shared_ptr<const std::string> shared_body;
+  /// The request's target as it goes on the wire; empty takes it from `url`.
+  std::string target;
+  /// Sends `headers` and no header that the library would add by itself, other
+  /// than the body's length.
+  bool exact_headers = false;
   /// Time for the whole call; zero for no limit.
   Duration timeout{};
   /// Time to establish the connection.
@@ -32,7 +41,7 @@
   /// The call fails when no byte comes for this long; zero for no limit.
   Duration idle_timeout{};
   /// Uses no kept connection. On one that turns out to be closed, the library
-  /// may send the request twice.
+  /// may send the request twice. The connection is closed after the call.
   bool fresh_connection = false;
 };
 
@@ -42,8 +51,17 @@
   std::string content_type;
   /// The entity tag, if the server gave one.
   std::string etag;
+  /// All headers in order, of the final answer only.
+  std::vector<Header> headers;
+
+  /// The first header of that name, case-insensitively.
+  std::optional<std::string_view> FindHeader(std::string_view name) const;
 };
 
+/// The first header of that name, case-insensitively.
+std::optional<std::string_view> FindHeader(std::span<const Header> headers,
+                                           std::string_view name);
+
 /// Called on the client's own thread, in order: at most one `on_head`, then
 /// `on_data` as bytes come, then one `on_done`. None may block.
 struct ClientCallbacks {
--- a/src/include/peridotshelf/http/server.h
+++ b/src/include/peridotshelf/http/server.h
@@ -22,6 +22,8 @@
   std::string path;
   /// What follows '?', undecoded.
   std::string query;
+  /// Path and query exactly as sent.
+  std::string target;
   std::vector<Header> headers;
   /// Valid as long as `owner` lives; not copied, since it may be large.
   std::string_view body;
@@ -47,6 +49,8 @@
   virtual void Write(std::string data) = 0;
   /// Ends a streamed answer cleanly.
   virtual void EndStream() = 0;
+  /// Ends a streamed answer so that the caller sees that it is incomplete.
+  virtual void Abort() = 0;
   /// Called at most once, on a server thread, if the caller goes away before
   /// the answer's end; at once if it already has.
   virtual void OnHangUp(std::function<void()> callback) = 0;
--- /dev/null
+++ b/src/include/peridotshelf/scheduling/stream_placement.h
@@ -0,0 +1,73 @@
+/// Chooses the engines of a stream by the value that callers get.
+///
+/// The load it answers: prompts of very unlike lengths on shared engines, where
+/// one long reading delays every stream at its engine past the pause that its
+/// caller accepts. A reading is split over as many engines as it takes to keep
+/// each part short, and goes where the streams that it delays are worth least.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "peridotshelf/scheduling/engine_model.h"
+#include "peridotshelf/scheduling/load_board.h"
+
+namespace peridotshelf::scheduling {
+
+/// What a stream asks for.
+struct StreamNeeds {
+  int64_t prompt_tokens = 0;
+  /// Expected, not the limit.
+  int64_t output_tokens = 0;
+  /// Until its first event is late.
+  Millis objective_ms = 0;
+  Millis max_pause_ms = 0;
+  /// What an answer on time is worth.
+  double value = 1;
+};
+
+/// An engine that may take the stream, or a part of its reading.
+struct EngineCandidate {
+  std::string engine;
+  const EngineModel* model = nullptr;
+  EngineLoad load;
+  /// Time taken over time predicted, at least 1.
+  double pace = 1;
+  /// Share of its recent requests that it served.
+  double success_rate = 1;
+  /// The engine shares the entry's failure domain.
+  bool is_near = false;
+};
+
+/// Where a stream goes.
+struct StreamPlan {
+  /// Index of the engine that gets the request.
+  size_t first = 0;
+  /// Indices of engines that read a part.
+  std::vector<size_t> helpers;
+  /// Reading at each of the engines, at the stated speed.
+  Millis part_ms = 0;
+  /// Memory to be reserved at each helper; 0 if the first engine holds all.
+  int64_t reserve_tokens = 0;
+  /// Predicted time until the first event.
+  Millis first_event_ms = 0;
+  /// Predicted time from the first event to the end.
+  Millis write_ms = 0;
+  /// What the fleet gains by it; less than 0 if it costs others more.
+  double gain = 0;
+};
+
+/// What an answer that comes late is worth of one on time.
+inline constexpr double kLateShare = 0.25;
+/// Most engines that may read parts of one prompt.
+inline constexpr size_t kMaxHelpers = 16;
+
+/// The plan of the largest gain; none if no engine has a free place and enough
+/// memory.
+std::optional<StreamPlan> PlaceStream(const StreamNeeds& needs,
+                                      std::span<const EngineCandidate> engines);
+
+}  // namespace peridotshelf::scheduling
--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -11,6 +11,7 @@
 using Arguments = std::span<const std::string>;
 using settings::ExitCode;
 
+ExitCode RunGateway(Arguments args);
 ExitCode RunEntry(Arguments args);
 ExitCode RunSide(Arguments args);
 ExitCode RunLoad(Arguments args);
--- /dev/null
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -0,0 +1,365 @@
+#include "peridotshelf/gateway_daemon.h"
+
+#include <algorithm>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/discovery/record_follower.h"
+#include "peridotshelf/events/log.h"
+#include "peridotshelf/gateway/gateway.h"
+#include "peridotshelf/http/front_server.h"
+#include "peridotshelf/metrics/registry.h"
+#include "platform/configuration_json.h"
+#include "platform/engine_entry.h"
+#include "platform/message_codec.h"
+#include "platform/store_topic.h"
+
+namespace peridotshelf::program {
+namespace {
+
+using deployment::ProcessSettings;
+using deployment::StoreTopic;
+using discovery::EngineRecord;
+using discovery::EngineState;
+using discovery::KeyedRecord;
+using events::EventId;
+using Follower = discovery::RecordFollower<StoreTopic>;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// The configuration comes as soon as it is published; one call waits this
+/// long.
+constexpr Duration kConfigurationWait = std::chrono::seconds(12);
+/// Engines' entries change with each heartbeat, so they are polled: often
+/// enough for the time in which a leaving engine may still get requests.
+constexpr Duration kEnginePollInterval = std::chrono::milliseconds(600);
+constexpr Duration kEntryWriteRetry = std::chrono::seconds(1);
+/// Part of the limit on unused memory that a reservation lasts without renewal.
+constexpr double kHoldShare = 0.85;
+
+discovery::FollowTiming ConfigurationTiming() {
+  discovery::FollowTiming timing;
+  timing.wait = kConfigurationWait;
+  return timing;
+}
+
+discovery::FollowTiming EngineTiming() {
+  discovery::FollowTiming timing;
+  timing.pause = kEnginePollInterval;
+  return timing;
+}
+
+}  // namespace
+
+struct GatewayDaemon::Impl {
+  explicit Impl(ProcessSettings given)
+      : settings(std::move(given)),
+        engines(settings.engine_return_grace),
+        entry_topic(settings.store, deployment::kEntryTopic, client),
+        configuration_follower(
+            threads,
+            StoreTopic(settings.store, deployment::kOperatorTopic, client),
+            ConfigurationTiming(), ConfigurationCallbacks()),
+        engine_follower(
+            threads,
+            StoreTopic(settings.store, deployment::kEngineTopic, client),
+            EngineTiming(), EngineCallbacks()) {}
+
+  ~Impl() { threads.Stop(); }
+
+  Result<void> Start();
+  discovery::FollowCallbacks ConfigurationCallbacks();
+  discovery::FollowCallbacks EngineCallbacks();
+  void TakeConfiguration(const std::vector<KeyedRecord>& records);
+  void TakeEngine(const KeyedRecord& record);
+  void TakeAllEngines(const std::vector<KeyedRecord>& records);
+  void AnnounceSelf();
+  void FindPeers();
+  bool IsReady() const;
+  void NoteReadiness();
+  void ServeOperations(const http::ServerRequest& request,
+                       http::Responder& responder);
+
+  ProcessSettings settings;
+  io::IoThreads threads{1};
+  http::Client client;
+  metrics::Registry registry;
+  discovery::EngineDirectory engines;
+  scheduling::LoadBoard board;
+  StoreTopic entry_topic;
+  std::unique_ptr<gateway::PeerExchange> peers;
+  std::unique_ptr<gateway::Gateway> gateway;
+  std::unique_ptr<http::FrontServer> callers;
+  std::unique_ptr<http::FrontServer> readiness;
+  std::unique_ptr<http::Server> operations;
+  Follower configuration_follower;
+  Follower engine_follower;
+  bool engines_known = false;
+  bool leaving = false;
+  bool was_ready = false;
+  std::set<std::string> rejected_entries;
+};
+
+discovery::FollowCallbacks GatewayDaemon::Impl::ConfigurationCallbacks() {
+  discovery::FollowCallbacks callbacks;
+  callbacks.on_all = [this](const auto& records) {
+    TakeConfiguration(records);
+  };
+  callbacks.on_changes = callbacks.on_all;
+  callbacks.on_lost = [](const Error& error) {
+    events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
+                                         {"reason", error.detail}});
+  };
+  callbacks.on_back = [] {
+    events::Log(EventId::kRegistryBack,
+                {{"topic", deployment::kOperatorTopic}});
+  };
+  return callbacks;
+}
+
+void GatewayDaemon::Impl::TakeConfiguration(
+    const std::vector<KeyedRecord>& records) {
+  const KeyedRecord* newest = nullptr;
+  for (const KeyedRecord& record : records) {
+    if (record.key == deployment::kConfigurationKey && record.value) {
+      newest = &record;
+    }
+  }
+  if (newest == nullptr) return;
+  auto parsed = deployment::ParseConfiguration(*newest->value);
+  if (!parsed) {
+    events::Log(EventId::kConfigurationRejected,
+                {{"reason", parsed.error().detail}});
+    return;
+  }
+  const auto current = gateway->configuration();
+  // An answer that was long on its way must not bring an older version back.
+  if (current && parsed->version() <= current->version()) return;
+  events::Log(EventId::kConfigurationAdopted,
+              {{"config_version", parsed->version()},
+               {"before", current ? current->version() : int64_t{0}},
+               {"routes", static_cast<int64_t>(parsed->route_count())}});
+  callers->SetLimits(parsed->caller_limits());
+  gateway->SetConfiguration(
+      std::make_shared<const routing::Configuration>(std::move(*parsed)));
+  NoteReadiness();
+}
+
+discovery::FollowCallbacks GatewayDaemon::Impl::EngineCallbacks() {
+  discovery::FollowCallbacks callbacks;
+  callbacks.on_all = [this](const auto& records) { TakeAllEngines(records); };
+  callbacks.on_changes = [this](const auto& records) {
+    for (const KeyedRecord& record : records) TakeEngine(record);
+    engines.Expire(SteadyClock().Now());
+    if (!records.empty()) gateway->NoteEnginesChanged();
+  };
+  callbacks.on_lost = [this](const Error& error) {
+    events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
+                                         {"reason", error.detail}});
+    engines.NoteRegistryLost();
+  };
+  callbacks.on_back = [this] {
+    events::Log(EventId::kRegistryBack, {{"topic", deployment::kEngineTopic}});
+    engines.NoteRegistryBack(SteadyClock().Now());
+  };
+  return callbacks;
+}
+
+void GatewayDaemon::Impl::TakeAllEngines(
+    const std::vector<KeyedRecord>& records) {
+  std::vector<std::string> ids;
+  for (const KeyedRecord& record : records) {
+    if (!record.value) continue;
+    ids.push_back(record.key);
+    TakeEngine(record);
+  }
+  engines.KeepOnly(ids, SteadyClock().Now());
+  engines_known = true;
+  gateway->NoteEnginesChanged();
+  NoteReadiness();
+}
+
+void GatewayDaemon::Impl::TakeEngine(const KeyedRecord& record) {
+  const TimePoint now = SteadyClock().Now();
+  const EngineRecord* known = engines.Find(record.key);
+  if (!record.value) {
+    if (known != nullptr) {
+      events::Log(EventId::kEngineGone, {{"engine", known->Key()}});
+    }
+    engines.Remove(record.key, now);
+    return;
+  }
+  const auto parsed = deployment::ParseEngineEntry(record.key, *record.value);
+  if (!parsed) {
+    if (rejected_entries.insert(record.key).second) {
+      events::Log(EventId::kEngineEntryRejected,
+                  {{"id", record.key}, {"reason", parsed.error().detail}});
+    }
+    engines.Remove(record.key, now);
+    return;
+  }
+  rejected_entries.erase(record.key);
+  const bool is_new = known == nullptr || known->Key() != parsed->Key();
+  const bool is_leaving = parsed->state == EngineState::kLeaving &&
+                          (is_new || known->state != EngineState::kLeaving);
+  if (is_new || is_leaving) {
+    events::Log(
+        is_leaving ? EventId::kEngineLeaving : EventId::kEngineRegistered,
+        {{"engine", parsed->Key()},
+         {"address", parsed->address},
+         {"service", parsed->service}});
+  }
+  engines.Update(*parsed);
+}
+
+bool GatewayDaemon::Impl::IsReady() const {
+  return !leaving && engines_known && gateway->configuration() != nullptr;
+}
+
+void GatewayDaemon::Impl::NoteReadiness() {
+  const bool ready = IsReady();
+  if (std::exchange(was_ready, ready) == ready) return;
+  events::Log(EventId::kReadinessChanged,
+              {{"ready", ready}, {"leaving", leaving}});
+}
+
+void GatewayDaemon::Impl::AnnounceSelf() {
+  const std::string address = settings.peers.ToString();
+  const nlohmann::json value = {{"address", address},
+                                {"host", settings.host.value()}};
+  entry_topic.Put(
+      settings.host.value(), value.dump(), [this](const Result<void>& done) {
+        if (done) return;
+        events::Log(EventId::kPlatformCallFailed,
+                    {{"call", "announce"}, {"reason", done.error().detail}});
+        threads.After(kEntryWriteRetry, [this] { AnnounceSelf(); });
+      });
+}
+
+void GatewayDaemon::Impl::FindPeers() {
+  entry_topic.ReadNewest([this](Result<discovery::RecordPage> page) {
+    threads.Post([this, page = std::move(page)] {
+      if (!page) {
+        events::Log(
+            EventId::kPlatformCallFailed,
+            {{"call", "find_entries"}, {"reason", page.error().detail}});
+        threads.After(kEntryWriteRetry, [this] { FindPeers(); });
+        return;
+      }
+      for (const KeyedRecord& record : page->records) {
+        if (!record.value) continue;
+        const auto entry =
+            nlohmann::json::parse(*record.value, nullptr, /*throw=*/false);
+        if (!entry.is_object()) continue;
+        peers->AddPeer(entry.value("address", ""));
+      }
+    });
+  });
+}
+
+void GatewayDaemon::Impl::ServeOperations(const http::ServerRequest& request,
+                                          http::Responder& responder) {
+  if (request.path == "/metrics") {
+    responder.Reply(kOk, {{"Content-Type", std::string(metrics::kContentType)}},
+                    registry.Render());
+    return;
+  }
+  responder.Reply(kNotFound, {}, "");
+}
+
+Result<void> GatewayDaemon::Impl::Start() {
+  gateway::PeerExchangeOptions exchange;
+  exchange.own = {settings.peers.ip, settings.peers.port};
+  auto made_peers = gateway::PeerExchange::Create(threads, board, exchange);
+  if (!made_peers) return tl::unexpected<Error>(made_peers.error());
+  peers = std::move(*made_peers);
+  gateway::GatewayOptions options;
+  options.failure_domain = settings.failure_domain;
+  options.repeats = settings.repeats;
+  if (settings.memory_release_limit > Duration::zero()) {
+    options.reservation_hold = std::chrono::duration_cast<Duration>(
+        settings.memory_release_limit * kHoldShare);
+  }
+  gateway = std::make_unique<gateway::Gateway>(
+      threads, client, deployment::PlatformCodec(), engines, board, *peers,
+      registry, options);
+  auto made_callers = http::FrontServer::Create(
+      threads, settings.callers.ip, settings.callers.port,
+      [this](http::ServerRequest request, http::ResponderPtr responder) {
+        gateway->Handle(std::move(request), std::move(responder));
+      });
+  if (!made_callers) return tl::unexpected<Error>(made_callers.error());
+  callers = std::move(*made_callers);
+  auto made_readiness = http::FrontServer::Create(
+      threads, settings.readiness.ip, settings.readiness.port,
+      [this](const http::ServerRequest& /*request*/,
+             const http::ResponderPtr& responder) {
+        responder->Reply(IsReady() ? kOk : kUnavailable, {}, "");
+      });
+  if (!made_readiness) return tl::unexpected<Error>(made_readiness.error());
+  readiness = std::move(*made_readiness);
+  if (settings.operations.port != 0) {
+    http::ServerOptions where;
+    where.address = settings.operations.ip;
+    where.port = settings.operations.port;
+    auto made =
+        http::Server::Create(threads, where,
+                             [this](const http::ServerRequest& request,
+                                    const http::ResponderPtr& responder) {
+                               ServeOperations(request, *responder);
+                             });
+    if (!made) return tl::unexpected<Error>(made.error());
+    operations = std::move(*made);
+  }
+  configuration_follower.Start();
+  engine_follower.Start();
+  AnnounceSelf();
+  FindPeers();
+  return {};
+}
+
+GatewayDaemon::GatewayDaemon(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+Result<std::unique_ptr<GatewayDaemon>> GatewayDaemon::Create(
+    const ProcessSettings& settings) {
+  auto impl = std::make_unique<Impl>(settings);
+  const auto started = impl->Start();
+  if (!started) return tl::unexpected<Error>(started.error());
+  return std::unique_ptr<GatewayDaemon>(new GatewayDaemon(std::move(impl)));
+}
+
+void GatewayDaemon::StartLeaving() {
+  m_impl->threads.Post([impl = m_impl.get()] {
+    impl->leaving = true;
+    impl->callers->CloseAfterAnswers();
+    impl->peers->Leave();
+    impl->NoteReadiness();
+  });
+}
+
+GatewayDaemon::Open GatewayDaemon::CountOpen() const {
+  std::promise<Open> counted;
+  m_impl->threads.Post([impl = m_impl.get(), &counted] {
+    counted.set_value(
+        {impl->gateway->RunningCount(), impl->callers->counters().open});
+  });
+  return counted.get_future().get();
+}
+
+void GatewayDaemon::AbortAll() {
+  std::promise<void> done;
+  m_impl->threads.Post([impl = m_impl.get(), &done] {
+    impl->gateway->AbortAll();
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+}  // namespace peridotshelf::program
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -23,6 +23,7 @@
 }
 
 constexpr std::array kCommands = {
+    Command{"gateway", "serve callers on the users' platform", &RunGateway},
     Command{"entry", "serve callers on an entry host", &RunEntry},
     Command{"side", "serve entries beside backend servers", &RunSide},
     Command{"status", "show what entries and sides are doing", &RunStatus},
--- /dev/null
+++ b/src/routing/configuration_test.cc
@@ -0,0 +1,73 @@
+#include "peridotshelf/routing/configuration.h"
+
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::routing {
+namespace {
+
+Route RouteTo(std::string host, std::string prefix, std::string service) {
+  Route route;
+  route.name = prefix;
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  route.services = {{std::move(service), 1}};
+  return route;
+}
+
+class ConfigurationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigurationTest);
+  CPPUNIT_TEST(FindRoute_SeveralPrefixesMatch_ReturnsTheLongest);
+  CPPUNIT_TEST(FindRoute_OtherHostOrNoPrefix_ReturnsNull);
+  CPPUNIT_TEST(FindTeam_AnyOfItsKeys_ReturnsTheTeam);
+  CPPUNIT_TEST(FindTeam_UnknownKey_ReturnsNull);
+  CPPUNIT_TEST(PickService_DrawsOverWeights_FollowsThem);
+  CPPUNIT_TEST(PickService_AllSkipped_ReturnsNull);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FindRoute_SeveralPrefixesMatch_ReturnsTheLongest() {
+    const Configuration made = Configuration::Builder()
+                                   .AddRoute(RouteTo("h", "/a/", "outer"))
+                                   .AddRoute(RouteTo("h", "/a/b/", "inner"))
+                                   .Build();
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"),
+                         made.FindRoute("h", "/a/b/c")->path_prefix);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"),
+                         made.FindRoute("h", "/a/bc")->path_prefix);
+  }
+  void FindRoute_OtherHostOrNoPrefix_ReturnsNull() {
+    const Configuration made =
+        Configuration::Builder().AddRoute(RouteTo("h", "/a/", "s")).Build();
+    CPPUNIT_ASSERT(made.FindRoute("other", "/a/") == nullptr);
+    CPPUNIT_ASSERT(made.FindRoute("h", "/a") == nullptr);
+  }
+  void FindTeam_AnyOfItsKeys_ReturnsTheTeam() {
+    const Configuration made = Configuration::Builder()
+                                   .AddTeam({TeamId("one"), {"k1", "k2"}, {}})
+                                   .AddTeam({TeamId("two"), {"k3"}, 4})
+                                   .Build();
+    CPPUNIT_ASSERT_EQUAL(TeamId("one"), made.FindTeam("k2")->id);
+    CPPUNIT_ASSERT_EQUAL(4, made.FindTeam("k3")->priority.value());
+  }
+  void FindTeam_UnknownKey_ReturnsNull() {
+    const Configuration made = Configuration::Builder().Build();
+    CPPUNIT_ASSERT(made.FindTeam("k1") == nullptr);
+  }
+  void PickService_DrawsOverWeights_FollowsThem() {
+    Route route;
+    route.services = {{"a", 90}, {"b", 10}, {"c", 0}};
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), PickService(route, 0.89)->service);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), PickService(route, 0.91)->service);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         PickService(route, 0.1, {"a"})->service);
+  }
+  void PickService_AllSkipped_ReturnsNull() {
+    Route route;
+    route.services = {{"a", 1}};
+    CPPUNIT_ASSERT(PickService(route, 0.5, {"a"}) == nullptr);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationTest);
+
+}  // namespace
+}  // namespace peridotshelf::routing
--- /dev/null
+++ b/src/scheduling/engine_model.cc
@@ -0,0 +1,43 @@
+#include "peridotshelf/scheduling/engine_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotshelf::scheduling {
+namespace {
+
+constexpr double kPairsPerMillion = 1e6;
+constexpr double kThousand = 1000.0;
+
+/// A token is paired with each one before it.
+double Pairs(double tokens) { return tokens * tokens / 2; }
+
+}  // namespace
+
+Millis EngineModel::ReadTime(int64_t prompt_tokens) const {
+  const auto tokens = static_cast<double>(prompt_tokens);
+  return tokens / m_speed.read_tokens_per_ms +
+         m_speed.read_ms_per_million_pairs * Pairs(tokens) / kPairsPerMillion;
+}
+
+Millis EngineModel::PassTime(int32_t writers, int64_t context_tokens) const {
+  const Millis step = m_speed.step_ms + m_speed.step_ms_per_writer * writers +
+                      m_speed.step_ms_per_1000_context_tokens *
+                          static_cast<double>(context_tokens) / kThousand;
+  return step * m_speed.steps_per_pass;
+}
+
+Millis EngineModel::MaxReadPerPass(int64_t prompt_tokens) const {
+  const int64_t most = m_speed.read_tokens_per_step * m_speed.steps_per_pass;
+  if (prompt_tokens <= most) return ReadTime(prompt_tokens);
+  const double share =
+      static_cast<double>(most) / static_cast<double>(prompt_tokens);
+  return ReadTime(prompt_tokens) * share;
+}
+
+double EngineModel::PassesToWrite(int64_t output_tokens) const {
+  return std::ceil(static_cast<double>(std::max<int64_t>(output_tokens, 1)) /
+                   std::max(m_speed.steps_per_pass, 1));
+}
+
+}  // namespace peridotshelf::scheduling
--- /dev/null
+++ b/src/scheduling/stream_placement.cc
@@ -0,0 +1,204 @@
+#include "peridotshelf/scheduling/stream_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+
+namespace peridotshelf::scheduling {
+namespace {
+
+/// Numbers of engines that are tried for one reading.
+constexpr std::array<size_t, 9> kSplits = {1, 2, 3, 4, 6, 8, 10, 13, 17};
+/// A part shorter than this is not worth another engine.
+constexpr Millis kMinPartMs = 12;
+/// The risk that a pause is too long grows from nothing to certainty between
+/// these shares of the longest pause allowed: predictions err.
+constexpr double kPauseRiskFrom = 0.72;
+constexpr double kPauseRiskTo = 1.02;
+/// The same for the first event and its objective.
+constexpr double kFirstEventRiskFrom = 0.75;
+constexpr double kFirstEventRiskTo = 1.05;
+/// Value lost for each millisecond of waiting, in shares of the objective: of
+/// two plans on time the earlier one wins.
+constexpr double kEarlinessWeight = 0.04;
+/// Cost of each further engine in a reading: more engines may fail it.
+constexpr double kEngineCost = 0.004;
+constexpr double kFarCost = 0.002;
+/// Room for the coarse blocks in which engines give out memory.
+constexpr int64_t kMemorySlackTokens = 512;
+
+double Ramp(double x, double from, double to) {
+  return std::clamp((x - from) / (to - from), 0.0, 1.0);
+}
+
+double PauseRisk(Millis pause, Millis max_pause) {
+  if (max_pause <= 0) return 0;
+  return Ramp(pause / max_pause, kPauseRiskFrom, kPauseRiskTo);
+}
+
+/// The next pass of the engine with `read_ms` of reading in it.
+Millis PassWith(const EngineCandidate& engine, int32_t more_writers,
+                int64_t more_tokens, Millis read_ms) {
+  const EngineLoad& load = engine.load;
+  return engine.pace *
+         (engine.model->PassTime(load.running + more_writers,
+                                 load.context_tokens + more_tokens) +
+          read_ms);
+}
+
+/// Value that the streams at an engine lose by `read_ms` more reading.
+double HarmOf(const EngineCandidate& engine, Millis read_ms) {
+  const Millis before = PassWith(engine, 0, 0, engine.load.backlog_ms);
+  const Millis after = PassWith(engine, 0, 0, engine.load.backlog_ms + read_ms);
+  double harm = 0;
+  for (const Writer& writer : engine.load.writers) {
+    harm += writer.value * (1 - kLateShare) *
+            (PauseRisk(after, writer.max_pause_ms) -
+             PauseRisk(before, writer.max_pause_ms));
+  }
+  return harm;
+}
+
+bool HasPlace(const EngineCandidate& engine) {
+  return engine.load.running < engine.model->speed().slots;
+}
+
+int64_t FreeMemory(const EngineCandidate& engine) {
+  return engine.model->speed().memory_tokens - engine.load.memory_tokens -
+         kMemorySlackTokens;
+}
+
+bool CanHelp(const EngineCandidate& engine) {
+  return engine.load.parts < engine.model->speed().slots;
+}
+
+/// An engine with what a part of the reading costs there.
+struct Offer {
+  size_t index = 0;
+  /// Until the part is read.
+  Millis ready_ms = 0;
+  double harm = 0;
+  double rank = 0;
+};
+
+class Planner {
+ public:
+  Planner(const StreamNeeds& needs, std::span<const EngineCandidate> engines)
+      : m_needs(needs), m_engines(engines) {}
+
+  std::optional<StreamPlan> Best() {
+    std::optional<StreamPlan> best;
+    for (const size_t split : kSplits) {
+      if (split > m_engines.size()) break;
+      const bool tiny = PartOf(split) < kMinPartMs && split > 1;
+      if (tiny) break;
+      auto plan = Plan(split);
+      if (plan && (!best || plan->gain > best->gain)) best = std::move(plan);
+    }
+    return best;
+  }
+
+ private:
+  int64_t Memory() const {
+    return m_needs.prompt_tokens + m_needs.output_tokens;
+  }
+  Millis PartOf(size_t split) const {
+    return m_engines.front().model->ReadTime(m_needs.prompt_tokens) /
+           static_cast<double>(split);
+  }
+
+  Offer OfferOf(size_t index, Millis part_ms) const {
+    const EngineCandidate& engine = m_engines[index];
+    const EngineLoad& load = engine.load;
+    Offer offer;
+    offer.index = index;
+    // A part waits for the rest of the pass that is running.
+    const Millis residual =
+        load.running > 0 ? PassWith(engine, 0, 0, 0) / 2 : 0;
+    offer.ready_ms = residual + engine.pace * (load.backlog_ms + part_ms);
+    offer.harm = HarmOf(engine, part_ms) + (engine.is_near ? 0 : kFarCost) +
+                 (1 - engine.success_rate) * m_needs.value;
+    const double lateness =
+        offer.ready_ms / std::max(m_needs.objective_ms, 1.0);
+    offer.rank = offer.harm + m_needs.value * (kEarlinessWeight * lateness +
+                                               LossBy(offer.ready_ms));
+    return offer;
+  }
+
+  /// Value lost if the first event comes after `ms`.
+  double LossBy(Millis ms) const {
+    if (m_needs.objective_ms <= 0) return 0;
+    return (1 - kLateShare) * Ramp(ms / m_needs.objective_ms,
+                                   kFirstEventRiskFrom, kFirstEventRiskTo);
+  }
+
+  std::optional<StreamPlan> Plan(size_t split) const {
+    const Millis part_ms = PartOf(split);
+    std::vector<Offer> offers;
+    offers.reserve(m_engines.size());
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+      offers.push_back(OfferOf(i, part_ms));
+    }
+    std::sort(offers.begin(), offers.end(),
+              [](const Offer& a, const Offer& b) { return a.rank < b.rank; });
+    auto plan = Choose(offers, split, part_ms, /*reserve_tokens=*/0);
+    if (plan || split == 1) return plan;
+    // No single engine holds the whole prompt: its memory is spread.
+    const auto share = static_cast<int64_t>(
+        std::ceil(static_cast<double>(Memory()) / static_cast<double>(split)));
+    return Choose(offers, split, part_ms, share + kMemorySlackTokens);
+  }
+
+  std::optional<StreamPlan> Choose(const std::vector<Offer>& offers,
+                                   size_t split, Millis part_ms,
+                                   int64_t reserve_tokens) const {
+    StreamPlan plan;
+    plan.part_ms = part_ms;
+    plan.reserve_tokens = reserve_tokens;
+    const int64_t first_memory = reserve_tokens > 0 ? reserve_tokens : Memory();
+    bool has_first = false;
+    Millis ready = 0;
+    double harm = 0;
+    for (const Offer& offer : offers) {
+      const EngineCandidate& engine = m_engines[offer.index];
+      if (!has_first && HasPlace(engine) &&
+          FreeMemory(engine) >= first_memory) {
+        plan.first = offer.index;
+        has_first = true;
+      } else if (plan.helpers.size() + 1 < split && CanHelp(engine) &&
+                 FreeMemory(engine) >= reserve_tokens) {
+        plan.helpers.push_back(offer.index);
+      } else {
+        continue;
+      }
+      ready = std::max(ready, offer.ready_ms);
+      harm += offer.harm;
+      if (has_first && plan.helpers.size() + 1 == split) break;
+    }
+    if (!has_first || plan.helpers.size() + 1 < split) return std::nullopt;
+    const EngineCandidate& first = m_engines[plan.first];
+    const Millis pass = PassWith(first, 1, Memory(), 0);
+    plan.first_event_ms = ready + pass;
+    plan.write_ms = pass * first.model->PassesToWrite(m_needs.output_tokens);
+    const double lateness =
+        plan.first_event_ms / std::max(m_needs.objective_ms, 1.0);
+    plan.gain = m_needs.value * (1 - LossBy(plan.first_event_ms) -
+                                 kEarlinessWeight * lateness) -
+                harm - kEngineCost * static_cast<double>(split);
+    return plan;
+  }
+
+  const StreamNeeds& m_needs;
+  std::span<const EngineCandidate> m_engines;
+};
+
+}  // namespace
+
+std::optional<StreamPlan> PlaceStream(
+    const StreamNeeds& needs, std::span<const EngineCandidate> engines) {
+  if (engines.empty()) return std::nullopt;
+  return Planner(needs, engines).Best();
+}
+
+}  // namespace peridotshelf::scheduling
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -1,15 +1,10 @@
 #include "peridotshelf/settings/daemon_settings.h"
 
+#include "levels.h"
+
 namespace peridotshelf::settings {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, events::Level>, 4> kLevels = {{
-    {"debug", events::Level::kDebug},
-    {"info", events::Level::kInfo},
-    {"warning", events::Level::kWarning},
-    {"error", events::Level::kError},
-}};
-
 constexpr Range<int64_t> kThreads{1, 256};
 constexpr Range<int64_t> kDrainDelayMs{0, 600'000};
 constexpr Range<int64_t> kTimeoutMs{1, 24 * 3'600'000};
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4500,4 +4500,677 @@
   out << ")";
 }
 
+
+EngineWork::~EngineWork() noexcept {
+}
+
+
+void EngineWork::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void EngineWork::__set_reading(const bool val) {
+  this->reading = val;
+}
+
+void EngineWork::__set_is_part(const bool val) {
+  this->is_part = val;
+}
+
+void EngineWork::__set_is_late(const bool val) {
+  this->is_late = val;
+}
+
+void EngineWork::__set_memory_tokens(const int64_t val) {
+  this->memory_tokens = val;
+}
+
+void EngineWork::__set_read_left_ms(const int32_t val) {
+  this->read_left_ms = val;
+}
+
+void EngineWork::__set_end_left_ms(const int32_t val) {
+  this->end_left_ms = val;
+}
+
+void EngineWork::__set_max_pause_ms(const int32_t val) {
+  this->max_pause_ms = val;
+}
+
+void EngineWork::__set_value_thousandths(const int32_t val) {
+  this->value_thousandths = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineWork& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineWork::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reading);
+          this->__isset.reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_part);
+          this->__isset.is_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_late);
+          this->__isset.is_late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memory_tokens);
+          this->__isset.memory_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->read_left_ms);
+          this->__isset.read_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->end_left_ms);
+          this->__isset.end_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_pause_ms);
+          this->__isset.max_pause_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->value_thousandths);
+          this->__isset.value_thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineWork::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineWork");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->reading);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_part", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->is_part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_late", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->is_late);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memory_tokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->memory_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("read_left_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->read_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("end_left_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->end_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_pause_ms", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->max_pause_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value_thousandths", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->value_thousandths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineWork &a, EngineWork &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.reading, b.reading);
+  swap(a.is_part, b.is_part);
+  swap(a.is_late, b.is_late);
+  swap(a.memory_tokens, b.memory_tokens);
+  swap(a.read_left_ms, b.read_left_ms);
+  swap(a.end_left_ms, b.end_left_ms);
+  swap(a.max_pause_ms, b.max_pause_ms);
+  swap(a.value_thousandths, b.value_thousandths);
+  swap(a.__isset, b.__isset);
+}
+
+EngineWork::EngineWork(const EngineWork& other101) noexcept {
+  id = other101.id;
+  reading = other101.reading;
+  is_part = other101.is_part;
+  is_late = other101.is_late;
+  memory_tokens = other101.memory_tokens;
+  read_left_ms = other101.read_left_ms;
+  end_left_ms = other101.end_left_ms;
+  max_pause_ms = other101.max_pause_ms;
+  value_thousandths = other101.value_thousandths;
+  __isset = other101.__isset;
+}
+EngineWork::EngineWork(EngineWork&& other102) noexcept {
+  id = other102.id;
+  reading = other102.reading;
+  is_part = other102.is_part;
+  is_late = other102.is_late;
+  memory_tokens = other102.memory_tokens;
+  read_left_ms = other102.read_left_ms;
+  end_left_ms = other102.end_left_ms;
+  max_pause_ms = other102.max_pause_ms;
+  value_thousandths = other102.value_thousandths;
+  __isset = other102.__isset;
+}
+EngineWork& EngineWork::operator=(const EngineWork& other103) noexcept {
+  id = other103.id;
+  reading = other103.reading;
+  is_part = other103.is_part;
+  is_late = other103.is_late;
+  memory_tokens = other103.memory_tokens;
+  read_left_ms = other103.read_left_ms;
+  end_left_ms = other103.end_left_ms;
+  max_pause_ms = other103.max_pause_ms;
+  value_thousandths = other103.value_thousandths;
+  __isset = other103.__isset;
+  return *this;
+}
+EngineWork& EngineWork::operator=(EngineWork&& other104) noexcept {
+  id = other104.id;
+  reading = other104.reading;
+  is_part = other104.is_part;
+  is_late = other104.is_late;
+  memory_tokens = other104.memory_tokens;
+  read_left_ms = other104.read_left_ms;
+  end_left_ms = other104.end_left_ms;
+  max_pause_ms = other104.max_pause_ms;
+  value_thousandths = other104.value_thousandths;
+  __isset = other104.__isset;
+  return *this;
+}
+void EngineWork::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineWork(";
+  out << "id=" << to_string(id);
+  out << ", " << "reading=" << to_string(reading);
+  out << ", " << "is_part=" << to_string(is_part);
+  out << ", " << "is_late=" << to_string(is_late);
+  out << ", " << "memory_tokens=" << to_string(memory_tokens);
+  out << ", " << "read_left_ms=" << to_string(read_left_ms);
+  out << ", " << "end_left_ms=" << to_string(end_left_ms);
+  out << ", " << "max_pause_ms=" << to_string(max_pause_ms);
+  out << ", " << "value_thousandths=" << to_string(value_thousandths);
+  out << ")";
+}
+
+
+EngineWorks::~EngineWorks() noexcept {
+}
+
+
+void EngineWorks::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void EngineWorks::__set_works(const std::vector<EngineWork> & val) {
+  this->works = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineWorks& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineWorks::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->works.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->works.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->works[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.works = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineWorks::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineWorks");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("works", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->works.size()));
+    std::vector<EngineWork> ::const_iterator _iter110;
+    for (_iter110 = this->works.begin(); _iter110 != this->works.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineWorks &a, EngineWorks &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.works, b.works);
+  swap(a.__isset, b.__isset);
+}
+
+EngineWorks::EngineWorks(const EngineWorks& other111) {
+  engine = other111.engine;
+  works = other111.works;
+  __isset = other111.__isset;
+}
+EngineWorks::EngineWorks(EngineWorks&& other112) noexcept {
+  engine = std::move(other112.engine);
+  works = std::move(other112.works);
+  __isset = other112.__isset;
+}
+EngineWorks& EngineWorks::operator=(const EngineWorks& other113) {
+  engine = other113.engine;
+  works = other113.works;
+  __isset = other113.__isset;
+  return *this;
+}
+EngineWorks& EngineWorks::operator=(EngineWorks&& other114) noexcept {
+  engine = std::move(other114.engine);
+  works = std::move(other114.works);
+  __isset = other114.__isset;
+  return *this;
+}
+void EngineWorks::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineWorks(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "works=" << to_string(works);
+  out << ")";
+}
+
+
+EntryLoad::~EntryLoad() noexcept {
+}
+
+
+void EntryLoad::__set_process_id(const std::string& val) {
+  this->process_id = val;
+}
+
+void EntryLoad::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EntryLoad::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void EntryLoad::__set_engines(const std::vector<EngineWorks> & val) {
+  this->engines = val;
+}
+
+void EntryLoad::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void EntryLoad::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void EntryLoad::__set_wants_reply(const bool val) {
+  this->wants_reply = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process_id);
+          this->__isset.process_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->engines.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->engines.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->engines[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.engines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_reply);
+          this->__isset.wants_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryLoad");
+
+  xfer += oprot->writeFieldBegin("process_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
+    std::vector<EngineWorks> ::const_iterator _iter120;
+    for (_iter120 = this->engines.begin(); _iter120 != this->engines.end(); ++_iter120)
+    {
+      xfer += (*_iter120).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_reply", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->wants_reply);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryLoad &a, EntryLoad &b) {
+  using ::std::swap;
+  swap(a.process_id, b.process_id);
+  swap(a.sequence, b.sequence);
+  swap(a.complete, b.complete);
+  swap(a.engines, b.engines);
+  swap(a.leaving, b.leaving);
+  swap(a.config_version, b.config_version);
+  swap(a.wants_reply, b.wants_reply);
+  swap(a.__isset, b.__isset);
+}
+
+EntryLoad::EntryLoad(const EntryLoad& other121) {
+  process_id = other121.process_id;
+  sequence = other121.sequence;
+  complete = other121.complete;
+  engines = other121.engines;
+  leaving = other121.leaving;
+  config_version = other121.config_version;
+  wants_reply = other121.wants_reply;
+  __isset = other121.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other122) noexcept {
+  process_id = std::move(other122.process_id);
+  sequence = other122.sequence;
+  complete = other122.complete;
+  engines = std::move(other122.engines);
+  leaving = other122.leaving;
+  config_version = other122.config_version;
+  wants_reply = other122.wants_reply;
+  __isset = other122.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other123) {
+  process_id = other123.process_id;
+  sequence = other123.sequence;
+  complete = other123.complete;
+  engines = other123.engines;
+  leaving = other123.leaving;
+  config_version = other123.config_version;
+  wants_reply = other123.wants_reply;
+  __isset = other123.__isset;
+  return *this;
+}
+EntryLoad& EntryLoad::operator=(EntryLoad&& other124) noexcept {
+  process_id = std::move(other124.process_id);
+  sequence = other124.sequence;
+  complete = other124.complete;
+  engines = std::move(other124.engines);
+  leaving = other124.leaving;
+  config_version = other124.config_version;
+  wants_reply = other124.wants_reply;
+  __isset = other124.__isset;
+  return *this;
+}
+void EntryLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryLoad(";
+  out << "process_id=" << to_string(process_id);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "engines=" << to_string(engines);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "wants_reply=" << to_string(wants_reply);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -121,6 +121,12 @@
 
 class Frame;
 
+class EngineWork;
+
+class EngineWorks;
+
+class EntryLoad;
+
 typedef struct _Hello__isset {
   _Hello__isset() : protocol_version(false), process_id(false), host(false), role(false), control_version(false), failure_domain(false) {}
   bool protocol_version :1;
@@ -1771,6 +1777,244 @@
 
 std::ostream& operator<<(std::ostream& out, const Frame& obj);
 
+typedef struct _EngineWork__isset {
+  _EngineWork__isset() : id(false), reading(false), is_part(false), is_late(false), memory_tokens(false), read_left_ms(false), end_left_ms(false), max_pause_ms(false), value_thousandths(false) {}
+  bool id :1;
+  bool reading :1;
+  bool is_part :1;
+  bool is_late :1;
+  bool memory_tokens :1;
+  bool read_left_ms :1;
+  bool end_left_ms :1;
+  bool max_pause_ms :1;
+  bool value_thousandths :1;
+} _EngineWork__isset;
+
+class EngineWork : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineWork(const EngineWork&) noexcept;
+  EngineWork(EngineWork&&) noexcept;
+  EngineWork& operator=(const EngineWork&) noexcept;
+  EngineWork& operator=(EngineWork&&) noexcept;
+  EngineWork() noexcept
+             : id(0),
+               reading(0),
+               is_part(0),
+               is_late(0),
+               memory_tokens(0),
+               read_left_ms(0),
+               end_left_ms(0),
+               max_pause_ms(0),
+               value_thousandths(0) {
+  }
+
+  virtual ~EngineWork() noexcept;
+  int64_t id;
+  bool reading;
+  bool is_part;
+  bool is_late;
+  int64_t memory_tokens;
+  int32_t read_left_ms;
+  int32_t end_left_ms;
+  int32_t max_pause_ms;
+  int32_t value_thousandths;
+
+  _EngineWork__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_reading(const bool val);
+
+  void __set_is_part(const bool val);
+
+  void __set_is_late(const bool val);
+
+  void __set_memory_tokens(const int64_t val);
+
+  void __set_read_left_ms(const int32_t val);
+
+  void __set_end_left_ms(const int32_t val);
+
+  void __set_max_pause_ms(const int32_t val);
+
+  void __set_value_thousandths(const int32_t val);
+
+  bool operator == (const EngineWork & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(reading == rhs.reading))
+      return false;
+    if (!(is_part == rhs.is_part))
+      return false;
+    if (!(is_late == rhs.is_late))
+      return false;
+    if (!(memory_tokens == rhs.memory_tokens))
+      return false;
+    if (!(read_left_ms == rhs.read_left_ms))
+      return false;
+    if (!(end_left_ms == rhs.end_left_ms))
+      return false;
+    if (!(max_pause_ms == rhs.max_pause_ms))
+      return false;
+    if (!(value_thousandths == rhs.value_thousandths))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineWork &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineWork & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineWork &a, EngineWork &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineWork& obj);
+
+typedef struct _EngineWorks__isset {
+  _EngineWorks__isset() : engine(false), works(false) {}
+  bool engine :1;
+  bool works :1;
+} _EngineWorks__isset;
+
+class EngineWorks : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineWorks(const EngineWorks&);
+  EngineWorks(EngineWorks&&) noexcept;
+  EngineWorks& operator=(const EngineWorks&);
+  EngineWorks& operator=(EngineWorks&&) noexcept;
+  EngineWorks() noexcept
+              : engine() {
+  }
+
+  virtual ~EngineWorks() noexcept;
+  std::string engine;
+  std::vector<EngineWork>  works;
+
+  _EngineWorks__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_works(const std::vector<EngineWork> & val);
+
+  bool operator == (const EngineWorks & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(works == rhs.works))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineWorks &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineWorks & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineWorks &a, EngineWorks &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
+
+typedef struct _EntryLoad__isset {
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), leaving(false), config_version(false), wants_reply(false) {}
+  bool process_id :1;
+  bool sequence :1;
+  bool complete :1;
+  bool engines :1;
+  bool leaving :1;
+  bool config_version :1;
+  bool wants_reply :1;
+} _EntryLoad__isset;
+
+class EntryLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryLoad(const EntryLoad&);
+  EntryLoad(EntryLoad&&) noexcept;
+  EntryLoad& operator=(const EntryLoad&);
+  EntryLoad& operator=(EntryLoad&&) noexcept;
+  EntryLoad() noexcept
+            : process_id(),
+              sequence(0),
+              complete(0),
+              leaving(0),
+              config_version(0),
+              wants_reply(0) {
+  }
+
+  virtual ~EntryLoad() noexcept;
+  std::string process_id;
+  int64_t sequence;
+  bool complete;
+  std::vector<EngineWorks>  engines;
+  bool leaving;
+  int64_t config_version;
+  bool wants_reply;
+
+  _EntryLoad__isset __isset;
+
+  void __set_process_id(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_engines(const std::vector<EngineWorks> & val);
+
+  void __set_leaving(const bool val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_wants_reply(const bool val);
+
+  bool operator == (const EntryLoad & rhs) const
+  {
+    if (!(process_id == rhs.process_id))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(engines == rhs.engines))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(wants_reply == rhs.wants_reply))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryLoad &a, EntryLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryLoad& obj);
+
 }} // namespace
 
 #endif
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -216,3 +216,34 @@
   15: optional PullControl pull_control
   16: optional ControlState control_state
 }
+
+// Work of one request, or of a part of a reading, at one engine. Times are
+// what is left of them when the datagram is sent.
+struct EngineWork {
+  1: i64 id
+  2: bool reading
+  3: bool is_part
+  4: bool is_late
+  5: i64 memory_tokens
+  6: i32 read_left_ms
+  7: i32 end_left_ms
+  8: i32 max_pause_ms
+  9: i32 value_thousandths
+}
+
+// All work that the sender has at one engine; none if the list is empty.
+struct EngineWorks {
+  1: string engine
+  2: list<EngineWork> works
+}
+
+// A datagram between entries: what the sender has running.
+struct EntryLoad {
+  1: string process_id        // new at each start of a process
+  2: i64 sequence             // an older datagram that comes late is dropped
+  3: bool complete            // engines that are not listed have no work
+  4: list<EngineWorks> engines
+  5: bool leaving             // the sender is about to stop
+  6: i64 config_version
+  7: bool wants_reply         // the sender has not heard of the receiver
+}
