Wait with late readings, count callers' patience, take SIGHUP

Cause: long readings were stacked on engines that were already behind, since a stream that is late cannot get later; their callers gave up after 2 s. Ruled out: the engine model (first event over predicted: median 1.0 to 1.1).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -34,11 +34,13 @@
 /// Time to connect to an engine: a few round trips between failure domains.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-/// A stream without an event for this long, beyond what is predicted for its
-/// first one, is taken as broken.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(1200);
-/// The same in units of the route's longest pause.
-constexpr double kSilencePauses = 1.5;
+/// A stream that had events goes on at another engine after this share of the
+/// time at which its caller gives up, if it may. A long reading at its engine
+/// can cause that as well as the engine's end.
+constexpr double kSilenceShare = 0.8;
+constexpr Duration kMaxSilence = std::chrono::seconds(3);
+/// The same before the first event, beyond the time predicted.
+constexpr Duration kFirstEventSilence = std::chrono::milliseconds(1200);
 constexpr double kFirstEventOverrun = 2.5;
 /// Part of the time left that a repeatable call may take at its first server.
 constexpr double kFirstTryShare = 0.45;
@@ -67,6 +69,21 @@
       std::chrono::duration<double, std::milli>(millis));
 }
 
+Duration SilenceLimit(const routing::Route& route) {
+  const double millis =
+      kSilenceShare * scheduling::MillisOf(route.caller_patience);
+  return std::min(kMaxSilence, FromMillis(millis));
+}
+
+std::string JoinKeys(const std::vector<std::string>& keys) {
+  std::string joined;
+  for (const std::string& key : keys) {
+    if (!joined.empty()) joined += ' ';
+    joined += key;
+  }
+  return joined;
+}
+
 /// What is known of one start of one engine.
 struct EngineState {
   scheduling::EngineHealth health;
@@ -388,7 +405,7 @@
   needs.max_pause_ms = scheduling::MillisOf(live->route->max_pause);
   needs.value = live->value;
   const auto plan = scheduling::PlaceStream(needs, candidates);
-  if (!plan) return false;
+  if (!plan || !scheduling::ShouldStart(*plan, candidates)) return false;
   StartAttempt(live, *records[plan->first]);
   Attempt& attempt = *live->attempt;
   attempt.predicted_first_ms = plan->first_event_ms;
@@ -409,6 +426,8 @@
       {{"request", live->request.id.value()},
        {"engine", attempt.engine_key},
        {"helpers", static_cast<int64_t>(plan->helpers.size())},
+       {"helper_engines", JoinKeys(attempt.helper_keys)},
+       {"part_ms", std::lround(plan->part_ms)},
        {"reserved_tokens", plan->reserve_tokens},
        {"prompt_tokens", live->prompt_tokens},
        {"predicted_ms", std::lround(plan->first_event_ms)},
@@ -454,6 +473,7 @@
     }
     work.read_ms = plan.part_ms;
     work.max_pause_ms = scheduling::MillisOf(live.route->max_pause);
+    work.patience_ms = scheduling::MillisOf(live.route->caller_patience);
     work.value = live.value;
     work.read_end =
         now + FromMillis(engine.load.backlog_ms + engine.pace * plan.part_ms);
@@ -654,6 +674,11 @@
 void Gateway::Impl::NoteFirstEvent(LiveRequest& live, TimePoint now) {
   Attempt& attempt = *live.attempt;
   attempt.got_event = true;
+  attempt.last_event_at = now;
+  if (live.first_event_ms == 0) {
+    live.first_event_ms = MillisBetween(live.arrived, now);
+    live.predicted_first_ms = attempt.predicted_first_ms;
+  }
   const double actual = MillisBetween(attempt.sent_at, now);
   if (attempt.predicted_first_ms > 0) {
     const double ratio = actual / attempt.predicted_first_ms;
@@ -676,7 +701,10 @@
 
 void Gateway::Impl::NotePause(LiveRequest& live, TimePoint now) {
   Attempt& attempt = *live.attempt;
-  const Duration pause = now - attempt.last_progress;
+  const Duration pause = now - attempt.last_event_at;
+  attempt.last_event_at = now;
+  live.longest_pause_ms =
+      std::max(live.longest_pause_ms, scheduling::MillisOf(pause));
   if (live.route->max_pause <= Duration::zero() ||
       pause <= live.route->max_pause) {
     return;
@@ -698,7 +726,11 @@
       return;
     }
   }
-  if (!attempt.got_event) NoteFirstEvent(*live, now);
+  if (!attempt.got_event) {
+    NoteFirstEvent(*live, now);
+  } else {
+    NotePause(*live, now);
+  }
   if (number) live->last_event = number;
   if (!std::exchange(live->head_sent, true)) {
     live->responder->BeginStream(attempt.head->status, attempt.head->headers);
@@ -782,10 +814,10 @@
   scheduling::EngineHealth& health = StateOf(attempt.engine_key).health;
   switch (cause) {
     case FailureCause::kUnreachable:
-    case FailureCause::kSilent:
     case FailureCause::kOtherEngine:
       health.NoteUnreachable(now);
       break;
+    case FailureCause::kSilent:
     case FailureCause::kBroken:
     case FailureCause::kNotRun:
     case FailureCause::kEngineFailure:
@@ -801,6 +833,9 @@
                {"engine", attempt.engine_key},
                {"cause", std::string(ToString(cause))},
                {"detail", std::string(detail)},
+               {"had_event", attempt.got_event},
+               {"predicted_ms", std::lround(attempt.predicted_first_ms)},
+               {"try_ms", ToMilliseconds(now - attempt.sent_at)},
                {"not_run", not_run},
                {"sends", live->sends},
                {"after_ms", ToMilliseconds(now - live->arrived)}});
@@ -905,6 +940,10 @@
        {"outcome", std::string(outcome)},
        {"engine", live->tried.empty() ? std::string() : live->tried.back()},
        {"sends", live->sends},
+       {"prompt_tokens", live->prompt_tokens},
+       {"first_ms", std::lround(live->first_event_ms)},
+       {"predicted_ms", std::lround(live->predicted_first_ms)},
+       {"longest_pause_ms", std::lround(live->longest_pause_ms)},
        {"ms", ToMilliseconds(SteadyClock().Now() - live->arrived)},
        {"config_version", live->configuration->version()}});
   live_requests.erase(live->number);
@@ -924,12 +963,10 @@
     return MillisBetween(attempt.sent_at, now) > given;
   }
   if (!attempt.got_event) {
-    return silent > kSilenceLimit + FromMillis(kFirstEventOverrun *
-                                               attempt.predicted_first_ms);
+    return silent > kFirstEventSilence + FromMillis(kFirstEventOverrun *
+                                                    attempt.predicted_first_ms);
   }
-  const Duration by_pause =
-      FromMillis(kSilencePauses * scheduling::MillisOf(live.route->max_pause));
-  return silent > std::max(kSilenceLimit, by_pause);
+  return silent > SilenceLimit(*live.route);
 }
 
 void Gateway::Impl::EnsureTicking() {
@@ -973,6 +1010,11 @@
   return m_impl->configuration;
 }
 
+void Gateway::SetRepeatLimits(const scheduling::RepeatLimits& limits) {
+  m_impl->options.repeats = limits;
+  for (auto& [service, budget] : m_impl->budgets) budget.SetLimits(limits);
+}
+
 void Gateway::NoteEnginesChanged() { m_impl->DrainQueue(); }
 
 void Gateway::Handle(http::ServerRequest request,
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -36,6 +36,7 @@
   EventSplitter events;
   bool got_event = false;
   TimePoint last_progress{};
+  TimePoint last_event_at{};
 };
 
 /// All that is known of one request.
@@ -63,6 +64,12 @@
   std::optional<Attempt> attempt;
   /// The answer's head is with the caller.
   bool head_sent = false;
+  /// From arrival to the first event; 0 before it.
+  double first_event_ms = 0;
+  /// The same as predicted when the try that brought it was sent.
+  double predicted_first_ms = 0;
+  /// Between two events that the caller got.
+  double longest_pause_ms = 0;
   /// The last event that the caller has.
   std::optional<int64_t> last_event;
   /// The last failure that an engine itself gave as its answer.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -69,6 +69,7 @@
   out.read_left_ms = MillisLeft(now, work.read_end);
   out.end_left_ms = MillisLeft(now, work.end);
   out.max_pause_ms = static_cast<int32_t>(work.max_pause_ms);
+  out.patience_ms = static_cast<int32_t>(work.patience_ms);
   out.value_thousandths = static_cast<int32_t>(work.value * kThousandths);
   return out;
 }
@@ -83,6 +84,7 @@
   work.read_end = now + std::chrono::milliseconds(in.read_left_ms);
   work.end = now + std::chrono::milliseconds(in.end_left_ms);
   work.max_pause_ms = in.max_pause_ms;
+  work.patience_ms = in.patience_ms;
   work.value = in.value_thousandths / kThousandths;
   return work;
 }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,7 +1,10 @@
 #include "peridotshelf/http/client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <cctype>
@@ -92,6 +95,19 @@
   return bytes;
 }
 
+/// Connections that go silent are found by probes: the first after this time,
+/// the next ones at this interval, in seconds.
+constexpr CurlLong kKeepAliveSeconds = 1;
+/// A connection whose peer acknowledges nothing for this long is dropped, in
+/// ms.
+constexpr int kUserTimeoutMs = 2500;
+
+int OnSocket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+  return CURL_SOCKOPT_OK;
+}
+
 CurlLong Millis(Duration span) {
   return static_cast<CurlLong>(ToMilliseconds(span));
 }
@@ -116,6 +132,10 @@
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &call);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kBufferBytes);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -113,7 +113,10 @@
       });
     };
     if (state->next_offset) {
-      state->source.ReadFrom(*state->next_offset, state->timing.wait, on_page);
+      // A topic that was lost is asked for a quick answer, so that its return
+      // is seen at once.
+      const Duration wait = state->lost ? Duration::zero() : state->timing.wait;
+      state->source.ReadFrom(*state->next_offset, wait, on_page);
     } else {
       state->source.ReadNewest(on_page);
     }
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -45,6 +45,8 @@
   void SetConfiguration(
       std::shared_ptr<const routing::Configuration> configuration);
   std::shared_ptr<const routing::Configuration> configuration() const;
+  /// The limits hold from now on, also for what was repeated before.
+  void SetRepeatLimits(const scheduling::RepeatLimits& limits);
   /// Engines came or went.
   void NoteEnginesChanged();
   /// Answers one request.
--- a/src/include/peridotshelf/scheduling/load_board.h
+++ b/src/include/peridotshelf/scheduling/load_board.h
@@ -31,6 +31,8 @@
   Millis read_ms = 0;
   /// The longest pause between events that still is on time.
   Millis max_pause_ms = 0;
+  /// The pause at which its caller gives up.
+  Millis patience_ms = 0;
   /// What an answer on time is worth.
   double value = 0;
   /// Predicted.
@@ -42,6 +44,9 @@
 /// A stream that a further reading at its engine might delay.
 struct Writer {
   Millis max_pause_ms = 0;
+  Millis patience_ms = 0;
+  /// Only its caller's giving up can still cost something.
+  bool is_late = false;
   double value = 0;
 };
 
--- a/src/include/peridotshelf/scheduling/repeat_budget.h
+++ b/src/include/peridotshelf/scheduling/repeat_budget.h
@@ -15,6 +15,8 @@
   /// Repeats allowed on top, for all entries together.
   double slack = 0;
   Duration window = std::chrono::seconds(10);
+
+  friend bool operator==(const RepeatLimits&, const RepeatLimits&) = default;
 };
 
 /// Keeps one entry's repeats within its share, so that all entries together
@@ -23,6 +25,7 @@
  public:
   explicit RepeatBudget(const RepeatLimits& limits) : m_limits(limits) {}
 
+  void SetLimits(const RepeatLimits& limits) { m_limits = limits; }
   void NoteRequest(TimePoint now);
   /// Takes one repeat; false if the share is spent. `entries` share the slack.
   bool TrySpend(TimePoint now, size_t entries);
--- a/src/include/peridotshelf/scheduling/stream_placement.h
+++ b/src/include/peridotshelf/scheduling/stream_placement.h
@@ -54,6 +54,8 @@
   int64_t reserve_tokens = 0;
   /// Predicted time until the first event.
   Millis first_event_ms = 0;
+  /// Whether that is within the objective.
+  bool is_on_time = false;
   /// Predicted time from the first event to the end.
   Millis write_ms = 0;
   /// What the fleet gains by it; less than 0 if it costs others more.
@@ -70,4 +72,14 @@
 std::optional<StreamPlan> PlaceStream(const StreamNeeds& needs,
                                       std::span<const EngineCandidate> engines);
 
+/// Mean time until an engine has read what it has to read: how far the fleet is
+/// behind.
+Millis MeanBacklog(std::span<const EngineCandidate> engines);
+
+/// Whether a plan should be carried out now, or the request should wait for a
+/// better one. A late answer is worth little and its reading delays others, so
+/// late requests begin only while the fleet has little to read.
+bool ShouldStart(const StreamPlan& plan,
+                 std::span<const EngineCandidate> engines);
+
 }  // namespace peridotshelf::scheduling
--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -34,6 +34,34 @@
   }
 }
 
+/// The file may change without a signal, so its text is compared at intervals.
+constexpr Duration kSettingsPoll = std::chrono::seconds(2);
+
+/// Serves until asked to stop; takes changed settings meanwhile.
+void ServeUntilStopped(const StopSignal& signals, GatewayDaemon& daemon,
+                       const std::string& path,
+                       const deployment::ProcessSettings& started_with) {
+  deployment::ProcessSettings current = started_with;
+  while (true) {
+    const auto asked = signals.WaitFor(kSettingsPoll);
+    if (asked == Request::kStop) return;
+    const auto changed = deployment::ReadSettings(path);
+    if (!changed) {
+      events::Log(EventId::kSettingsReloaded,
+                  {{"taken", false}, {"reason", changed.error().detail}});
+      continue;
+    }
+    if (*changed == current && !asked) continue;
+    events::Log(EventId::kSettingsReloaded,
+                {{"taken", true},
+                 {"changed", !(*changed == current)},
+                 {"signal", asked.has_value()},
+                 {"store", changed->store.ToString()}});
+    current = *changed;
+    daemon.TakeSettings(current);
+  }
+}
+
 }  // namespace
 
 ExitCode RunGateway(Arguments args) {
@@ -46,7 +74,7 @@
               << settings.error().detail << "\n";
     return ExitCode::kBadSettings;
   }
-  const StopSignal stop;
+  const StopSignal signals = StopSignal::WithReload();
   events::StartLogging(parsed->log_level, "gateway:" + settings->host.value());
   auto daemon = GatewayDaemon::Create(*settings);
   if (!daemon) {
@@ -57,7 +85,7 @@
               {{"callers", settings->callers.ToString()},
                {"store", settings->store.ToString()},
                {"failure_domain", settings->failure_domain.value()}});
-  stop.Wait();
+  ServeUntilStopped(signals, **daemon, parsed->config, *settings);
   events::Log(EventId::kProcessStopping);
   (*daemon)->StartLeaving();
   WaitUntilIdle(**daemon, settings->stop_grace);
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -335,6 +335,12 @@
   return std::unique_ptr<GatewayDaemon>(new GatewayDaemon(std::move(impl)));
 }
 
+void GatewayDaemon::TakeSettings(const ProcessSettings& settings) {
+  m_impl->threads.Post([impl = m_impl.get(), repeats = settings.repeats] {
+    impl->gateway->SetRepeatLimits(repeats);
+  });
+}
+
 void GatewayDaemon::StartLeaving() {
   m_impl->threads.Post([impl = m_impl.get()] {
     impl->leaving = true;
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -19,6 +19,8 @@
   GatewayDaemon(const GatewayDaemon&) = delete;
   GatewayDaemon& operator=(const GatewayDaemon&) = delete;
 
+  /// Takes changed limits. Addresses hold until the process starts anew.
+  void TakeSettings(const deployment::ProcessSettings& settings);
   /// Ceases to report itself ready; goes on serving whoever still comes.
   void StartLeaving();
   /// Requests without a final answer and connections of callers.
--- a/src/scheduling/load_board.cc
+++ b/src/scheduling/load_board.cc
@@ -20,7 +20,8 @@
   ++load.running;
   load.context_tokens += work.memory_tokens;
   load.ends.push_back(work.end);
-  if (!work.is_late) load.writers.push_back({work.max_pause_ms, work.value});
+  load.writers.push_back(
+      {work.max_pause_ms, work.patience_ms, work.is_late, work.value});
 }
 
 }  // namespace
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -22,6 +22,11 @@
 /// Value lost for each millisecond of waiting, in shares of the objective: of
 /// two plans on time the earlier one wins.
 constexpr double kEarlinessWeight = 0.04;
+/// A plan counts as on time while it risks less than this share of the value.
+constexpr double kOnTimeLoss = 0.6;
+/// Late requests begin while the fleet is at most this far behind.
+constexpr Millis kCalmBacklogMs = 150;
+constexpr double kMaxLateness = 5;
 /// Cost of each further engine in a reading: more engines may fail it.
 constexpr double kEngineCost = 0.004;
 constexpr double kFarCost = 0.002;
@@ -53,9 +58,13 @@
   const Millis after = PassWith(engine, 0, 0, engine.load.backlog_ms + read_ms);
   double harm = 0;
   for (const Writer& writer : engine.load.writers) {
-    harm += writer.value * (1 - kLateShare) *
-            (PauseRisk(after, writer.max_pause_ms) -
-             PauseRisk(before, writer.max_pause_ms));
+    const double late = writer.is_late
+                            ? 0
+                            : PauseRisk(after, writer.max_pause_ms) -
+                                  PauseRisk(before, writer.max_pause_ms);
+    const double lost = PauseRisk(after, writer.patience_ms) -
+                        PauseRisk(before, writer.patience_ms);
+    harm += writer.value * ((1 - kLateShare) * late + kLateShare * lost);
   }
   return harm;
 }
@@ -119,13 +128,18 @@
     offer.ready_ms = residual + engine.pace * (load.backlog_ms + part_ms);
     offer.harm = HarmOf(engine, part_ms) + (engine.is_near ? 0 : kFarCost) +
                  (1 - engine.success_rate) * m_needs.value;
-    const double lateness =
-        offer.ready_ms / std::max(m_needs.objective_ms, 1.0);
+    const double lateness = Lateness(offer.ready_ms);
     offer.rank = offer.harm + m_needs.value * (kEarlinessWeight * lateness +
                                                LossBy(offer.ready_ms));
     return offer;
   }
 
+  /// Time in units of the objective; bounded, so that a request that is late
+  /// anyway still goes where it harms others least.
+  double Lateness(Millis ms) const {
+    return std::min(ms / std::max(m_needs.objective_ms, 1.0), kMaxLateness);
+  }
+
   /// Value lost if the first event comes after `ms`.
   double LossBy(Millis ms) const {
     if (m_needs.objective_ms <= 0) return 0;
@@ -180,9 +194,9 @@
     const EngineCandidate& first = m_engines[plan.first];
     const Millis pass = PassWith(first, 1, Memory(), 0);
     plan.first_event_ms = ready + pass;
+    plan.is_on_time = LossBy(plan.first_event_ms) < kOnTimeLoss;
     plan.write_ms = pass * first.model->PassesToWrite(m_needs.output_tokens);
-    const double lateness =
-        plan.first_event_ms / std::max(m_needs.objective_ms, 1.0);
+    const double lateness = Lateness(plan.first_event_ms);
     plan.gain = m_needs.value * (1 - LossBy(plan.first_event_ms) -
                                  kEarlinessWeight * lateness) -
                 harm - kEngineCost * static_cast<double>(split);
@@ -195,6 +209,21 @@
 
 }  // namespace
 
+Millis MeanBacklog(std::span<const EngineCandidate> engines) {
+  if (engines.empty()) return 0;
+  Millis total = 0;
+  for (const EngineCandidate& engine : engines) {
+    total += engine.load.backlog_ms;
+  }
+  return total / static_cast<double>(engines.size());
+}
+
+bool ShouldStart(const StreamPlan& plan,
+                 std::span<const EngineCandidate> engines) {
+  if (plan.is_on_time && plan.gain > 0) return true;
+  return MeanBacklog(engines) <= kCalmBacklogMs;
+}
+
 std::optional<StreamPlan> PlaceStream(
     const StreamNeeds& needs, std::span<const EngineCandidate> engines) {
   if (engines.empty()) return std::nullopt;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4540,6 +4540,10 @@
 void EngineWork::__set_value_thousandths(const int32_t val) {
   this->value_thousandths = val;
 }
+
+void EngineWork::__set_patience_ms(const int32_t val) {
+  this->patience_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineWork& obj)
 {
   obj.printTo(out);
@@ -4640,6 +4644,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->patience_ms);
+          this->__isset.patience_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4693,6 +4705,10 @@
   xfer += oprot->writeI32(this->value_thousandths);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("patience_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->patience_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4709,6 +4725,7 @@
   swap(a.end_left_ms, b.end_left_ms);
   swap(a.max_pause_ms, b.max_pause_ms);
   swap(a.value_thousandths, b.value_thousandths);
+  swap(a.patience_ms, b.patience_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4722,6 +4739,7 @@
   end_left_ms = other101.end_left_ms;
   max_pause_ms = other101.max_pause_ms;
   value_thousandths = other101.value_thousandths;
+  patience_ms = other101.patience_ms;
   __isset = other101.__isset;
 }
 EngineWork::EngineWork(EngineWork&& other102) noexcept {
@@ -4734,6 +4752,7 @@
   end_left_ms = other102.end_left_ms;
   max_pause_ms = other102.max_pause_ms;
   value_thousandths = other102.value_thousandths;
+  patience_ms = other102.patience_ms;
   __isset = other102.__isset;
 }
 EngineWork& EngineWork::operator=(const EngineWork& other103) noexcept {
@@ -4746,6 +4765,7 @@
   end_left_ms = other103.end_left_ms;
   max_pause_ms = other103.max_pause_ms;
   value_thousandths = other103.value_thousandths;
+  patience_ms = other103.patience_ms;
   __isset = other103.__isset;
   return *this;
 }
@@ -4759,6 +4779,7 @@
   end_left_ms = other104.end_left_ms;
   max_pause_ms = other104.max_pause_ms;
   value_thousandths = other104.value_thousandths;
+  patience_ms = other104.patience_ms;
   __isset = other104.__isset;
   return *this;
 }
@@ -4774,6 +4795,7 @@
   out << ", " << "end_left_ms=" << to_string(end_left_ms);
   out << ", " << "max_pause_ms=" << to_string(max_pause_ms);
   out << ", " << "value_thousandths=" << to_string(value_thousandths);
+  out << ", " << "patience_ms=" << to_string(patience_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1778,7 +1778,7 @@
 std::ostream& operator<<(std::ostream& out, const Frame& obj);
 
 typedef struct _EngineWork__isset {
-  _EngineWork__isset() : id(false), reading(false), is_part(false), is_late(false), memory_tokens(false), read_left_ms(false), end_left_ms(false), max_pause_ms(false), value_thousandths(false) {}
+  _EngineWork__isset() : id(false), reading(false), is_part(false), is_late(false), memory_tokens(false), read_left_ms(false), end_left_ms(false), max_pause_ms(false), value_thousandths(false), patience_ms(false) {}
   bool id :1;
   bool reading :1;
   bool is_part :1;
@@ -1788,6 +1788,7 @@
   bool end_left_ms :1;
   bool max_pause_ms :1;
   bool value_thousandths :1;
+  bool patience_ms :1;
 } _EngineWork__isset;
 
 class EngineWork : public virtual ::apache::thrift::TBase {
@@ -1806,7 +1807,8 @@
                read_left_ms(0),
                end_left_ms(0),
                max_pause_ms(0),
-               value_thousandths(0) {
+               value_thousandths(0),
+               patience_ms(0) {
   }
 
   virtual ~EngineWork() noexcept;
@@ -1819,6 +1821,7 @@
   int32_t end_left_ms;
   int32_t max_pause_ms;
   int32_t value_thousandths;
+  int32_t patience_ms;
 
   _EngineWork__isset __isset;
 
@@ -1840,6 +1843,8 @@
 
   void __set_value_thousandths(const int32_t val);
 
+  void __set_patience_ms(const int32_t val);
+
   bool operator == (const EngineWork & rhs) const
   {
     if (!(id == rhs.id))
@@ -1860,6 +1865,8 @@
       return false;
     if (!(value_thousandths == rhs.value_thousandths))
       return false;
+    if (!(patience_ms == rhs.patience_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineWork &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -229,6 +229,7 @@
   7: i32 end_left_ms
   8: i32 max_pause_ms
   9: i32 value_thousandths
+  10: i32 patience_ms
 }
 
 // All work that the sender has at one engine; none if the list is empty.
