--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -232,6 +232,7 @@
   std::unordered_map<uint64_t, LiveRequestPtr> live_requests;
   scheduling::WaitQueue queue;
   uint64_t next_number = 1;
+  bool refusing_streams = false;
   bool ticking = false;
   bool draining_queue = false;
 };
@@ -271,6 +272,10 @@
     Reject(responder, request->id, kNotFound, "no_route");
     return;
   }
+  if (refusing_streams && route->repetition == routing::Repetition::kStream) {
+    Reject(responder, request->id, kUnavailable, "stopping");
+    return;
+  }
   const routing::Team* team =
       request->key ? configuration->FindTeam(*request->key) : nullptr;
   if (configuration->keys_required() && !route->is_public && team == nullptr) {
@@ -1022,6 +1027,8 @@
   m_impl->Handle(std::move(request), responder);
 }
 
+void Gateway::RefuseNewStreams() { m_impl->refusing_streams = true; }
+
 size_t Gateway::RunningCount() const { return m_impl->live_requests.size(); }
 
 void Gateway::AbortAll() {
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -66,11 +66,14 @@
   Handler handler;
   CallerLimits limits;
   bool last_answers = false;
+  bool close_idle = false;
   bool stopped = false;
   FrontCounters counters;
   size_t running = 0;
   std::unordered_set<std::shared_ptr<FrontConnection>> connections;
 
+  /// Ends connections that are idle or slow beyond the limits.
+  void CheckConnections();
   static void Accept(const std::shared_ptr<Impl>& self);
   static void Sweep(const std::shared_ptr<Impl>& self);
 };
@@ -113,7 +116,8 @@
       }
       return;
     }
-    if (now - m_waiting_since > limits.idle_timeout) Close();
+    const bool is_unwanted = m_server->close_idle && m_unparsed.empty();
+    if (is_unwanted || now - m_waiting_since > limits.idle_timeout) Close();
   }
 
   void Close();
@@ -533,14 +537,19 @@
   self->sweep.expires_after(kSweepInterval);
   self->sweep.async_wait([self](const asio::error_code& error) {
     if (error || self->stopped) return;
-    const TimePoint now = SteadyClock().Now();
-    const std::vector<std::shared_ptr<FrontConnection>> open(
-        self->connections.begin(), self->connections.end());
-    for (const auto& connection : open) connection->CheckTime(now);
+    self->CheckConnections();
     Sweep(self);
   });
 }
 
+void FrontServer::Impl::CheckConnections() {
+  const TimePoint now = SteadyClock().Now();
+  // Closing takes a connection out of the set.
+  const std::vector<std::shared_ptr<FrontConnection>> open(connections.begin(),
+                                                           connections.end());
+  for (const auto& connection : open) connection->CheckTime(now);
+}
+
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     io::IoThreads& threads, const std::string& address, uint16_t port,
     Handler handler) {
@@ -577,6 +586,11 @@
 
 void FrontServer::CloseAfterAnswers() { m_impl->last_answers = true; }
 
+void FrontServer::CloseIdle() {
+  m_impl->close_idle = true;
+  m_impl->CheckConnections();
+}
+
 size_t FrontServer::RunningCount() const { return m_impl->running; }
 
 FrontCounters FrontServer::counters() const { return m_impl->counters; }
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -51,6 +51,9 @@
   void NoteEnginesChanged();
   /// Answers one request.
   void Handle(http::ServerRequest request, http::ResponderPtr responder);
+  /// From now on new streams are refused, since they might not end before the
+  /// process has to; short calls are still served.
+  void RefuseNewStreams();
   /// Requests without their final answer.
   size_t RunningCount() const;
   /// Ends all that still runs; for a process that has to stop now.
--- a/src/include/peridotshelf/http/front_server.h
+++ b/src/include/peridotshelf/http/front_server.h
@@ -57,6 +57,8 @@
   void SetLimits(const CallerLimits& limits);
   /// From now on each answer is its connection's last.
   void CloseAfterAnswers();
+  /// Closes connections on which no request has begun, now and from now on.
+  void CloseIdle();
   /// Requests that have been read and not wholly answered.
   size_t RunningCount() const;
   FrontCounters counters() const;
--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -17,18 +17,19 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /// The balancer asks once a second and takes a process out after two misses;
 /// connections that are being opened meanwhile are served.
-constexpr Duration kBalancerDelay = std::chrono::milliseconds(3200);
-/// Before the process would be killed.
-constexpr Duration kKillMargin = std::chrono::milliseconds(500);
+constexpr Duration kBalancerDelay = std::chrono::milliseconds(2700);
+/// Before the process would be killed: its end takes a fraction of a second.
+constexpr Duration kKillMargin = std::chrono::milliseconds(800);
 
 /// Serves on until callers have gone to other processes and all requests have
 /// their answers.
 void WaitUntilIdle(GatewayDaemon& daemon, Duration grace) {
   const TimePoint began = SteadyClock().Now();
   const TimePoint last = began + grace - kKillMargin;
+  std::this_thread::sleep_until(began + kBalancerDelay);
+  daemon.StopTakingWork();
   while (SteadyClock().Now() < last) {
     std::this_thread::sleep_for(kStopPoll);
-    if (SteadyClock().Now() - began < kBalancerDelay) continue;
     const GatewayDaemon::Open open = daemon.CountOpen();
     if (open.requests == 0 && open.connections == 0) return;
   }
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -32,8 +32,9 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 /// The configuration comes as soon as it is published; one call waits this
-/// long.
-constexpr Duration kConfigurationWait = std::chrono::seconds(12);
+/// long. An answer that is lost shows only when the call times out, and a
+/// change must be in force before that is seen by callers.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(1500);
 /// Engines' entries change with each heartbeat, so they are polled: often
 /// enough for the time in which a leaving engine may still get requests.
 constexpr Duration kEnginePollInterval = std::chrono::milliseconds(600);
@@ -69,7 +70,11 @@
             StoreTopic(settings.store, deployment::kEngineTopic, client),
             EngineTiming(), EngineCallbacks()) {}
 
-  ~Impl() { threads.Stop(); }
+  ~Impl() {
+    // Its end waits for the threads.
+    operations.reset();
+    threads.Stop();
+  }
 
   Result<void> Start();
   discovery::FollowCallbacks ConfigurationCallbacks();
@@ -350,6 +355,13 @@
   });
 }
 
+void GatewayDaemon::StopTakingWork() {
+  m_impl->threads.Post([impl = m_impl.get()] {
+    impl->gateway->RefuseNewStreams();
+    impl->callers->CloseIdle();
+  });
+}
+
 GatewayDaemon::Open GatewayDaemon::CountOpen() const {
   std::promise<Open> counted;
   m_impl->threads.Post([impl = m_impl.get(), &counted] {
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -23,6 +23,9 @@
   void TakeSettings(const deployment::ProcessSettings& settings);
   /// Ceases to report itself ready; goes on serving whoever still comes.
   void StartLeaving();
+  /// Refuses what might not end before the process does, and closes callers'
+  /// idle connections.
+  void StopTakingWork();
   /// Requests without a final answer and connections of callers.
   struct Open {
     size_t requests = 0;
