Keep short streams together; split readings over as many engines as help

Streams now pay for being alone at an engine, and splits over 12, 14 and 16 engines are tried too, which a test found missing.

--- /dev/null
+++ b/src/discovery/discovery_test.cc
@@ -0,0 +1,208 @@
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/discovery/record_follower.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::discovery {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+
+class EngineDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineDirectoryTest);
+  CPPUNIT_TEST(ReadyOf_LeavingEngine_IsLeftOut);
+  CPPUNIT_TEST(Remove_RegistryFine_TakesTheEngineOutAtOnce);
+  CPPUNIT_TEST(Remove_RegistryAway_KeepsTheEngineUntilTheGraceEnds);
+  CPPUNIT_TEST(Remove_RegistryAway_KeepsEngineThatRegistersAgain);
+  CPPUNIT_TEST(Remove_RegistryAwayEngineLeaving_TakesItOutAtOnce);
+  CPPUNIT_TEST(KeepOnly_WholeList_TakesOutTheRest);
+  CPPUNIT_TEST(Update_SameIdAnotherStart_ReplacesTheEngine);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadyOf_LeavingEngine_IsLeftOut() {
+    m_directory.Update(MakeEngine("a", EngineState::kLeaving));
+    m_directory.Update(MakeEngine("b"));
+    const auto ready = m_directory.ReadyOf("s");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, ready.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), ready[0]->id);
+  }
+  void Remove_RegistryFine_TakesTheEngineOutAtOnce() {
+    m_directory.Update(MakeEngine("a"));
+    m_directory.Remove("a", kNow);
+    CPPUNIT_ASSERT(m_directory.ReadyOf("s").empty());
+  }
+  void Remove_RegistryAway_KeepsTheEngineUntilTheGraceEnds() {
+    LoseAndRegain();
+    m_directory.Remove("a", kNow + milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.ReadyOf("s").size());
+    m_directory.Expire(kNow + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.ReadyOf("s").size());
+    m_directory.Expire(kNow + seconds(3));
+    CPPUNIT_ASSERT(m_directory.ReadyOf("s").empty());
+  }
+  void Remove_RegistryAway_KeepsEngineThatRegistersAgain() {
+    LoseAndRegain();
+    m_directory.Remove("a", kNow + milliseconds(100));
+    m_directory.Update(MakeEngine("a"));
+    m_directory.Expire(kNow + seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.ReadyOf("s").size());
+  }
+  void Remove_RegistryAwayEngineLeaving_TakesItOutAtOnce() {
+    m_directory.Update(MakeEngine("a", EngineState::kLeaving));
+    m_directory.NoteRegistryLost();
+    m_directory.Remove("a", kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_directory.size());
+  }
+  void KeepOnly_WholeList_TakesOutTheRest() {
+    m_directory.Update(MakeEngine("a"));
+    m_directory.Update(MakeEngine("b"));
+    m_directory.KeepOnly({"b"}, kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.size());
+  }
+  void Update_SameIdAnotherStart_ReplacesTheEngine() {
+    EngineRecord engine = MakeEngine("a");
+    m_directory.Update(engine);
+    engine.started_unix_ms = 5;
+    m_directory.Update(engine);
+    CPPUNIT_ASSERT_EQUAL(std::string("a@5"),
+                         m_directory.ReadyOf("s")[0]->Key());
+  }
+
+ private:
+  static EngineRecord MakeEngine(const std::string& id,
+                                 EngineState state = EngineState::kReady) {
+    EngineRecord engine;
+    engine.id = id;
+    engine.service = "s";
+    engine.address = "127.0.0.1:1";
+    engine.state = state;
+    return engine;
+  }
+  void LoseAndRegain() {
+    m_directory.Update(MakeEngine("a"));
+    m_directory.NoteRegistryLost();
+    m_directory.NoteRegistryBack(kNow);
+  }
+
+  EngineDirectory m_directory{seconds(2)};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineDirectoryTest);
+
+/// Answers each call with the next scripted page or error.
+struct ScriptedTopic {
+  struct Script {
+    std::mutex mutex;
+    std::deque<Result<RecordPage>> answers;
+    std::vector<std::string> calls;
+  };
+  std::shared_ptr<Script> script;
+
+  void ReadNewest(const std::function<void(Result<RecordPage>)>& on_page) {
+    Answer("newest", on_page);
+  }
+  void ReadFrom(int64_t from, Duration wait,
+                const std::function<void(Result<RecordPage>)>& on_page) {
+    const bool waits = wait > Duration::zero();
+    Answer("from " + std::to_string(from) + (waits ? " waiting" : ""), on_page);
+  }
+
+ private:
+  void Answer(const std::string& call,
+              const std::function<void(Result<RecordPage>)>& on_page) {
+    Result<RecordPage> answer = Fail(ErrorCode::kPlatformUnavailable);
+    {
+      std::scoped_lock lock(script->mutex);
+      script->calls.push_back(call);
+      // Without an answer the call stays open for good.
+      if (script->answers.empty()) return;
+      answer = script->answers.front();
+      script->answers.pop_front();
+    }
+    on_page(answer);
+  }
+};
+
+class RecordFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RecordFollowerTest);
+  CPPUNIT_TEST(Follow_FirstPageThenChanges_ReadsOnFromItsEnd);
+  CPPUNIT_TEST(Follow_HistoryLost_ReadsTheNewestAgain);
+  CPPUNIT_TEST(Follow_CallsFail_TellsOnceAndAsksWithoutWaiting);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Follow_FirstPageThenChanges_ReadsOnFromItsEnd() {
+    Run({PageOf(5), PageOf(6)}, 3);
+    CPPUNIT_ASSERT(Calls() == (std::vector<std::string>{
+                                  "newest", "from 5 waiting", "from 6 waiting"}));
+    CPPUNIT_ASSERT_EQUAL(1, m_whole);
+    CPPUNIT_ASSERT_EQUAL(1, m_changes);
+  }
+  void Follow_HistoryLost_ReadsTheNewestAgain() {
+    RecordPage lost;
+    lost.history_lost = true;
+    Run({PageOf(5), lost, PageOf(9)}, 4);
+    CPPUNIT_ASSERT(Calls() ==
+                   (std::vector<std::string>{"newest", "from 5 waiting",
+                                             "newest", "from 9 waiting"}));
+    CPPUNIT_ASSERT_EQUAL(2, m_whole);
+  }
+  void Follow_CallsFail_TellsOnceAndAsksWithoutWaiting() {
+    const Result<RecordPage> failed = Fail(ErrorCode::kPlatformUnavailable);
+    Run({PageOf(5), failed, failed, PageOf(5)}, 5);
+    CPPUNIT_ASSERT(Calls() ==
+                   (std::vector<std::string>{"newest", "from 5 waiting",
+                                             "from 5", "from 5",
+                                             "from 5 waiting"}));
+    CPPUNIT_ASSERT_EQUAL(1, m_lost);
+    CPPUNIT_ASSERT_EQUAL(1, m_back);
+  }
+
+ private:
+  static RecordPage PageOf(int64_t next_offset) {
+    RecordPage page;
+    page.next_offset = next_offset;
+    return page;
+  }
+  std::vector<std::string> Calls() {
+    std::scoped_lock lock(m_script->mutex);
+    return m_script->calls;
+  }
+  /// Follows the script until it has been called `calls` times.
+  void Run(std::deque<Result<RecordPage>> answers, size_t calls) {
+    m_script->answers = std::move(answers);
+    FollowTiming timing;
+    timing.wait = seconds(1);
+    timing.retry_pause = milliseconds(1);
+    FollowCallbacks callbacks;
+    callbacks.on_all = [this](const auto&) { ++m_whole; };
+    callbacks.on_changes = [this](const auto&) { ++m_changes; };
+    callbacks.on_lost = [this](const Error&) { ++m_lost; };
+    callbacks.on_back = [this] { ++m_back; };
+    io::IoThreads threads(1);
+    RecordFollower<ScriptedTopic> follower(threads, ScriptedTopic{m_script},
+                                           timing, callbacks);
+    follower.Start();
+    while (Calls().size() < calls) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    threads.Stop();
+  }
+
+  std::shared_ptr<ScriptedTopic::Script> m_script =
+      std::make_shared<ScriptedTopic::Script>();
+  int m_whole = 0;
+  int m_changes = 0;
+  int m_lost = 0;
+  int m_back = 0;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordFollowerTest);
+
+}  // namespace
+}  // namespace peridotshelf::discovery
--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -21,6 +21,7 @@
     EventInfo{EventId::kCallerRejected, "caller_rejected", Level::kWarning},
     EventInfo{EventId::kRequestPlaced, "request_placed", Level::kInfo},
     EventInfo{EventId::kRequestWaits, "request_waits", Level::kInfo},
+    EventInfo{EventId::kStreamPaused, "stream_paused", Level::kInfo},
     EventInfo{EventId::kReservationGranted, "reservation_granted",
               Level::kDebug},
     EventInfo{EventId::kReservationRefused, "reservation_refused",
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -714,9 +714,15 @@
       pause <= live.route->max_pause) {
     return;
   }
-  if (Work* work = board.Find(attempt.engine_key, attempt.number)) {
-    work->is_late = true;
-  }
+  Work* work = board.Find(attempt.engine_key, attempt.number);
+  if (work == nullptr || std::exchange(work->is_late, true)) return;
+  const auto load = board.LoadOf(attempt.engine_key, now - pause);
+  events::Log(EventId::kStreamPaused,
+              {{"request", live.request.id.value()},
+               {"engine", attempt.engine_key},
+               {"pause_ms", ToMilliseconds(pause)},
+               {"known_reading_ms", std::lround(load.backlog_ms)},
+               {"running", load.running}});
 }
 
 void Gateway::Impl::OnEvent(const LiveRequestPtr& live,
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -27,6 +27,7 @@
   kCallerRejected = 205,
   kRequestPlaced = 206,
   kRequestWaits = 207,
+  kStreamPaused = 208,
   kReservationGranted = 300,
   kReservationRefused = 301,
   kAttemptStarted = 302,
--- a/src/include/peridotshelf/routing/configuration.h
+++ b/src/include/peridotshelf/routing/configuration.h
@@ -110,7 +110,8 @@
     /// Whether requests need a team's key at all.
     Builder& SetKeysRequired(bool required);
     Builder& SetCallerLimits(const http::CallerLimits& limits);
-    Configuration Build() &&;
+    /// The builder is empty afterwards.
+    Configuration Build();
 
    private:
     int64_t m_version = 0;
--- a/src/routing/configuration.cc
+++ b/src/routing/configuration.cc
@@ -37,7 +37,7 @@
   return *this;
 }
 
-Configuration Builder::Build() && {
+Configuration Builder::Build() {
   Configuration made;
   made.m_version = m_version;
   made.m_keys_required = m_keys_required;
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -9,7 +9,8 @@
 namespace {
 
 /// Numbers of engines that are tried for one reading.
-constexpr std::array<size_t, 9> kSplits = {1, 2, 3, 4, 6, 8, 10, 13, 17};
+constexpr std::array<size_t, 12> kSplits = {1, 2,  3,  4,  5,  6,
+                                           8, 10, 12, 14, 16, 17};
 /// A part shorter than this is not worth another engine.
 constexpr Millis kMinPartMs = 12;
 /// The risk that a pause is too long grows from nothing to certainty between
@@ -30,6 +31,8 @@
 /// Cost of each further engine in a reading: more engines may fail it.
 constexpr double kEngineCost = 0.004;
 constexpr double kFarCost = 0.002;
+/// Share of a stream's value that its being alone at an engine may cost.
+constexpr double kOpeningCost = 0.1;
 /// Room for the coarse blocks in which engines give out memory.
 constexpr int64_t kMemorySlackTokens = 512;
 
@@ -164,6 +167,28 @@
     return Choose(offers, split, part_ms, share + kMemorySlackTokens);
   }
 
+  /// A stream at an engine without others takes it from the readings that
+  /// would harm nobody there, so streams keep together while that harms none.
+  double OpeningCost(const EngineCandidate& engine) const {
+    return kOpeningCost * m_needs.value / (1 + engine.load.running);
+  }
+
+  /// The best engine for the request itself; null if none can take it.
+  const Offer* ChooseFirst(const std::vector<Offer>& offers,
+                           int64_t memory) const {
+    const Offer* best = nullptr;
+    double best_rank = 0;
+    for (const Offer& offer : offers) {
+      const EngineCandidate& engine = m_engines[offer.index];
+      if (!HasPlace(engine) || FreeMemory(engine) < memory) continue;
+      const double rank = offer.rank + OpeningCost(engine);
+      if (best != nullptr && rank >= best_rank) continue;
+      best = &offer;
+      best_rank = rank;
+    }
+    return best;
+  }
+
   std::optional<StreamPlan> Choose(const std::vector<Offer>& offers,
                                    size_t split, Millis part_ms,
                                    int64_t reserve_tokens) const {
@@ -171,26 +196,23 @@
     plan.part_ms = part_ms;
     plan.reserve_tokens = reserve_tokens;
     const int64_t first_memory = reserve_tokens > 0 ? reserve_tokens : Memory();
-    bool has_first = false;
-    Millis ready = 0;
-    double harm = 0;
+    const Offer* first_offer = ChooseFirst(offers, first_memory);
+    if (first_offer == nullptr) return std::nullopt;
+    plan.first = first_offer->index;
+    Millis ready = first_offer->ready_ms;
+    double harm = first_offer->harm + OpeningCost(m_engines[plan.first]);
     for (const Offer& offer : offers) {
+      if (plan.helpers.size() + 1 == split) break;
       const EngineCandidate& engine = m_engines[offer.index];
-      if (!has_first && HasPlace(engine) &&
-          FreeMemory(engine) >= first_memory) {
-        plan.first = offer.index;
-        has_first = true;
-      } else if (plan.helpers.size() + 1 < split && CanHelp(engine) &&
-                 FreeMemory(engine) >= reserve_tokens) {
-        plan.helpers.push_back(offer.index);
-      } else {
+      if (offer.index == plan.first || !CanHelp(engine) ||
+          FreeMemory(engine) < reserve_tokens) {
         continue;
       }
+      plan.helpers.push_back(offer.index);
       ready = std::max(ready, offer.ready_ms);
       harm += offer.harm;
-      if (has_first && plan.helpers.size() + 1 == split) break;
     }
-    if (!has_first || plan.helpers.size() + 1 < split) return std::nullopt;
+    if (plan.helpers.size() + 1 < split) return std::nullopt;
     const EngineCandidate& first = m_engines[plan.first];
     const Millis pass = PassWith(first, 1, Memory(), 0);
     plan.first_event_ms = ready + pass;
