Do not end a stream for its engine's silence when it cannot go on elsewhere

A second test found that an event which ends its try destroyed the splitter that was handing it out, and that an aborted answer dropped events that were ready.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -139,8 +139,9 @@
  public:
   void Follow_FirstPageThenChanges_ReadsOnFromItsEnd() {
     Run({PageOf(5), PageOf(6)}, 3);
-    CPPUNIT_ASSERT(Calls() == (std::vector<std::string>{
-                                  "newest", "from 5 waiting", "from 6 waiting"}));
+    CPPUNIT_ASSERT(Calls() ==
+                   (std::vector<std::string>{"newest", "from 5 waiting",
+                                             "from 6 waiting"}));
     CPPUNIT_ASSERT_EQUAL(1, m_whole);
     CPPUNIT_ASSERT_EQUAL(1, m_changes);
   }
@@ -156,10 +157,9 @@
   void Follow_CallsFail_TellsOnceAndAsksWithoutWaiting() {
     const Result<RecordPage> failed = Fail(ErrorCode::kPlatformUnavailable);
     Run({PageOf(5), failed, failed, PageOf(5)}, 5);
-    CPPUNIT_ASSERT(Calls() ==
-                   (std::vector<std::string>{"newest", "from 5 waiting",
-                                             "from 5", "from 5",
-                                             "from 5 waiting"}));
+    CPPUNIT_ASSERT(Calls() == (std::vector<std::string>{
+                                  "newest", "from 5 waiting", "from 5",
+                                  "from 5", "from 5 waiting"}));
     CPPUNIT_ASSERT_EQUAL(1, m_lost);
     CPPUNIT_ASSERT_EQUAL(1, m_back);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -205,7 +205,10 @@
 
   void Tick();
   void EnsureTicking();
-  bool IsSilent(const LiveRequest& live, TimePoint now) const;
+  /// Whether the request may be sent to another engine although the present one
+  /// may have run it.
+  bool MayRepeat(const LiveRequest& live, TimePoint now);
+  bool IsSilent(const LiveRequest& live, TimePoint now);
   Duration Spread(Duration wait);
   EngineState& StateOf(const std::string& key) { return engine_states[key]; }
   const scheduling::EngineModel* ModelOf(const LiveRequest& live);
@@ -670,10 +673,11 @@
     return;
   }
   const uint64_t number = attempt.number;
-  attempt.events.Feed(data, [&](std::string_view event) {
-    // An event may have ended the try.
-    if (live->attempt && live->attempt->number == number) OnEvent(live, event);
-  });
+  // An event may end the try, and its splitter with it.
+  for (const std::string& event : attempt.events.Feed(data)) {
+    if (!live->attempt || live->attempt->number != number) return;
+    OnEvent(live, event);
+  }
 }
 
 void Gateway::Impl::NoteFirstEvent(LiveRequest& live, TimePoint now) {
@@ -961,9 +965,18 @@
   DrainQueue();
 }
 
-bool Gateway::Impl::IsSilent(const LiveRequest& live, TimePoint now) const {
+bool Gateway::Impl::MayRepeat(const LiveRequest& live, TimePoint now) {
+  if (!live.route->Repeatable()) return false;
+  if (live.runs + 1 >= live.route->max_attempts) return false;
+  if (engines.ReadyOf(live.service).size() < 2) return false;
+  return budgets.at(live.service).Left(now, peers.LiveEntries()) >= 1;
+}
+
+bool Gateway::Impl::IsSilent(const LiveRequest& live, TimePoint now) {
   const Attempt& attempt = *live.attempt;
   if (!attempt.call) return false;
+  // Silence alone ends nothing: the engine may still be at work.
+  if (!MayRepeat(live, now)) return false;
   const Duration silent = now - attempt.last_progress;
   if (!live.IsStream()) {
     const bool last_try =
--- a/src/gateway/messages.cc
+++ b/src/gateway/messages.cc
@@ -37,17 +37,16 @@
   return std::nullopt;
 }
 
-void EventSplitter::Feed(
-    std::string_view bytes,
-    const std::function<void(std::string_view event)>& on_event) {
+std::vector<std::string> EventSplitter::Feed(std::string_view bytes) {
   m_rest.append(bytes);
-  size_t begin = 0;
-  while (const size_t length =
-             FirstEventLength(std::string_view(m_rest).substr(begin))) {
-    on_event(std::string_view(m_rest).substr(begin, length));
-    begin += length;
+  std::vector<std::string> events;
+  std::string_view left = m_rest;
+  while (const size_t length = FirstEventLength(left)) {
+    events.emplace_back(left.substr(0, length));
+    left.remove_prefix(length);
   }
-  m_rest.erase(0, begin);
+  m_rest.erase(0, m_rest.size() - left.size());
+  return events;
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -230,8 +230,8 @@
   void Abort() override {
     if (m_ended) return;
     m_ended = true;
-    m_connection->on_hang_up = nullptr;
-    m_connection->Close();
+    // What was written still goes out; the missing end shows that it is cut.
+    m_connection->FinishAnswer(/*keep=*/false);
   }
 
   void OnHangUp(std::function<void()> callback) override {
--- /dev/null
+++ b/src/http/front_server_test.cc
@@ -0,0 +1,219 @@
+#include "peridotshelf/http/front_server.h"
+
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <future>
+#include <thread>
+
+#include "peridotshelf/testing/free_port.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::http {
+namespace {
+
+using std::chrono::milliseconds;
+using Tcp = asio::ip::tcp;
+
+/// A caller's connection, byte by byte.
+class RawCaller {
+ public:
+  explicit RawCaller(uint16_t port) : m_socket(m_context) {
+    m_socket.connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+  }
+  void Send(const std::string& bytes) {
+    asio::write(m_socket, asio::buffer(bytes));
+  }
+  /// Reads until `end` has come.
+  std::string ReadUntil(const std::string& end) {
+    std::string bytes;
+    char byte = 0;
+    while (bytes.find(end) == std::string::npos) {
+      if (!ReadByte(byte)) break;
+      bytes.push_back(byte);
+    }
+    return bytes;
+  }
+  /// Reads until the server closes.
+  std::string ReadAll() {
+    std::string bytes;
+    char byte = 0;
+    while (ReadByte(byte)) bytes.push_back(byte);
+    return bytes;
+  }
+  void Close() { m_socket.close(); }
+
+ private:
+  bool ReadByte(char& byte) {
+    asio::error_code error;
+    return asio::read(m_socket, asio::buffer(&byte, 1), error) == 1;
+  }
+
+  asio::io_context m_context;
+  Tcp::socket m_socket;
+};
+
+class FrontServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FrontServerTest);
+  CPPUNIT_TEST(Request_OnKeptConnection_IsAnsweredInOrder);
+  CPPUNIT_TEST(Request_Chunked_HasItsWholeBody);
+  CPPUNIT_TEST(Request_Malformed_IsAnswered400AndClosed);
+  CPPUNIT_TEST(Request_LengthAndChunks_IsRefused);
+  CPPUNIT_TEST(Request_HeadersOverLimit_IsAnswered431);
+  CPPUNIT_TEST(Request_BodyOverLimit_IsAnswered413);
+  CPPUNIT_TEST(Request_SlowHead_IsAnswered408);
+  CPPUNIT_TEST(Request_AnyBytes_NeverHangsTheServer);
+  CPPUNIT_TEST(Abort_AfterPartOfStream_SendsItAndLeavesOutTheEnd);
+  CPPUNIT_TEST(CloseAfterAnswers_NextAnswer_ClosesTheConnection);
+  CPPUNIT_TEST(CloseIdle_IdleAndBusy_ClosesOnlyTheIdle);
+  CPPUNIT_TEST(HangUp_WhileAnswering_IsTold);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_threads = std::make_unique<io::IoThreads>(1);
+    m_port = testing::FreePort();
+    m_server = std::move(*FrontServer::Create(
+        *m_threads, "127.0.0.1", m_port,
+        [this](const ServerRequest& request, const ResponderPtr& responder) {
+          m_handler(request, responder);
+        }));
+    m_handler = [](const ServerRequest& request,
+                   const ResponderPtr& responder) {
+      responder->Reply(200, {},
+                       request.target + ":" + std::string(request.body));
+    };
+  }
+  void tearDown() override {
+    m_threads->Stop();
+    m_held.reset();
+    m_server.reset();
+  }
+
+  void Request_OnKeptConnection_IsAnsweredInOrder() {
+    RawCaller caller(m_port);
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
+    caller.Send("Host: h\r\nConnection: close\r\n\r\n");
+    const std::string answers = caller.ReadAll();
+    CPPUNIT_ASSERT(answers.find("/1:") < answers.find("/2:"));
+    CPPUNIT_ASSERT(answers.find("/2:") != std::string::npos);
+  }
+  void Request_Chunked_HasItsWholeBody() {
+    RawCaller caller(m_port);
+    caller.Send("POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n");
+    caller.Send("Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(caller.ReadAll().ends_with("/c:abcde"));
+  }
+  void Request_Malformed_IsAnswered400AndClosed() {
+    CPPUNIT_ASSERT(
+        AnswerTo("this is not HTTP\r\n\r\n").starts_with("HTTP/1.1 400"));
+  }
+  void Request_LengthAndChunks_IsRefused() {
+    const std::string answer = AnswerTo(
+        "POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 400"));
+  }
+  void Request_HeadersOverLimit_IsAnswered431() {
+    CallerLimits limits;
+    limits.max_header_bytes = 100;
+    Limit(limits);
+    CPPUNIT_ASSERT(
+        AnswerTo("GET / HTTP/1.1\r\nA: " + std::string(200, 'x') + "\r\n\r\n")
+            .starts_with("HTTP/1.1 431"));
+  }
+  void Request_BodyOverLimit_IsAnswered413() {
+    CallerLimits limits;
+    limits.max_body_bytes = 10;
+    Limit(limits);
+    CPPUNIT_ASSERT(AnswerTo("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
+                       .starts_with("HTTP/1.1 413"));
+  }
+  void Request_SlowHead_IsAnswered408() {
+    CallerLimits limits;
+    limits.header_timeout = milliseconds(50);
+    Limit(limits);
+    CPPUNIT_ASSERT(AnswerTo("GET / HTTP/1.1\r\n").starts_with("HTTP/1.1 408"));
+  }
+  void Request_AnyBytes_NeverHangsTheServer() {
+    testing::CheckProperty("any bytes", [this](const std::string& bytes) {
+      RawCaller caller(m_port);
+      caller.Send(bytes + "\r\n\r\n");
+      caller.Close();
+    });
+    CPPUNIT_ASSERT(AnswerTo("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n")
+                       .starts_with("HTTP/1.1 200"));
+  }
+  void Abort_AfterPartOfStream_SendsItAndLeavesOutTheEnd() {
+    m_handler = [](const ServerRequest&, const ResponderPtr& responder) {
+      responder->BeginStream(200, {});
+      responder->Write("part");
+      responder->Abort();
+    };
+    const std::string answer = AnswerTo("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(answer.ends_with("4\r\npart\r\n"));
+  }
+  void CloseAfterAnswers_NextAnswer_ClosesTheConnection() {
+    m_threads->Post([this] { m_server->CloseAfterAnswers(); });
+    const std::string answer = AnswerTo("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+  }
+  void CloseIdle_IdleAndBusy_ClosesOnlyTheIdle() {
+    std::promise<void> begun;
+    m_handler = [&](const ServerRequest&, const ResponderPtr& responder) {
+      m_held = responder;
+      begun.set_value();
+    };
+    RawCaller idle(m_port);
+    RawCaller busy(m_port);
+    busy.Send("GET / HTTP/1.1\r\n\r\n");
+    begun.get_future().get();
+    m_threads->Post([this] { m_server->CloseIdle(); });
+    CPPUNIT_ASSERT(idle.ReadAll().empty());
+    m_threads->Post([this] { m_held->Reply(200, {}, "answer"); });
+    CPPUNIT_ASSERT(busy.ReadUntil("answer").ends_with("answer"));
+  }
+  void HangUp_WhileAnswering_IsTold() {
+    std::promise<void> begun;
+    std::promise<void> told;
+    m_handler = [&](const ServerRequest&, const ResponderPtr& responder) {
+      m_held = responder;
+      responder->OnHangUp([&told] { told.set_value(); });
+      begun.set_value();
+    };
+    RawCaller caller(m_port);
+    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    begun.get_future().get();
+    caller.Close();
+    CPPUNIT_ASSERT(told.get_future().wait_for(std::chrono::seconds(2)) ==
+                   std::future_status::ready);
+  }
+
+ private:
+  std::string AnswerTo(const std::string& bytes) const {
+    RawCaller caller(m_port);
+    caller.Send(bytes);
+    return caller.ReadAll();
+  }
+  void Limit(const CallerLimits& limits) {
+    std::promise<void> done;
+    m_threads->Post([&] {
+      m_server->SetLimits(limits);
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
+  std::unique_ptr<io::IoThreads> m_threads;
+  std::unique_ptr<FrontServer> m_server;
+  Handler m_handler;
+  ResponderPtr m_held;
+  uint16_t m_port = 0;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FrontServerTest);
+
+}  // namespace
+}  // namespace peridotshelf::http
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -106,9 +106,8 @@
 /// blank line.
 class EventSplitter {
  public:
-  /// Adds bytes and calls `on_event` with each event that they complete.
-  void Feed(std::string_view bytes,
-            const std::function<void(std::string_view event)>& on_event);
+  /// Adds bytes; yields the events that they complete.
+  std::vector<std::string> Feed(std::string_view bytes);
   /// Whether bytes of an incomplete event are left.
   bool HasRest() const { return !m_rest.empty(); }
 
--- a/src/scheduling/scheduling_test.cc
+++ b/src/scheduling/scheduling_test.cc
@@ -129,16 +129,16 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  /// However requests and repeats come at three entries, all repeats of a window
-  /// stay within the common limit.
+  /// However requests and repeats come at three entries, all repeats of a
+  /// window stay within the common limit.
   void TrySpend_AnyMixOfEntries_KeepsTheLimitInEachWindow() {
     testing::CheckProperty("common limit", [] {
       const RepeatLimits limits{0.2, 30, seconds(10)};
       std::vector<RepeatBudget> entries(3, RepeatBudget(limits));
       std::vector<std::pair<TimePoint, bool>> history;
       TimePoint now = kNow;
-      const auto steps = *rc::gen::container<std::vector<int>>(
-          400, rc::gen::inRange(0, 100));
+      const auto steps =
+          *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 100));
       for (const int step : steps) {
         now += milliseconds(step);
         RepeatBudget& entry = entries[static_cast<size_t>(step) % 3];
@@ -258,9 +258,7 @@
                                                    {3, 6, 20, 1, false}};
     CPPUNIT_ASSERT_EQUAL(size_t{1}, PlaceCall(servers).value());
   }
-  void PlaceCall_NoServer_ReturnsNothing() {
-    CPPUNIT_ASSERT(!PlaceCall({}));
-  }
+  void PlaceCall_NoServer_ReturnsNothing() { CPPUNIT_ASSERT(!PlaceCall({})); }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePlacementTest);
 
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -10,7 +10,7 @@
 
 /// Numbers of engines that are tried for one reading.
 constexpr std::array<size_t, 12> kSplits = {1, 2,  3,  4,  5,  6,
-                                           8, 10, 12, 14, 16, 17};
+                                            8, 10, 12, 14, 16, 17};
 /// A part shorter than this is not worth another engine.
 constexpr Millis kMinPartMs = 12;
 /// The risk that a pause is too long grows from nothing to certainty between
--- a/src/scheduling/stream_placement_test.cc
+++ b/src/scheduling/stream_placement_test.cc
@@ -256,9 +256,10 @@
       const bool is_long = step % 20 == 0;
       StreamNeeds needs = is_long ? LongStream() : ShortStream();
       owed += needs.value;
-      StreamPlan plan = least_backlog ? LeastBacklog(needs, engines)
-                                      : PlaceStream(needs, engines)
-                                            .value_or(LeastBacklog(needs, engines));
+      StreamPlan plan = least_backlog
+                            ? LeastBacklog(needs, engines)
+                            : PlaceStream(needs, engines)
+                                  .value_or(LeastBacklog(needs, engines));
       Begin(plan, needs, now, engines, running);
     }
     for (const Running& stream : running) {
