Refuse truly, share what was read, spend less on exchange and on waiting

Memory stayed reserved 4.7 s after its request (LEAK): a renewal under way at the release was carried out after it; it is now released once more. Small hosts spent their share on datagrams and on trying the waiting requests at each: both are gathered. Entries tell each other of new configurations and engines, so each polls the store less.

--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -1,5 +1,7 @@
 #include "peridotshelf/discovery/engine_directory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace peridotshelf::discovery {
@@ -62,6 +64,18 @@
   return ready;
 }
 
+int64_t EngineDirectory::Digest() const {
+  uint64_t digest = 0;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.gone_at) continue;
+    const std::string key = entry.record.Key();
+    const bool is_ready = entry.record.state == EngineState::kReady;
+    // A sum does not depend on the order.
+    digest += XXH64(key.data(), key.size(), is_ready ? 1 : 0);
+  }
+  return static_cast<int64_t>(digest);
+}
+
 const EngineRecord* EngineDirectory::Find(const std::string& id) const {
   const auto found = m_entries.find(id);
   return found == m_entries.end() ? nullptr : &found->second.record;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -33,6 +33,10 @@
 constexpr Duration kDefaultTimeLimit = std::chrono::seconds(30);
 /// Time to connect to an engine: a few round trips between failure domains.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
+/// Peers' changes come often; what waits is tried again at most this often.
+constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
+/// When this many waiting requests found no place, the others find none either.
+constexpr int kMaxDrainFailures = 6;
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 /// A stream that had events goes on at another engine after this share of the
 /// time at which its caller gives up, if it may. A long reading at its engine
@@ -184,6 +188,8 @@
       const std::vector<const discovery::EngineRecord*>& records,
       const scheduling::EngineModel& model);
   void DrainQueue();
+  /// Drains the queue soon, once for all changes until then.
+  void DrainQueueSoon();
 
   // One try.
   void StartAttempt(const LiveRequestPtr& live,
@@ -238,6 +244,7 @@
   bool refusing_streams = false;
   bool ticking = false;
   bool draining_queue = false;
+  bool drain_due = false;
 };
 
 void Gateway::Impl::Reject(const http::ResponderPtr& responder,
@@ -573,7 +580,9 @@
     live->is_waiting = false;
     Refuse(live, kMinRetryAfter, "waited_too_long");
   }
+  int failures = 0;
   for (const uint64_t id : queue.InOrder(now)) {
+    if (failures == kMaxDrainFailures) break;
     const auto found = live_requests.find(id);
     if (found == live_requests.end()) {
       queue.Remove(id);
@@ -581,13 +590,24 @@
     }
     const LiveRequestPtr live = found->second;
     const scheduling::EngineModel* model = ModelOf(*live);
-    if (model == nullptr || !TryStream(live, *model)) continue;
+    if (model == nullptr || !TryStream(live, *model)) {
+      ++failures;
+      continue;
+    }
     queue.Remove(id);
     live->is_waiting = false;
   }
   draining_queue = false;
 }
 
+void Gateway::Impl::DrainQueueSoon() {
+  if (queue.empty() || std::exchange(drain_due, true)) return;
+  threads.After(kDrainInterval, [self = shared_from_this()] {
+    self->drain_due = false;
+    self->DrainQueue();
+  });
+}
+
 void Gateway::Impl::StartAttempt(const LiveRequestPtr& live,
                                  const discovery::EngineRecord& engine) {
   Attempt attempt;
@@ -904,6 +924,11 @@
 
 void Gateway::Impl::Refuse(const LiveRequestPtr& live, Duration retry_after,
                            std::string_view reason) {
+  // A refusal says that the request has not run.
+  if (live->head_sent || live->runs > 0) {
+    GiveUp(live, reason);
+    return;
+  }
   const double seconds = scheduling::MillisOf(Spread(retry_after)) / 1000;
   char text[32];
   std::snprintf(text, sizeof(text), "%.2f", seconds);
@@ -962,7 +987,7 @@
        {"ms", ToMilliseconds(SteadyClock().Now() - live->arrived)},
        {"config_version", live->configuration->version()}});
   live_requests.erase(live->number);
-  DrainQueue();
+  DrainQueueSoon();
 }
 
 bool Gateway::Impl::MayRepeat(const LiveRequest& live, TimePoint now) {
@@ -979,9 +1004,6 @@
   if (!MayRepeat(live, now)) return false;
   const Duration silent = now - attempt.last_progress;
   if (!live.IsStream()) {
-    const bool last_try =
-        !live.route->Repeatable() || live.runs + 1 >= live.route->max_attempts;
-    if (last_try) return false;
     const double given =
         kFirstTryShare * MillisBetween(attempt.sent_at, live.deadline);
     return MillisBetween(attempt.sent_at, now) > given;
@@ -1018,7 +1040,7 @@
                  metrics::Registry& registry, const GatewayOptions& options)
     : m_impl(std::make_shared<Impl>(threads, client, std::move(codec), engines,
                                     board, peers, registry, options)) {
-  peers.OnPeerChange([impl = m_impl] { impl->DrainQueue(); });
+  peers.OnPeerChange([impl = m_impl] { impl->DrainQueueSoon(); });
 }
 
 Gateway::~Gateway() = default;
@@ -1039,7 +1061,7 @@
   for (auto& [service, budget] : m_impl->budgets) budget.SetLimits(limits);
 }
 
-void Gateway::NoteEnginesChanged() { m_impl->DrainQueue(); }
+void Gateway::NoteEnginesChanged() { m_impl->DrainQueueSoon(); }
 
 void Gateway::Handle(http::ServerRequest request,
                      http::ResponderPtr responder) {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -116,20 +116,28 @@
   std::string process_id;
   int64_t sequence = 0;
   int64_t repeats = 0;
+  size_t next_receiver = 0;
   bool leaving = false;
   bool stopped = false;
   bool flush_due = false;
   std::set<std::string> changed;
   std::unordered_map<std::string, Peer> peers;
   std::function<void()> on_peer_change = [] {};
+  std::function<void(const RecordsView&)> on_peer_view =
+      [](const RecordsView&) {};
+  RecordsView view;
   udp::endpoint sender;
   std::array<char, kMaxDatagramBytes> buffer{};
 
   void Receive();
   void Take(std::string_view bytes);
+  void ScheduleFlush();
   void Flush();
   void Repeat();
   void SendTo(Peer& peer, const std::string& bytes);
+  void SendToLive(const std::string& bytes, bool to_all);
+  size_t LivePeers() const;
+  Duration Gather() const;
   void SendWorks(const std::vector<std::string>& engines, bool complete);
   wire::EntryLoad NewLoad();
   void AddWorks(wire::EntryLoad& load, const std::string& engine) const;
@@ -140,6 +148,9 @@
   load.process_id = process_id;
   load.sequence = ++sequence;
   load.leaving = leaving;
+  load.config_version = view.configuration_version;
+  load.engines_digest = view.engines_digest;
+  load.engines_offset = view.engines_offset;
   return load;
 }
 
@@ -160,6 +171,32 @@
   socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
 }
 
+void PeerExchange::Impl::SendToLive(const std::string& bytes, bool to_all) {
+  std::vector<Peer*> live;
+  for (auto& [address, peer] : peers) {
+    if (peer.is_live) live.push_back(&peer);
+  }
+  const size_t receivers =
+      to_all ? live.size() : std::min(live.size(), options.max_receivers);
+  // Each time the next ones, so that all hear of changes in turn.
+  for (size_t i = 0; i < receivers; ++i) {
+    SendTo(*live[(next_receiver + i) % live.size()], bytes);
+  }
+  if (!live.empty()) next_receiver = (next_receiver + receivers) % live.size();
+}
+
+size_t PeerExchange::Impl::LivePeers() const {
+  return static_cast<size_t>(
+      std::count_if(peers.begin(), peers.end(),
+                    [](const auto& item) { return item.second.is_live; }));
+}
+
+Duration PeerExchange::Impl::Gather() const {
+  return std::min(options.max_gather,
+                  options.gather_per_peer *
+                      static_cast<int64_t>(std::max<size_t>(LivePeers(), 1)));
+}
+
 void PeerExchange::Impl::SendWorks(const std::vector<std::string>& engines,
                                    bool complete) {
   size_t begin = 0;
@@ -168,14 +205,16 @@
     wire::EntryLoad load = NewLoad();
     load.complete = complete && engines.size() <= kMaxEnginesPerDatagram;
     for (size_t i = begin; i < end; ++i) AddWorks(load, engines[i]);
-    const std::string bytes = Encode(load);
-    for (auto& [address, peer] : peers) {
-      if (peer.is_live) SendTo(peer, bytes);
-    }
+    SendToLive(Encode(load), complete);
     begin = end;
   } while (begin < engines.size());
 }
 
+void PeerExchange::Impl::ScheduleFlush() {
+  if (std::exchange(flush_due, true)) return;
+  threads.After(Gather(), [self = shared_from_this()] { self->Flush(); });
+}
+
 void PeerExchange::Impl::Flush() {
   flush_due = false;
   const std::vector<std::string> engines(changed.begin(), changed.end());
@@ -254,6 +293,8 @@
     }
     board.SetPeer(address, works.engine, std::move(decoded));
   }
+  on_peer_view(
+      {load->config_version, load->engines_digest, load->engines_offset});
   on_peer_change();
 }
 
@@ -301,25 +342,32 @@
 
 void PeerExchange::NoteChange(const std::string& engine) {
   m_impl->changed.insert(engine);
-  if (std::exchange(m_impl->flush_due, true)) return;
-  m_impl->threads.After(m_impl->options.gather,
-                        [impl = m_impl] { impl->Flush(); });
+  m_impl->ScheduleFlush();
 }
 
 void PeerExchange::OnPeerChange(std::function<void()> callback) {
   m_impl->on_peer_change = std::move(callback);
 }
 
+void PeerExchange::SetView(const RecordsView& view) {
+  const RecordsView before = std::exchange(m_impl->view, view);
+  if (before.configuration_version == view.configuration_version &&
+      before.engines_digest == view.engines_digest) {
+    return;
+  }
+  m_impl->ScheduleFlush();
+}
+
+void PeerExchange::OnPeerView(
+    std::function<void(const RecordsView&)> callback) {
+  m_impl->on_peer_view = std::move(callback);
+}
+
 void PeerExchange::Leave() {
   m_impl->leaving = true;
   m_impl->SendWorks(m_impl->board.OwnEngines(), /*complete=*/true);
 }
 
-size_t PeerExchange::LiveEntries() const {
-  size_t live = 1;
-  for (const auto& [address, peer] : m_impl->peers)
-    live += peer.is_live ? 1 : 0;
-  return live;
-}
+size_t PeerExchange::LiveEntries() const { return m_impl->LivePeers() + 1; }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -13,8 +13,9 @@
 constexpr int kAccepted = 202;
 /// An order that is not answered within this time may still be carried out.
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(600);
-/// Renewals in the time that a reservation holds: one may be lost.
-constexpr int kRenewalsPerHold = 3;
+/// Renewals in the time that a reservation holds: one may be lost, and it is
+/// repeated at once.
+constexpr int kRenewalsPerHold = 2;
 constexpr int kReleaseTries = 3;
 constexpr Duration kReleaseRetryPause = std::chrono::milliseconds(400);
 
@@ -49,6 +50,8 @@
                        {"tokens", group->tokens},
                        {"status", status}});
           on_answer(status == kOk || status == kAccepted);
+          // The order may have been carried out after the release.
+          if (group->released) GiveBack(group, address, kReleaseTries);
         });
       });
 }
@@ -85,7 +88,10 @@
   shared.threads.After(shared.hold / kRenewalsPerHold, [group] {
     if (group->released) return;
     for (const std::string& address : group->addresses) {
-      Ask(group, address, [](bool /*granted*/) {});
+      Ask(group, address, [group, address](bool granted) {
+        if (granted || group->released) return;
+        Ask(group, address, [](bool /*granted*/) {});
+      });
     }
     Renew(group);
   });
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -61,6 +61,8 @@
   std::vector<const EngineRecord*> ReadyOf(std::string_view service) const;
   /// All engines that are registered.
   size_t size() const { return m_entries.size(); }
+  /// The same for all that know the same engines in the same states.
+  int64_t Digest() const;
   /// The registration of `id`, or null.
   const EngineRecord* Find(const std::string& id) const;
 
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -79,6 +79,18 @@
   void Start() {
     m_state->threads.Post([state = m_state] { Next(state); });
   }
+  /// Something new is known to be there: reads at once, also in place of a call
+  /// that waits. Calls that come too soon after another are passed over. On the
+  /// thread of the `IoThreads`.
+  void Hurry() {
+    const TimePoint now = SteadyClock().Now();
+    if (now - m_state->called_at < kHurryInterval) return;
+    Next(m_state, Duration::zero());
+  }
+  /// Takes effect with the next call. On the thread of the `IoThreads`.
+  void SetTiming(const FollowTiming& timing) { m_state->timing = timing; }
+  /// Where the next record will be read; 0 before the first answer.
+  int64_t next_offset() const { return m_state->next_offset.value_or(0); }
   /// When the topic was last read whole or found unchanged.
   TimePoint fresh_at() const { return m_state->fresh_at; }
   uint64_t call_count() const { return m_state->calls; }
@@ -100,22 +112,30 @@
     bool lost = false;
     bool stopped = false;
     TimePoint fresh_at{};
+    TimePoint called_at{};
+    /// Counts calls; the answer to any but the newest is dropped.
     uint64_t calls = 0;
   };
   using StatePtr = std::shared_ptr<State>;
+  /// Least time between a call and one that replaces it.
+  static constexpr Duration kHurryInterval = std::chrono::milliseconds(150);
 
   static void Next(const StatePtr& state) {
+    // A topic that was lost is asked for a quick answer, so that its return is
+    // seen at once.
+    Next(state, state->lost ? Duration::zero() : state->timing.wait);
+  }
+
+  static void Next(const StatePtr& state, Duration wait) {
     if (state->stopped) return;
-    ++state->calls;
-    auto on_page = [state](Result<RecordPage> page) {
-      state->threads.Post([state, page = std::move(page)] {
-        if (!state->stopped) Take(state, page);
+    const uint64_t call = ++state->calls;
+    state->called_at = SteadyClock().Now();
+    auto on_page = [state, call](Result<RecordPage> page) {
+      state->threads.Post([state, call, page = std::move(page)] {
+        if (!state->stopped && call == state->calls) Take(state, page);
       });
     };
     if (state->next_offset) {
-      // A topic that was lost is asked for a quick answer, so that its return
-      // is seen at once.
-      const Duration wait = state->lost ? Duration::zero() : state->timing.wait;
       state->source.ReadFrom(*state->next_offset, wait, on_page);
     } else {
       state->source.ReadNewest(on_page);
@@ -156,7 +176,10 @@
       Next(state);
       return;
     }
-    state->threads.After(pause, [state] { Next(state); });
+    state->threads.After(pause, [state, call = state->calls] {
+      // Another call may have gone out meanwhile.
+      if (call == state->calls) Next(state);
+    });
   }
 
   StatePtr m_state;
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -24,10 +24,24 @@
   std::string ToString() const { return ip + ":" + std::to_string(port); }
 };
 
+/// How far an entry has followed the platform's records.
+struct RecordsView {
+  /// The configuration's version; 0 for none.
+  int64_t configuration_version = 0;
+  /// Changes when an engine comes, leaves or goes.
+  int64_t engines_digest = 0;
+  /// Where the next registration will be read.
+  int64_t engines_offset = 0;
+};
+
 struct PeerExchangeOptions {
   PeerAddress own;
-  /// Changes within this time go in one datagram.
-  Duration gather = std::chrono::milliseconds(4);
+  /// Changes within this time, for each live peer, go in one datagram: the more
+  /// peers, the fewer datagrams to each.
+  Duration gather_per_peer = std::chrono::milliseconds(2);
+  Duration max_gather = std::chrono::milliseconds(200);
+  /// Peers that one datagram of changes goes to; others get it with the repeat.
+  size_t max_receivers = 32;
   /// All work is repeated at this interval.
   Duration repeat = std::chrono::seconds(1);
   /// A peer that sends nothing for this long is taken as gone.
@@ -51,6 +65,11 @@
   void NoteChange(const std::string& engine);
   /// Called when a peer's work changed.
   void OnPeerChange(std::function<void()> callback);
+  /// What this entry has read; peers that are behind hear of it at once when
+  /// the configuration or the engines changed.
+  void SetView(const RecordsView& view);
+  /// Called with what a peer has read.
+  void OnPeerView(std::function<void(const RecordsView&)> callback);
   /// Tells peers that this entry is about to stop.
   void Leave();
   /// Entries that are heard from, this one included.
--- a/src/include/peridotshelf/scheduling/load_board.h
+++ b/src/include/peridotshelf/scheduling/load_board.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "peridotshelf/base/clock.h"
@@ -89,9 +89,15 @@
   EngineLoad LoadOf(std::string_view engine, TimePoint now) const;
 
  private:
-  using Works = std::unordered_map<std::string, std::vector<Work>>;
-  Works m_own;
-  std::unordered_map<std::string, Works> m_peers;
+  /// What each sender has at one engine; own work is that of `kSelf`.
+  using BySender = std::map<std::string, std::vector<Work>, std::less<>>;
+  static constexpr std::string_view kSelf = "";
+
+  std::vector<Work>* FindWorks(std::string_view engine,
+                               std::string_view sender);
+  void Erase(const std::string& engine, std::string_view sender);
+
+  std::map<std::string, BySender, std::less<>> m_engines;
 };
 
 }  // namespace peridotshelf::scheduling
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -35,22 +35,32 @@
 /// long. An answer that is lost shows only when the call times out, and a
 /// change must be in force before that is seen by callers.
 constexpr Duration kConfigurationWait = std::chrono::milliseconds(1500);
-/// Engines' entries change with each heartbeat, so they are polled: often
-/// enough for the time in which a leaving engine may still get requests.
-constexpr Duration kEnginePollInterval = std::chrono::milliseconds(600);
+/// Engines' entries change with each heartbeat, so they are polled. Entries
+/// tell each other of changes: together they poll at this interval, and each
+/// one at the longest interval by itself, well within the time in which a
+/// leaving engine may still get requests.
+constexpr Duration kEnginePollInterval = std::chrono::milliseconds(500);
+constexpr Duration kMaxEnginePollInterval = std::chrono::milliseconds(1400);
+/// With peers that tell of new versions, a call for the configuration may wait
+/// longer: a lost answer does not go unnoticed.
+constexpr Duration kConfigurationWaitWithPeers = std::chrono::seconds(6);
+constexpr Duration kTimingInterval = std::chrono::seconds(1);
 constexpr Duration kEntryWriteRetry = std::chrono::seconds(1);
 /// Part of the limit on unused memory that a reservation lasts without renewal.
 constexpr double kHoldShare = 0.85;
 
-discovery::FollowTiming ConfigurationTiming() {
+discovery::FollowTiming ConfigurationTiming(size_t live_entries) {
   discovery::FollowTiming timing;
-  timing.wait = kConfigurationWait;
+  timing.wait =
+      live_entries > 1 ? kConfigurationWaitWithPeers : kConfigurationWait;
   return timing;
 }
 
-discovery::FollowTiming EngineTiming() {
+discovery::FollowTiming EngineTiming(size_t live_entries) {
   discovery::FollowTiming timing;
-  timing.pause = kEnginePollInterval;
+  timing.pause =
+      std::min(kMaxEnginePollInterval,
+               kEnginePollInterval * static_cast<int64_t>(live_entries));
   return timing;
 }
 
@@ -64,11 +74,11 @@
         configuration_follower(
             threads,
             StoreTopic(settings.store, deployment::kOperatorTopic, client),
-            ConfigurationTiming(), ConfigurationCallbacks()),
+            ConfigurationTiming(1), ConfigurationCallbacks()),
         engine_follower(
             threads,
             StoreTopic(settings.store, deployment::kEngineTopic, client),
-            EngineTiming(), EngineCallbacks()) {}
+            EngineTiming(1), EngineCallbacks()) {}
 
   ~Impl() {
     // Its end waits for the threads.
@@ -82,6 +92,11 @@
   void TakeConfiguration(const std::vector<KeyedRecord>& records);
   void TakeEngine(const KeyedRecord& record);
   void TakeAllEngines(const std::vector<KeyedRecord>& records);
+  /// Tells peers how far this entry has read.
+  void ShareView();
+  /// Reads on at once where a peer knows of something newer.
+  void CatchUp(const gateway::RecordsView& peer);
+  void AdjustTiming();
   void AnnounceSelf();
   void FindPeers();
   bool IsReady() const;
@@ -151,6 +166,7 @@
   callers->SetLimits(parsed->caller_limits());
   gateway->SetConfiguration(
       std::make_shared<const routing::Configuration>(std::move(*parsed)));
+  ShareView();
   NoteReadiness();
 }
 
@@ -161,6 +177,7 @@
     for (const KeyedRecord& record : records) TakeEngine(record);
     engines.Expire(SteadyClock().Now());
     if (!records.empty()) gateway->NoteEnginesChanged();
+    ShareView();
   };
   callbacks.on_lost = [this](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
@@ -185,6 +202,7 @@
   engines.KeepOnly(ids, SteadyClock().Now());
   engines_known = true;
   gateway->NoteEnginesChanged();
+  ShareView();
   NoteReadiness();
 }
 
@@ -221,6 +239,34 @@
   engines.Update(*parsed);
 }
 
+void GatewayDaemon::Impl::ShareView() {
+  gateway::RecordsView view;
+  if (const auto current = gateway->configuration()) {
+    view.configuration_version = current->version();
+  }
+  view.engines_digest = engines.Digest();
+  view.engines_offset = engine_follower.next_offset();
+  peers->SetView(view);
+}
+
+void GatewayDaemon::Impl::CatchUp(const gateway::RecordsView& peer) {
+  const auto current = gateway->configuration();
+  if (peer.configuration_version > (current ? current->version() : 0)) {
+    configuration_follower.Hurry();
+  }
+  if (peer.engines_offset > engine_follower.next_offset() &&
+      peer.engines_digest != engines.Digest()) {
+    engine_follower.Hurry();
+  }
+}
+
+void GatewayDaemon::Impl::AdjustTiming() {
+  const size_t live = peers->LiveEntries();
+  configuration_follower.SetTiming(ConfigurationTiming(live));
+  engine_follower.SetTiming(EngineTiming(live));
+  threads.After(kTimingInterval, [this] { AdjustTiming(); });
+}
+
 bool GatewayDaemon::Impl::IsReady() const {
   return !leaving && engines_known && gateway->configuration() != nullptr;
 }
@@ -320,6 +366,11 @@
     if (!made) return tl::unexpected<Error>(made.error());
     operations = std::move(*made);
   }
+  threads.Post([this] {
+    peers->OnPeerView(
+        [this](const gateway::RecordsView& view) { CatchUp(view); });
+    AdjustTiming();
+  });
   configuration_follower.Start();
   engine_follower.Start();
   AnnounceSelf();
--- a/src/scheduling/load_board.cc
+++ b/src/scheduling/load_board.cc
@@ -26,63 +26,88 @@
 
 }  // namespace
 
+std::vector<Work>* LoadBoard::FindWorks(std::string_view engine,
+                                        std::string_view sender) {
+  const auto at_engine = m_engines.find(engine);
+  if (at_engine == m_engines.end()) return nullptr;
+  const auto works = at_engine->second.find(sender);
+  return works == at_engine->second.end() ? nullptr : &works->second;
+}
+
+void LoadBoard::Erase(const std::string& engine, std::string_view sender) {
+  const auto at_engine = m_engines.find(engine);
+  if (at_engine == m_engines.end()) return;
+  const auto works = at_engine->second.find(sender);
+  if (works != at_engine->second.end()) at_engine->second.erase(works);
+  if (at_engine->second.empty()) m_engines.erase(at_engine);
+}
+
 void LoadBoard::Put(const std::string& engine, const Work& work) {
   if (Work* existing = Find(engine, work.id)) {
     *existing = work;
     return;
   }
-  m_own[engine].push_back(work);
+  m_engines[engine][std::string(kSelf)].push_back(work);
 }
 
 Work* LoadBoard::Find(const std::string& engine, uint64_t id) {
-  const auto found = m_own.find(engine);
-  if (found == m_own.end()) return nullptr;
-  for (Work& work : found->second) {
+  std::vector<Work>* works = FindWorks(engine, kSelf);
+  if (works == nullptr) return nullptr;
+  for (Work& work : *works) {
     if (work.id == id) return &work;
   }
   return nullptr;
 }
 
 void LoadBoard::Remove(const std::string& engine, uint64_t id) {
-  const auto found = m_own.find(engine);
-  if (found == m_own.end()) return;
-  std::erase_if(found->second, [id](const Work& w) { return w.id == id; });
-  if (found->second.empty()) m_own.erase(found);
+  std::vector<Work>* works = FindWorks(engine, kSelf);
+  if (works == nullptr) return;
+  std::erase_if(*works, [id](const Work& w) { return w.id == id; });
+  if (works->empty()) Erase(engine, kSelf);
 }
 
 std::span<const Work> LoadBoard::OwnAt(std::string_view engine) const {
-  const auto found = m_own.find(std::string(engine));
-  if (found == m_own.end()) return {};
-  return found->second;
+  const auto at_engine = m_engines.find(engine);
+  if (at_engine == m_engines.end()) return {};
+  const auto works = at_engine->second.find(kSelf);
+  if (works == at_engine->second.end()) return {};
+  return works->second;
 }
 
 std::vector<std::string> LoadBoard::OwnEngines() const {
   std::vector<std::string> engines;
-  engines.reserve(m_own.size());
-  for (const auto& [engine, works] : m_own) engines.push_back(engine);
+  for (const auto& [engine, by_sender] : m_engines) {
+    if (by_sender.contains(kSelf)) engines.push_back(engine);
+  }
   return engines;
 }
 
 void LoadBoard::SetPeer(const std::string& peer, const std::string& engine,
                         std::vector<Work> works) {
   if (works.empty()) {
-    m_peers[peer].erase(engine);
+    Erase(engine, peer);
   } else {
-    m_peers[peer][engine] = std::move(works);
+    m_engines[engine][peer] = std::move(works);
   }
 }
 
-void LoadBoard::DropPeer(const std::string& peer) { m_peers.erase(peer); }
+void LoadBoard::DropPeer(const std::string& peer) {
+  std::vector<std::string> engines;
+  for (const auto& [engine, by_sender] : m_engines) {
+    if (by_sender.contains(peer)) engines.push_back(engine);
+  }
+  for (const std::string& engine : engines) Erase(engine, peer);
+}
 
 EngineLoad LoadBoard::LoadOf(std::string_view engine, TimePoint now) const {
   EngineLoad load;
-  const std::string key(engine);
-  for (const Work& work : OwnAt(engine)) Add(load, work, now);
-  for (const auto& [peer, works] : m_peers) {
-    const auto found = works.find(key);
-    if (found == works.end()) continue;
-    for (const Work& work : found->second) {
-      if (work.end + kPeerOverrun > now) Add(load, work, now);
+  const auto at_engine = m_engines.find(engine);
+  if (at_engine == m_engines.end()) return load;
+  for (const auto& [sender, works] : at_engine->second) {
+    for (const Work& work : works) {
+      // Own work ends when its request does, however late.
+      if (sender != kSelf && work.end + kPeerOverrun <= now) continue;
+      Add(load, work, now);
     }
   }
   return load;
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -15,7 +15,7 @@
 constexpr Millis kMinPartMs = 12;
 /// The risk that a pause is too long grows from nothing to certainty between
 /// these shares of the longest pause allowed: predictions err.
-constexpr double kPauseRiskFrom = 0.72;
+constexpr double kPauseRiskFrom = 0.6;
 constexpr double kPauseRiskTo = 1.02;
 /// The same for the first event and its objective.
 constexpr double kFirstEventRiskFrom = 0.75;
@@ -26,7 +26,7 @@
 /// A plan counts as on time while it risks less than this share of the value.
 constexpr double kOnTimeLoss = 0.6;
 /// Late requests begin while the fleet is at most this far behind.
-constexpr Millis kCalmBacklogMs = 150;
+constexpr Millis kCalmBacklogMs = 50;
 constexpr double kMaxLateness = 5;
 /// Cost of each further engine in a reading: more engines may fail it.
 constexpr double kEngineCost = 0.004;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4974,6 +4974,14 @@
 void EntryLoad::__set_wants_reply(const bool val) {
   this->wants_reply = val;
 }
+
+void EntryLoad::__set_engines_digest(const int64_t val) {
+  this->engines_digest = val;
+}
+
+void EntryLoad::__set_engines_offset(const int64_t val) {
+  this->engines_offset = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -5070,6 +5078,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engines_digest);
+          this->__isset.engines_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engines_offset);
+          this->__isset.engines_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5123,6 +5147,14 @@
   xfer += oprot->writeBool(this->wants_reply);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("engines_digest", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->engines_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines_offset", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->engines_offset);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5137,6 +5169,8 @@
   swap(a.leaving, b.leaving);
   swap(a.config_version, b.config_version);
   swap(a.wants_reply, b.wants_reply);
+  swap(a.engines_digest, b.engines_digest);
+  swap(a.engines_offset, b.engines_offset);
   swap(a.__isset, b.__isset);
 }
 
@@ -5148,6 +5182,8 @@
   leaving = other121.leaving;
   config_version = other121.config_version;
   wants_reply = other121.wants_reply;
+  engines_digest = other121.engines_digest;
+  engines_offset = other121.engines_offset;
   __isset = other121.__isset;
 }
 EntryLoad::EntryLoad(EntryLoad&& other122) noexcept {
@@ -5158,6 +5194,8 @@
   leaving = other122.leaving;
   config_version = other122.config_version;
   wants_reply = other122.wants_reply;
+  engines_digest = other122.engines_digest;
+  engines_offset = other122.engines_offset;
   __isset = other122.__isset;
 }
 EntryLoad& EntryLoad::operator=(const EntryLoad& other123) {
@@ -5168,6 +5206,8 @@
   leaving = other123.leaving;
   config_version = other123.config_version;
   wants_reply = other123.wants_reply;
+  engines_digest = other123.engines_digest;
+  engines_offset = other123.engines_offset;
   __isset = other123.__isset;
   return *this;
 }
@@ -5179,6 +5219,8 @@
   leaving = other124.leaving;
   config_version = other124.config_version;
   wants_reply = other124.wants_reply;
+  engines_digest = other124.engines_digest;
+  engines_offset = other124.engines_offset;
   __isset = other124.__isset;
   return *this;
 }
@@ -5192,6 +5234,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "wants_reply=" << to_string(wants_reply);
+  out << ", " << "engines_digest=" << to_string(engines_digest);
+  out << ", " << "engines_offset=" << to_string(engines_offset);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1937,7 +1937,7 @@
 std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
 
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), leaving(false), config_version(false), wants_reply(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), leaving(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
@@ -1945,6 +1945,8 @@
   bool leaving :1;
   bool config_version :1;
   bool wants_reply :1;
+  bool engines_digest :1;
+  bool engines_offset :1;
 } _EntryLoad__isset;
 
 class EntryLoad : public virtual ::apache::thrift::TBase {
@@ -1960,7 +1962,9 @@
               complete(0),
               leaving(0),
               config_version(0),
-              wants_reply(0) {
+              wants_reply(0),
+              engines_digest(0),
+              engines_offset(0) {
   }
 
   virtual ~EntryLoad() noexcept;
@@ -1971,6 +1975,8 @@
   bool leaving;
   int64_t config_version;
   bool wants_reply;
+  int64_t engines_digest;
+  int64_t engines_offset;
 
   _EntryLoad__isset __isset;
 
@@ -1988,6 +1994,10 @@
 
   void __set_wants_reply(const bool val);
 
+  void __set_engines_digest(const int64_t val);
+
+  void __set_engines_offset(const int64_t val);
+
   bool operator == (const EntryLoad & rhs) const
   {
     if (!(process_id == rhs.process_id))
@@ -2004,6 +2014,10 @@
       return false;
     if (!(wants_reply == rhs.wants_reply))
       return false;
+    if (!(engines_digest == rhs.engines_digest))
+      return false;
+    if (!(engines_offset == rhs.engines_offset))
+      return false;
     return true;
   }
   bool operator != (const EntryLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -247,4 +247,6 @@
   5: bool leaving             // the sender is about to stop
   6: i64 config_version
   7: bool wants_reply         // the sender has not heard of the receiver
+  8: i64 engines_digest       // of the engines that the sender knows
+  9: i64 engines_offset       // how far it has read their registrations
 }
