--- /dev/null
+++ b/src/gateway/failure.cc
@@ -0,0 +1,32 @@
+#include "failure.h"
+
+namespace peridotshelf::gateway {
+
+std::string_view ToString(FailureCause cause) {
+  switch (cause) {
+    case FailureCause::kUnreachable:
+      return "unreachable";
+    case FailureCause::kSilent:
+      return "silent";
+    case FailureCause::kBroken:
+      return "broken";
+    case FailureCause::kNotRun:
+      return "not_run";
+    case FailureCause::kOtherEngine:
+      return "other_engine";
+    case FailureCause::kEngineFailure:
+      return "engine_failure";
+    case FailureCause::kNoMemory:
+      return "no_memory";
+  }
+  return "unknown";
+}
+
+bool ProvesNotRun(FailureCause cause) {
+  return cause == FailureCause::kUnreachable ||
+         cause == FailureCause::kNotRun ||
+         cause == FailureCause::kOtherEngine ||
+         cause == FailureCause::kNoMemory;
+}
+
+}  // namespace peridotshelf::gateway
--- /dev/null
+++ b/src/gateway/gateway_placement.cc
@@ -0,0 +1,299 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "gateway_impl.h"
+#include "peridotshelf/events/log.h"
+#include "peridotshelf/scheduling/service_placement.h"
+
+namespace peridotshelf::gateway {
+namespace {
+
+using events::EventId;
+using scheduling::EngineCandidate;
+using scheduling::Work;
+
+/// Peers' changes come often; what waits is tried again at most this often.
+constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
+/// When this many waiting requests found no place, the others find none either.
+constexpr int kMaxDrainFailures = 6;
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+
+std::string JoinKeys(const std::vector<std::string>& keys) {
+  std::string joined;
+  for (const std::string& key : keys) {
+    if (!joined.empty()) joined += ' ';
+    joined += key;
+  }
+  return joined;
+}
+
+}  // namespace
+
+const scheduling::EngineModel* Gateway::Impl::ModelOf(const LiveRequest& live) {
+  const auto found = models.find(live.service);
+  if (found != models.end()) return &found->second;
+  const routing::Service* service =
+      live.configuration->FindService(live.service);
+  if (service == nullptr || !service->speed) return nullptr;
+  return &models.emplace(live.service, scheduling::EngineModel(*service->speed))
+              .first->second;
+}
+
+std::vector<const discovery::EngineRecord*> Gateway::Impl::Usable(
+    const LiveRequest& live) {
+  const TimePoint now = SteadyClock().Now();
+  const auto ready = engines.ReadyOf(live.service);
+  std::vector<const discovery::EngineRecord*> usable;
+  std::vector<const discovery::EngineRecord*> untried;
+  for (const discovery::EngineRecord* record : ready) {
+    const std::string key = record->Key();
+    if (std::find(live.tried.begin(), live.tried.end(), key) !=
+        live.tried.end()) {
+      continue;
+    }
+    untried.push_back(record);
+    if (StateOf(key).health.MayTry(now)) usable.push_back(record);
+  }
+  if (!usable.empty()) return usable;
+  // With every engine in doubt, one of them is still better than none.
+  return untried.empty() ? ready : untried;
+}
+
+std::vector<EngineCandidate> Gateway::Impl::Candidates(
+    const std::vector<const discovery::EngineRecord*>& records,
+    const scheduling::EngineModel& model) {
+  const TimePoint now = SteadyClock().Now();
+  std::vector<EngineCandidate> candidates;
+  candidates.reserve(records.size());
+  for (const discovery::EngineRecord* record : records) {
+    EngineCandidate candidate;
+    candidate.engine = record->Key();
+    candidate.model = &model;
+    candidate.load = board.LoadOf(candidate.engine, now);
+    const EngineState& state = StateOf(candidate.engine);
+    candidate.pace = state.health.Pace(now);
+    candidate.success_rate = state.health.SuccessRate(now);
+    candidate.is_near = record->failure_domain == options.failure_domain;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void Gateway::Impl::Begin(const LiveRequestPtr& live) {
+  if (engines.ReadyOf(live->service).empty()) {
+    GiveUp(live, "no_engine");
+    return;
+  }
+  const scheduling::EngineModel* model = ModelOf(*live);
+  if (model == nullptr) {
+    if (!TryCall(live)) GiveUp(live, "no_engine");
+    return;
+  }
+  // Requests that wait already go first.
+  const bool must_queue = queue.AheadOf(live->priority) > 0;
+  if (must_queue || !TryStream(live, *model)) WaitOrRefuse(live, *model);
+}
+
+bool Gateway::Impl::TryStream(const LiveRequestPtr& live,
+                              const scheduling::EngineModel& model) {
+  const TimePoint now = SteadyClock().Now();
+  const auto records = Usable(*live);
+  const auto candidates = Candidates(records, model);
+  scheduling::StreamNeeds needs;
+  needs.prompt_tokens = live->prompt_tokens;
+  needs.output_tokens = live->output_tokens;
+  needs.objective_ms = std::max(
+      1.0, MillisBetween(now, live->arrived + live->route->latency_objective));
+  needs.max_pause_ms = scheduling::MillisOf(live->route->max_pause);
+  needs.value = live->value;
+  const auto plan = scheduling::PlaceStream(needs, candidates);
+  if (!plan || !scheduling::ShouldStart(*plan, candidates)) return false;
+  StartAttempt(live, *records[plan->first]);
+  Attempt& attempt = *live->attempt;
+  attempt.predicted_first_ms = plan->first_event_ms;
+  attempt.predicted_write_ms = plan->write_ms;
+  std::vector<std::string> addresses;
+  if (plan->reserve_tokens > 0) {
+    attempt.reservation =
+        live->request.id.value() + "-" + std::to_string(attempt.number);
+  }
+  for (const size_t index : plan->helpers) {
+    attempt.helper_keys.push_back(candidates[index].engine);
+    attempt.helpers.push_back({records[index]->address, attempt.reservation});
+    addresses.push_back(records[index]->address);
+  }
+  PutWork(*live, *plan, candidates);
+  events::Log(
+      EventId::kRequestPlaced,
+      {{"request", live->request.id.value()},
+       {"engine", attempt.engine_key},
+       {"helpers", static_cast<int64_t>(plan->helpers.size())},
+       {"helper_engines", JoinKeys(attempt.helper_keys)},
+       {"part_ms", std::lround(plan->part_ms)},
+       {"reserved_tokens", plan->reserve_tokens},
+       {"prompt_tokens", live->prompt_tokens},
+       {"predicted_ms", std::lround(plan->first_event_ms)},
+       {"backlog_ms", std::lround(candidates[plan->first].load.backlog_ms)},
+       {"running", candidates[plan->first].load.running},
+       {"pace", candidates[plan->first].pace},
+       {"gain", plan->gain},
+       {"waited_ms", ToMilliseconds(now - live->arrived)}});
+  if (attempt.reservation.empty()) {
+    Send(live);
+    return true;
+  }
+  reservations.Reserve(
+      attempt.reservation, addresses, plan->reserve_tokens,
+      [self = shared_from_this(), weak = std::weak_ptr(live),
+       number = attempt.number](bool granted) {
+        const auto held = weak.lock();
+        if (!held || !held->attempt || held->attempt->number != number) return;
+        if (granted) {
+          self->Send(held);
+        } else {
+          self->Fail(held, FailureCause::kNoMemory, "reservation refused");
+        }
+      });
+  return true;
+}
+
+void Gateway::Impl::PutWork(LiveRequest& live,
+                            const scheduling::StreamPlan& plan,
+                            const std::vector<EngineCandidate>& candidates) {
+  const TimePoint now = SteadyClock().Now();
+  Attempt& attempt = *live.attempt;
+  const auto put = [&](size_t index, bool is_part) {
+    const EngineCandidate& engine = candidates[index];
+    Work work;
+    work.id = attempt.number;
+    work.is_part = is_part;
+    work.memory_tokens = live.prompt_tokens + live.output_tokens;
+    if (plan.reserve_tokens > 0) {
+      work.memory_tokens = plan.reserve_tokens;
+    } else if (is_part) {
+      work.memory_tokens = 0;
+    }
+    work.read_ms = plan.part_ms;
+    work.max_pause_ms = scheduling::MillisOf(live.route->max_pause);
+    work.patience_ms = scheduling::MillisOf(live.route->caller_patience);
+    work.value = live.value;
+    work.read_end =
+        now + FromMillis(engine.load.backlog_ms + engine.pace * plan.part_ms);
+    work.end = is_part ? now + FromMillis(plan.first_event_ms)
+                       : now + FromMillis(plan.first_event_ms + plan.write_ms);
+    board.Put(engine.engine, work);
+    peers.NoteChange(engine.engine);
+  };
+  put(plan.first, /*is_part=*/false);
+  for (const size_t index : plan.helpers) put(index, /*is_part=*/true);
+}
+
+bool Gateway::Impl::TryCall(const LiveRequestPtr& live) {
+  const TimePoint now = SteadyClock().Now();
+  const auto records = Usable(*live);
+  std::vector<scheduling::ServiceCandidate> servers;
+  servers.reserve(records.size());
+  for (const discovery::EngineRecord* record : records) {
+    const std::string key = record->Key();
+    const EngineState& state = StateOf(key);
+    scheduling::ServiceCandidate server;
+    server.running = board.LoadOf(key, now).running;
+    server.slots = std::max(record->slots, 1);
+    server.call_ms = state.call_ms;
+    server.success_rate = state.health.SuccessRate(now);
+    server.is_near = record->failure_domain == options.failure_domain;
+    servers.push_back(server);
+  }
+  const auto chosen = scheduling::PlaceCall(servers);
+  if (!chosen) return false;
+  StartAttempt(live, *records[*chosen]);
+  Work work;
+  work.id = live->attempt->number;
+  work.reading = false;
+  work.end = now + FromMillis(std::max(servers[*chosen].call_ms, 1.0) * 2);
+  board.Put(live->attempt->engine_key, work);
+  peers.NoteChange(live->attempt->engine_key);
+  events::Log(EventId::kRequestPlaced,
+              {{"request", live->request.id.value()},
+               {"engine", live->attempt->engine_key},
+               {"running", servers[*chosen].running},
+               {"call_ms", servers[*chosen].call_ms},
+               {"success_rate", servers[*chosen].success_rate}});
+  Send(live);
+  return true;
+}
+
+void Gateway::Impl::WaitOrRefuse(const LiveRequestPtr& live,
+                                 const scheduling::EngineModel& model) {
+  const TimePoint now = SteadyClock().Now();
+  const auto candidates = Candidates(Usable(*live), model);
+  const double begin_ms =
+      model.ReadTime(live->prompt_tokens) / 2 + model.PassTime(1, 0);
+  TimePoint give_up_at = live->deadline;
+  if (live->route->caller_patience > Duration::zero()) {
+    give_up_at =
+        std::min(give_up_at, live->arrived + live->route->caller_patience);
+  }
+  give_up_at -= FromMillis(begin_ms);
+  const auto decision = scheduling::DecideWait(
+      candidates, queue.AheadOf(live->priority), give_up_at - now, now);
+  if (!decision.may_wait) {
+    Refuse(live, decision.place_in, "no_place");
+    return;
+  }
+  scheduling::Waiting waiting;
+  waiting.id = live->number;
+  waiting.priority = live->priority;
+  waiting.value_density = live->value / begin_ms;
+  waiting.since = live->arrived;
+  waiting.on_time_until =
+      live->arrived + live->route->latency_objective - FromMillis(begin_ms);
+  waiting.give_up_at = give_up_at;
+  queue.Add(waiting);
+  live->is_waiting = true;
+  events::Log(EventId::kRequestWaits,
+              {{"request", live->request.id.value()},
+               {"place_in_ms", ToMilliseconds(decision.place_in)},
+               {"ahead", static_cast<int64_t>(queue.size() - 1)}});
+}
+
+void Gateway::Impl::DrainQueue() {
+  if (queue.empty() || std::exchange(draining_queue, true)) return;
+  const TimePoint now = SteadyClock().Now();
+  for (const uint64_t id : queue.TakeExpired(now)) {
+    const auto found = live_requests.find(id);
+    if (found == live_requests.end()) continue;
+    const LiveRequestPtr live = found->second;
+    live->is_waiting = false;
+    Refuse(live, kMinRetryAfter, "waited_too_long");
+  }
+  int failures = 0;
+  for (const uint64_t id : queue.InOrder(now)) {
+    if (failures == kMaxDrainFailures) break;
+    const auto found = live_requests.find(id);
+    if (found == live_requests.end()) {
+      queue.Remove(id);
+      continue;
+    }
+    const LiveRequestPtr live = found->second;
+    const scheduling::EngineModel* model = ModelOf(*live);
+    if (model == nullptr || !TryStream(live, *model)) {
+      ++failures;
+      continue;
+    }
+    queue.Remove(id);
+    live->is_waiting = false;
+  }
+  draining_queue = false;
+}
+
+void Gateway::Impl::DrainQueueSoon() {
+  if (queue.empty() || std::exchange(drain_due, true)) return;
+  threads.After(kDrainInterval, [self = shared_from_this()] {
+    self->drain_due = false;
+    self->DrainQueue();
+  });
+}
+
+}  // namespace peridotshelf::gateway
