--- /dev/null
+++ b/src/http/front_connection.cc
@@ -0,0 +1,311 @@
+#include "front_connection.h"
+
+#include <netinet/tcp.h>
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <limits>
+
+#include "peridotshelf/events/log.h"
+
+namespace peridotshelf::http {
+namespace {
+
+/// Bytes of a following request that are kept while one is being answered.
+constexpr size_t kMaxReadAhead = size_t{64} * 1024;
+/// Bytes that may wait for a caller that does not read.
+constexpr size_t kMaxUnsent = size_t{8} * 1024 * 1024;
+/// How long a peer may leave sent bytes unacknowledged, in ms
+/// (TCP_USER_TIMEOUT).
+constexpr int kUserTimeoutMs = 8000;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+}  // namespace
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+#define PERIDOTSHELF_REASON(code, name, text) \
+  case code:                                  \
+    return #text;
+    HTTP_STATUS_MAP(PERIDOTSHELF_REASON)
+#undef PERIDOTSHELF_REASON
+    default:
+      return "Status";
+  }
+}
+
+void FrontConnection::Start() {
+  asio::error_code ignored;
+  m_socket.set_option(Tcp::no_delay(true), ignored);
+  setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+  Read();
+}
+
+void FrontConnection::CheckTime(TimePoint now) {
+  if (m_answering || m_closed) return;
+  const CallerLimits& limits = m_server->limits;
+  if (m_begun) {
+    if (!m_head_complete && now - m_begun_at > limits.header_timeout) {
+      Reject(kRequestTimeout, "headers took too long");
+    }
+    return;
+  }
+  const bool is_unwanted = m_server->close_idle && m_unparsed.empty();
+  if (is_unwanted || now - m_waiting_since > limits.idle_timeout) Close();
+}
+
+void FrontConnection::ResetParser() {
+  http_parser_init(&m_parser, HTTP_REQUEST);
+  m_parser.data = this;
+  m_request = {};
+  m_head_bytes = 0;
+  m_begun = false;
+  m_head_complete = false;
+  m_message_complete = false;
+}
+
+int FrontConnection::OnBegin(http_parser* parser) {
+  FrontConnection& self = Of(parser);
+  self.m_begun = true;
+  self.m_begun_at = SteadyClock().Now();
+  return 0;
+}
+
+int FrontConnection::OnUrl(http_parser* parser, const char* at, size_t length) {
+  FrontConnection& self = Of(parser);
+  self.m_request.target.append(at, length);
+  if (!self.TooMuchHead(length)) return 0;
+  self.m_refusal = kHeaderTooLarge;
+  return 1;
+}
+
+int FrontConnection::OnField(http_parser* parser, const char* at,
+                             size_t length) {
+  FrontConnection& self = Of(parser);
+  ParsedRequest& request = self.m_request;
+  if (request.headers.empty() || request.in_value) {
+    request.headers.emplace_back();
+    request.in_value = false;
+  }
+  request.headers.back().name.append(at, length);
+  if (!self.TooMuchHead(length)) return 0;
+  self.m_refusal = kHeaderTooLarge;
+  return 1;
+}
+
+int FrontConnection::OnValue(http_parser* parser, const char* at,
+                             size_t length) {
+  FrontConnection& self = Of(parser);
+  self.m_request.in_value = true;
+  self.m_request.headers.back().value.append(at, length);
+  if (!self.TooMuchHead(length)) return 0;
+  self.m_refusal = kHeaderTooLarge;
+  return 1;
+}
+
+int FrontConnection::OnHeadersComplete(http_parser* parser) {
+  FrontConnection& self = Of(parser);
+  self.m_head_complete = true;
+  self.m_request.method =
+      http_method_str(static_cast<http_method>(parser->method));
+  self.m_request.keep_alive = http_should_keep_alive(parser) != 0;
+  const bool has_length =
+      parser->content_length != std::numeric_limits<uint64_t>::max();
+  if (has_length &&
+      parser->content_length > self.m_server->limits.max_body_bytes) {
+    self.m_refusal = kPayloadTooLarge;
+    return -1;
+  }
+  if (has_length) self.m_request.body.reserve(parser->content_length);
+  const auto expect = FindHeader(self.m_request.headers, "Expect");
+  if (expect && *expect == "100-continue") {
+    self.Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return 0;
+}
+
+int FrontConnection::OnBody(http_parser* parser, const char* at,
+                            size_t length) {
+  FrontConnection& self = Of(parser);
+  std::string& body = self.m_request.body;
+  if (body.size() + length > self.m_server->limits.max_body_bytes) {
+    self.m_refusal = kPayloadTooLarge;
+    return 1;
+  }
+  body.append(at, length);
+  return 0;
+}
+
+int FrontConnection::OnMessageComplete(http_parser* parser) {
+  Of(parser).m_message_complete = true;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+const http_parser_settings& FrontConnection::ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = &OnBegin;
+    made.on_url = &OnUrl;
+    made.on_header_field = &OnField;
+    made.on_header_value = &OnValue;
+    made.on_headers_complete = &OnHeadersComplete;
+    made.on_body = &OnBody;
+    made.on_message_complete = &OnMessageComplete;
+    return made;
+  }();
+  return settings;
+}
+
+void FrontConnection::Read() {
+  if (m_closed || m_reading || m_unparsed.size() > kMaxReadAhead) return;
+  m_reading = true;
+  m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
+        self->OnRead(error, bytes);
+      });
+}
+
+void FrontConnection::OnRead(const asio::error_code& error, size_t bytes) {
+  m_reading = false;
+  if (m_closed) return;
+  if (error) {
+    Close();
+    return;
+  }
+  m_unparsed.append(m_buffer.data(), bytes);
+  Parse();
+  Read();
+}
+
+void FrontConnection::Parse() {
+  if (m_answering || m_closed || m_close_when_sent || m_unparsed.empty()) {
+    return;
+  }
+  const size_t parsed = http_parser_execute(
+      &m_parser, &ParserSettings(), m_unparsed.data(), m_unparsed.size());
+  m_unparsed.erase(0, parsed);
+  if (m_message_complete) {
+    Dispatch();
+    return;
+  }
+  const auto failure = static_cast<http_errno>(m_parser.http_errno);
+  if (m_refusal != 0) {
+    Reject(m_refusal, "over the limits");
+  } else if (failure == HPE_HEADER_OVERFLOW) {
+    Reject(kHeaderTooLarge, "over the parser's limit");
+  } else if (failure != HPE_OK || m_parser.upgrade != 0) {
+    Reject(kBadRequest, http_errno_description(failure));
+  }
+}
+
+void FrontConnection::Dispatch() {
+  m_answering = true;
+  ++m_server->running;
+  auto owner = std::make_shared<std::string>(std::move(m_request.body));
+  ServerRequest request;
+  request.method = m_request.method;
+  request.target = std::move(m_request.target);
+  const size_t question = request.target.find('?');
+  request.path = request.target.substr(0, question);
+  if (question != std::string::npos) {
+    request.query = request.target.substr(question + 1);
+  }
+  request.headers = std::move(m_request.headers);
+  request.body = *owner;
+  request.owner = std::move(owner);
+  ResponderPtr responder =
+      m_server->make_responder(shared_from_this(), request.method == "HEAD");
+  m_server->handler(std::move(request), std::move(responder));
+}
+
+void FrontConnection::Reject(int status, const char* reason) {
+  ++m_server->counters.rejected;
+  events::Log(events::EventId::kCallerRejected,
+              {{"status", status}, {"reason", reason}});
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
+  bytes += ReasonOf(status);
+  bytes += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  m_close_when_sent = true;
+  Send(std::move(bytes));
+}
+
+void FrontConnection::Send(std::string bytes) {
+  if (m_closed) return;
+  m_unsent_bytes += bytes.size();
+  m_unsent.push_back(std::move(bytes));
+  if (m_unsent_bytes > kMaxUnsent) {
+    Close();
+    return;
+  }
+  WriteNext();
+}
+
+void FrontConnection::WriteNext() {
+  if (m_closed || m_writing) return;
+  if (m_unsent.empty()) {
+    if (m_close_when_sent) Close();
+    return;
+  }
+  m_writing = true;
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(m_unsent.size());
+  for (const std::string& part : m_unsent)
+    buffers.push_back(asio::buffer(part));
+  const size_t parts = buffers.size();
+  asio::async_write(
+      m_socket, buffers,
+      [self = shared_from_this(), parts](const asio::error_code& error,
+                                         size_t bytes) {
+        self->m_writing = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->m_unsent.erase(
+            self->m_unsent.begin(),
+            self->m_unsent.begin() + static_cast<std::ptrdiff_t>(parts));
+        self->m_unsent_bytes -= bytes;
+        self->WriteNext();
+      });
+}
+
+void FrontConnection::FinishAnswer(bool keep) {
+  if (m_answering) --m_server->running;
+  m_answering = false;
+  on_hang_up = nullptr;
+  if (m_closed) return;
+  m_waiting_since = SteadyClock().Now();
+  if (!keep) {
+    m_close_when_sent = true;
+    WriteNext();
+    return;
+  }
+  ResetParser();
+  // The handler may answer at once, so the next request waits for the loop.
+  asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+    self->Parse();
+    self->Read();
+  });
+}
+
+void FrontConnection::Close() {
+  if (m_closed) return;
+  m_closed = true;
+  asio::error_code ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+  --m_server->counters.open;
+  if (std::exchange(m_answering, false)) --m_server->running;
+  if (auto callback = std::exchange(on_hang_up, nullptr)) callback();
+  m_server->connections.erase(shared_from_this());
+}
+
+}  // namespace peridotshelf::http
