Remove gossip membership: the platform's store and the exchange replace it

Gateways find each other in the store and hear of each other by the exchange of loads; entries and sides know each other from the host list and carry the version of the control state on their connections. Also clears held answers before the loop in a test that crashed at its end.

--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -41,7 +41,6 @@
     EventInfo{EventId::kConfigurationRejected, "configuration_rejected",
               Level::kError},
     EventInfo{EventId::kHostListChanged, "host_list_changed", Level::kInfo},
-    EventInfo{EventId::kMemberChanged, "member_changed", Level::kInfo},
     EventInfo{EventId::kPlatformCallFailed, "platform_call_failed",
               Level::kWarning},
     EventInfo{EventId::kRegistryLost, "registry_lost", Level::kWarning},
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -179,6 +179,7 @@
     m_callers_client.reset();
     m_client.reset();
     m_threads->Stop();
+    m_held.clear();
     m_front.reset();
     m_engines.clear();
     m_gateway.reset();
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -10,7 +10,7 @@
 enum class Level { kDebug, kInfo, kWarning, kError };
 
 /// Event numbers. A number is never given a second meaning. By hundreds:
-/// 100 process, 200 entry, 300 side, 400 control, 500 membership, 600 platform,
+/// 100 process, 200 entry, 300 side, 400 control, 500 hosts, 600 platform,
 /// 700 backend servers, 800 connections between processes.
 enum class EventId : int {
   kProcessStarted = 100,
@@ -43,7 +43,6 @@
   kConfigurationAdopted = 407,
   kConfigurationRejected = 408,
   kHostListChanged = 500,
-  kMemberChanged = 501,
   kPlatformCallFailed = 600,
   kRegistryLost = 601,
   kRegistryBack = 602,
--- a/src/include/peridotshelf/settings/daemon_settings.h
+++ b/src/include/peridotshelf/settings/daemon_settings.h
@@ -20,8 +20,6 @@
   std::string address = "127.0.0.1";
   /// Port for callers, health and metrics.
   uint16_t http_port = 8080;
-  /// UDP port for gossip between members; the platform's list has it too.
-  uint16_t gossip_port = 7400;
   /// Base URLs of the platform's log service and host list.
   std::string log_url;
   std::string hosts_url;
--- a/src/peridotshelf/daemons.cc
+++ b/src/peridotshelf/daemons.cc
@@ -27,40 +27,19 @@
   return options;
 }
 
-/// Joins the fleet's membership.
-Result<std::shared_ptr<MemberLink>> JoinMembers(
-    io::IoThreads& threads, PlatformLink& platform, wire::Role::type role,
-    const membership::GossipNodeOptions& options) {
-  wire::Hello hello;
-  hello.protocol_version = wire::kProtocolVersion;
-  hello.process_id = MakeRandomId();
-  hello.host = options.self.value();
-  hello.role = role;
-  return MemberLink::Create(threads, options, platform,
-                            [hello] { return hello; });
-}
-
 /// Passes the list of hosts on for as long as its receivers live.
 template <class Daemon>
-HostsHandler PassHosts(const std::shared_ptr<Daemon>& daemon,
-                       const std::shared_ptr<MemberLink>& members) {
-  return [weak_daemon = std::weak_ptr<Daemon>(daemon),
-          weak_members = std::weak_ptr<MemberLink>(members)](
+HostsHandler PassHosts(const std::shared_ptr<Daemon>& daemon) {
+  return [weak_daemon = std::weak_ptr<Daemon>(daemon)](
              const std::vector<platform::HostEntry>& hosts) {
     if (auto alive = weak_daemon.lock()) alive->UpdateHosts(hosts);
-    if (auto alive = weak_members.lock()) alive->UpdateHosts(hosts);
   };
 }
 
 }  // namespace
 
-EntryDaemon::~EntryDaemon() {
-  if (m_members) m_members->Stop();
-}
-
 void EntryDaemon::StartLeaving() {
   m_entry->StartLeaving();
-  m_members->StartLeaving();
 }
 
 Result<std::unique_ptr<EntryDaemon>> EntryDaemon::Create(
@@ -76,22 +55,12 @@
                                     [platform] { return platform->Current(); });
   if (!entry) return tl::unexpected<Error>(entry.error());
   daemon->m_entry = std::move(*entry);
-  auto members =
-      JoinMembers(threads, *platform, wire::Role::ENTRY,
-                  {options.host, settings.address, settings.gossip_port, {}});
-  if (!members) return tl::unexpected<Error>(members.error());
-  daemon->m_members = std::move(*members);
-  platform->Start(PassHosts(daemon->m_entry, daemon->m_members));
+  platform->Start(PassHosts(daemon->m_entry));
   return daemon;
 }
 
-SideDaemon::~SideDaemon() {
-  if (m_members) m_members->Stop();
-}
-
 void SideDaemon::StartLeaving() {
   m_side->StartLeaving();
-  m_members->StartLeaving();
 }
 
 Result<std::unique_ptr<SideDaemon>> SideDaemon::Create(
@@ -112,12 +81,7 @@
       SideStatus::Create(threads, std::move(status_options), daemon->m_side);
   if (!status) return tl::unexpected<Error>(status.error());
   daemon->m_status = std::move(*status);
-  auto members =
-      JoinMembers(threads, *platform, wire::Role::SIDE,
-                  {options.host, settings.address, settings.port, {}});
-  if (!members) return tl::unexpected<Error>(members.error());
-  daemon->m_members = std::move(*members);
-  platform->Start(PassHosts(daemon->m_side, daemon->m_members));
+  platform->Start(PassHosts(daemon->m_side));
   return daemon;
 }
 
--- a/src/peridotshelf/daemons.h
+++ b/src/peridotshelf/daemons.h
@@ -7,7 +7,6 @@
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/entry/entry.h"
 #include "peridotshelf/io/io_threads.h"
-#include "peridotshelf/member_link.h"
 #include "peridotshelf/platform_link.h"
 #include "peridotshelf/settings/daemon_settings.h"
 #include "peridotshelf/side/side.h"
@@ -33,12 +32,11 @@
   /// outlives the daemon.
   static Result<std::unique_ptr<EntryDaemon>> Create(
       io::IoThreads& threads, const settings::EntrySettings& settings);
-  ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
 
   entry::Entry& entry() { return *m_entry; }
-  /// Fails the readiness check and tells the members, from now on.
+  /// Fails the readiness check from now on.
   void StartLeaving();
 
  private:
@@ -48,7 +46,6 @@
   PlatformLink m_platform;
   /// Shared, since the list of hosts may change while the daemon ends.
   std::shared_ptr<entry::Entry> m_entry;
-  std::shared_ptr<MemberLink> m_members;
 };
 
 /// One side with its connection to the platform.
@@ -58,12 +55,11 @@
   /// outlives the daemon.
   static Result<std::unique_ptr<SideDaemon>> Create(
       io::IoThreads& threads, const settings::SideSettings& settings);
-  ~SideDaemon();
   SideDaemon(const SideDaemon&) = delete;
   SideDaemon& operator=(const SideDaemon&) = delete;
 
   side::Side& side() { return *m_side; }
-  /// Refuses new work and tells the members, from now on.
+  /// Refuses new work from now on.
   void StartLeaving();
 
  private:
@@ -74,7 +70,6 @@
   /// Shared for the same reason.
   std::shared_ptr<side::Side> m_side;
   std::unique_ptr<SideStatus> m_status;
-  std::shared_ptr<MemberLink> m_members;
 };
 
 }  // namespace peridotshelf::program
--- a/src/peridotshelf/demo_fleet.cc
+++ b/src/peridotshelf/demo_fleet.cc
@@ -147,7 +147,6 @@
   }
   auto settings = MakeSettings<settings::EntrySettings>(m_ports, "entry-0");
   settings.http_port = m_ports.entry;
-  settings.gossip_port = 0;
   if (kept) kept = Keep(m_entry, EntryDaemon::Create(m_threads, settings));
   return kept;
 }
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -43,8 +43,6 @@
   builder
       .Port(&S::http_port,
             {"--http-port", "Port for callers, health and metrics; 0: any."})
-      .Port(&S::gossip_port,
-            {"--gossip-port", "UDP port for gossip between members; 0: any."})
       .Milliseconds(
           &S::drain_delay,
           {"--drain-delay-ms", "Time to go on serving after readiness fails."},
@@ -79,8 +77,7 @@
   builder
       .Port(&S::port,
             {"--port",
-             "Port for connections from entries and, by UDP, for gossip "
-             "between members; 0: any."})
+             "Port for connections from entries; 0: any."})
       .Port(&S::http_port,
             {"--http-port", "Port for health and metrics; 0: any."})
       .Milliseconds(
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -77,70 +77,6 @@
   }
 }
 
-int _kMemberStateValues[] = {
-  MemberState::ALIVE,
-  MemberState::SUSPECT,
-  MemberState::DEAD,
-  MemberState::LEAVING
-};
-const char* _kMemberStateNames[] = {
-  "ALIVE",
-  "SUSPECT",
-  "DEAD",
-  "LEAVING"
-};
-const std::map<int, const char*> _MemberState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kMemberStateValues, _kMemberStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
-
-std::ostream& operator<<(std::ostream& out, const MemberState::type& val) {
-  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
-  if (it != _MemberState_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
-}
-
-std::string to_string(const MemberState::type& val) {
-  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
-  if (it != _MemberState_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
-}
-
-int _kGossipKindValues[] = {
-  GossipKind::PING,
-  GossipKind::ACK,
-  GossipKind::PING_REQUEST
-};
-const char* _kGossipKindNames[] = {
-  "PING",
-  "ACK",
-  "PING_REQUEST"
-};
-const std::map<int, const char*> _GossipKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kGossipKindValues, _kGossipKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
-
-std::ostream& operator<<(std::ostream& out, const GossipKind::type& val) {
-  std::map<int, const char*>::const_iterator it = _GossipKind_VALUES_TO_NAMES.find(val);
-  if (it != _GossipKind_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
-}
-
-std::string to_string(const GossipKind::type& val) {
-  std::map<int, const char*>::const_iterator it = _GossipKind_VALUES_TO_NAMES.find(val);
-  if (it != _GossipKind_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
-}
-
 
 Hello::~Hello() noexcept {
 }
@@ -3612,432 +3548,6 @@
 }
 
 
-MemberUpdate::~MemberUpdate() noexcept {
-}
-
-
-void MemberUpdate::__set_host(const std::string& val) {
-  this->host = val;
-}
-
-void MemberUpdate::__set_state(const MemberState::type val) {
-  this->state = val;
-}
-
-void MemberUpdate::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t MemberUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->host);
-          this->__isset.host = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast80;
-          xfer += iprot->readI32(ecast80);
-          this->state = static_cast<MemberState::type>(ecast80);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t MemberUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MemberUpdate");
-
-  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->host);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(MemberUpdate &a, MemberUpdate &b) {
-  using ::std::swap;
-  swap(a.host, b.host);
-  swap(a.state, b.state);
-  swap(a.incarnation, b.incarnation);
-  swap(a.__isset, b.__isset);
-}
-
-MemberUpdate::MemberUpdate(const MemberUpdate& other81) {
-  host = other81.host;
-  state = other81.state;
-  incarnation = other81.incarnation;
-  __isset = other81.__isset;
-}
-MemberUpdate::MemberUpdate(MemberUpdate&& other82) noexcept {
-  host = std::move(other82.host);
-  state = other82.state;
-  incarnation = other82.incarnation;
-  __isset = other82.__isset;
-}
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other83) {
-  host = other83.host;
-  state = other83.state;
-  incarnation = other83.incarnation;
-  __isset = other83.__isset;
-  return *this;
-}
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other84) noexcept {
-  host = std::move(other84.host);
-  state = other84.state;
-  incarnation = other84.incarnation;
-  __isset = other84.__isset;
-  return *this;
-}
-void MemberUpdate::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "MemberUpdate(";
-  out << "host=" << to_string(host);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ")";
-}
-
-
-Gossip::~Gossip() noexcept {
-}
-
-
-void Gossip::__set_kind(const GossipKind::type val) {
-  this->kind = val;
-}
-
-void Gossip::__set_sequence(const int32_t val) {
-  this->sequence = val;
-}
-
-void Gossip::__set_sender(const std::string& val) {
-  this->sender = val;
-}
-
-void Gossip::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
-void Gossip::__set_control_version(const int64_t val) {
-  this->control_version = val;
-}
-
-void Gossip::__set_subject(const std::string& val) {
-  this->subject = val;
-}
-
-void Gossip::__set_updates(const std::vector<MemberUpdate> & val) {
-  this->updates = val;
-}
-
-void Gossip::__set_sender_state(const MemberState::type val) {
-  this->sender_state = val;
-}
-std::ostream& operator<<(std::ostream& out, const Gossip& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Gossip::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast85;
-          xfer += iprot->readI32(ecast85);
-          this->kind = static_cast<GossipKind::type>(ecast85);
-          this->__isset.kind = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->sequence);
-          this->__isset.sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->control_version);
-          this->__isset.control_version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->subject);
-          this->__isset.subject = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->updates.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->updates.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
-            {
-              xfer += this->updates[_i90].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.updates = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast91;
-          xfer += iprot->readI32(ecast91);
-          this->sender_state = static_cast<MemberState::type>(ecast91);
-          this->__isset.sender_state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Gossip::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Gossip");
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->sender);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("control_version", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->control_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->subject);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter92;
-    for (_iter92 = this->updates.begin(); _iter92 != this->updates.end(); ++_iter92)
-    {
-      xfer += (*_iter92).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender_state", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->sender_state));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Gossip &a, Gossip &b) {
-  using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.sequence, b.sequence);
-  swap(a.sender, b.sender);
-  swap(a.incarnation, b.incarnation);
-  swap(a.control_version, b.control_version);
-  swap(a.subject, b.subject);
-  swap(a.updates, b.updates);
-  swap(a.sender_state, b.sender_state);
-  swap(a.__isset, b.__isset);
-}
-
-Gossip::Gossip(const Gossip& other93) {
-  kind = other93.kind;
-  sequence = other93.sequence;
-  sender = other93.sender;
-  incarnation = other93.incarnation;
-  control_version = other93.control_version;
-  subject = other93.subject;
-  updates = other93.updates;
-  sender_state = other93.sender_state;
-  __isset = other93.__isset;
-}
-Gossip::Gossip(Gossip&& other94) noexcept {
-  kind = other94.kind;
-  sequence = other94.sequence;
-  sender = std::move(other94.sender);
-  incarnation = other94.incarnation;
-  control_version = other94.control_version;
-  subject = std::move(other94.subject);
-  updates = std::move(other94.updates);
-  sender_state = other94.sender_state;
-  __isset = other94.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other95) {
-  kind = other95.kind;
-  sequence = other95.sequence;
-  sender = other95.sender;
-  incarnation = other95.incarnation;
-  control_version = other95.control_version;
-  subject = other95.subject;
-  updates = other95.updates;
-  sender_state = other95.sender_state;
-  __isset = other95.__isset;
-  return *this;
-}
-Gossip& Gossip::operator=(Gossip&& other96) noexcept {
-  kind = other96.kind;
-  sequence = other96.sequence;
-  sender = std::move(other96.sender);
-  incarnation = other96.incarnation;
-  control_version = other96.control_version;
-  subject = std::move(other96.subject);
-  updates = std::move(other96.updates);
-  sender_state = other96.sender_state;
-  __isset = other96.__isset;
-  return *this;
-}
-void Gossip::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Gossip(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "control_version=" << to_string(control_version);
-  out << ", " << "subject=" << to_string(subject);
-  out << ", " << "updates=" << to_string(updates);
-  out << ", " << "sender_state=" << to_string(sender_state);
-  out << ")";
-}
-
-
 Frame::~Frame() noexcept {
 }
 
@@ -4400,82 +3910,82 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other97) {
-  hello = other97.hello;
-  heartbeat = other97.heartbeat;
-  reserve = other97.reserve;
-  granted = other97.granted;
-  queued = other97.queued;
-  refused = other97.refused;
-  start = other97.start;
-  payload_part = other97.payload_part;
-  chunk = other97.chunk;
-  finished = other97.finished;
-  failed = other97.failed;
-  cancel = other97.cancel;
-  resume = other97.resume;
-  service_call = other97.service_call;
-  pull_control = other97.pull_control;
-  control_state = other97.control_state;
-  __isset = other97.__isset;
+Frame::Frame(const Frame& other80) {
+  hello = other80.hello;
+  heartbeat = other80.heartbeat;
+  reserve = other80.reserve;
+  granted = other80.granted;
+  queued = other80.queued;
+  refused = other80.refused;
+  start = other80.start;
+  payload_part = other80.payload_part;
+  chunk = other80.chunk;
+  finished = other80.finished;
+  failed = other80.failed;
+  cancel = other80.cancel;
+  resume = other80.resume;
+  service_call = other80.service_call;
+  pull_control = other80.pull_control;
+  control_state = other80.control_state;
+  __isset = other80.__isset;
+}
+Frame::Frame(Frame&& other81) noexcept {
+  hello = std::move(other81.hello);
+  heartbeat = std::move(other81.heartbeat);
+  reserve = std::move(other81.reserve);
+  granted = std::move(other81.granted);
+  queued = std::move(other81.queued);
+  refused = std::move(other81.refused);
+  start = std::move(other81.start);
+  payload_part = std::move(other81.payload_part);
+  chunk = std::move(other81.chunk);
+  finished = std::move(other81.finished);
+  failed = std::move(other81.failed);
+  cancel = std::move(other81.cancel);
+  resume = std::move(other81.resume);
+  service_call = std::move(other81.service_call);
+  pull_control = std::move(other81.pull_control);
+  control_state = std::move(other81.control_state);
+  __isset = other81.__isset;
 }
-Frame::Frame(Frame&& other98) noexcept {
-  hello = std::move(other98.hello);
-  heartbeat = std::move(other98.heartbeat);
-  reserve = std::move(other98.reserve);
-  granted = std::move(other98.granted);
-  queued = std::move(other98.queued);
-  refused = std::move(other98.refused);
-  start = std::move(other98.start);
-  payload_part = std::move(other98.payload_part);
-  chunk = std::move(other98.chunk);
-  finished = std::move(other98.finished);
-  failed = std::move(other98.failed);
-  cancel = std::move(other98.cancel);
-  resume = std::move(other98.resume);
-  service_call = std::move(other98.service_call);
-  pull_control = std::move(other98.pull_control);
-  control_state = std::move(other98.control_state);
-  __isset = other98.__isset;
-}
-Frame& Frame::operator=(const Frame& other99) {
-  hello = other99.hello;
-  heartbeat = other99.heartbeat;
-  reserve = other99.reserve;
-  granted = other99.granted;
-  queued = other99.queued;
-  refused = other99.refused;
-  start = other99.start;
-  payload_part = other99.payload_part;
-  chunk = other99.chunk;
-  finished = other99.finished;
-  failed = other99.failed;
-  cancel = other99.cancel;
-  resume = other99.resume;
-  service_call = other99.service_call;
-  pull_control = other99.pull_control;
-  control_state = other99.control_state;
-  __isset = other99.__isset;
+Frame& Frame::operator=(const Frame& other82) {
+  hello = other82.hello;
+  heartbeat = other82.heartbeat;
+  reserve = other82.reserve;
+  granted = other82.granted;
+  queued = other82.queued;
+  refused = other82.refused;
+  start = other82.start;
+  payload_part = other82.payload_part;
+  chunk = other82.chunk;
+  finished = other82.finished;
+  failed = other82.failed;
+  cancel = other82.cancel;
+  resume = other82.resume;
+  service_call = other82.service_call;
+  pull_control = other82.pull_control;
+  control_state = other82.control_state;
+  __isset = other82.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other100) noexcept {
-  hello = std::move(other100.hello);
-  heartbeat = std::move(other100.heartbeat);
-  reserve = std::move(other100.reserve);
-  granted = std::move(other100.granted);
-  queued = std::move(other100.queued);
-  refused = std::move(other100.refused);
-  start = std::move(other100.start);
-  payload_part = std::move(other100.payload_part);
-  chunk = std::move(other100.chunk);
-  finished = std::move(other100.finished);
-  failed = std::move(other100.failed);
-  cancel = std::move(other100.cancel);
-  resume = std::move(other100.resume);
-  service_call = std::move(other100.service_call);
-  pull_control = std::move(other100.pull_control);
-  control_state = std::move(other100.control_state);
-  __isset = other100.__isset;
+Frame& Frame::operator=(Frame&& other83) noexcept {
+  hello = std::move(other83.hello);
+  heartbeat = std::move(other83.heartbeat);
+  reserve = std::move(other83.reserve);
+  granted = std::move(other83.granted);
+  queued = std::move(other83.queued);
+  refused = std::move(other83.refused);
+  start = std::move(other83.start);
+  payload_part = std::move(other83.payload_part);
+  chunk = std::move(other83.chunk);
+  finished = std::move(other83.finished);
+  failed = std::move(other83.failed);
+  cancel = std::move(other83.cancel);
+  resume = std::move(other83.resume);
+  service_call = std::move(other83.service_call);
+  pull_control = std::move(other83.pull_control);
+  control_state = std::move(other83.control_state);
+  __isset = other83.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -4729,58 +4239,58 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineWork::EngineWork(const EngineWork& other101) noexcept {
-  id = other101.id;
-  reading = other101.reading;
-  is_part = other101.is_part;
-  is_late = other101.is_late;
-  memory_tokens = other101.memory_tokens;
-  read_left_ms = other101.read_left_ms;
-  end_left_ms = other101.end_left_ms;
-  max_pause_ms = other101.max_pause_ms;
-  value_thousandths = other101.value_thousandths;
-  patience_ms = other101.patience_ms;
-  __isset = other101.__isset;
-}
-EngineWork::EngineWork(EngineWork&& other102) noexcept {
-  id = other102.id;
-  reading = other102.reading;
-  is_part = other102.is_part;
-  is_late = other102.is_late;
-  memory_tokens = other102.memory_tokens;
-  read_left_ms = other102.read_left_ms;
-  end_left_ms = other102.end_left_ms;
-  max_pause_ms = other102.max_pause_ms;
-  value_thousandths = other102.value_thousandths;
-  patience_ms = other102.patience_ms;
-  __isset = other102.__isset;
-}
-EngineWork& EngineWork::operator=(const EngineWork& other103) noexcept {
-  id = other103.id;
-  reading = other103.reading;
-  is_part = other103.is_part;
-  is_late = other103.is_late;
-  memory_tokens = other103.memory_tokens;
-  read_left_ms = other103.read_left_ms;
-  end_left_ms = other103.end_left_ms;
-  max_pause_ms = other103.max_pause_ms;
-  value_thousandths = other103.value_thousandths;
-  patience_ms = other103.patience_ms;
-  __isset = other103.__isset;
+EngineWork::EngineWork(const EngineWork& other84) noexcept {
+  id = other84.id;
+  reading = other84.reading;
+  is_part = other84.is_part;
+  is_late = other84.is_late;
+  memory_tokens = other84.memory_tokens;
+  read_left_ms = other84.read_left_ms;
+  end_left_ms = other84.end_left_ms;
+  max_pause_ms = other84.max_pause_ms;
+  value_thousandths = other84.value_thousandths;
+  patience_ms = other84.patience_ms;
+  __isset = other84.__isset;
+}
+EngineWork::EngineWork(EngineWork&& other85) noexcept {
+  id = other85.id;
+  reading = other85.reading;
+  is_part = other85.is_part;
+  is_late = other85.is_late;
+  memory_tokens = other85.memory_tokens;
+  read_left_ms = other85.read_left_ms;
+  end_left_ms = other85.end_left_ms;
+  max_pause_ms = other85.max_pause_ms;
+  value_thousandths = other85.value_thousandths;
+  patience_ms = other85.patience_ms;
+  __isset = other85.__isset;
+}
+EngineWork& EngineWork::operator=(const EngineWork& other86) noexcept {
+  id = other86.id;
+  reading = other86.reading;
+  is_part = other86.is_part;
+  is_late = other86.is_late;
+  memory_tokens = other86.memory_tokens;
+  read_left_ms = other86.read_left_ms;
+  end_left_ms = other86.end_left_ms;
+  max_pause_ms = other86.max_pause_ms;
+  value_thousandths = other86.value_thousandths;
+  patience_ms = other86.patience_ms;
+  __isset = other86.__isset;
   return *this;
 }
-EngineWork& EngineWork::operator=(EngineWork&& other104) noexcept {
-  id = other104.id;
-  reading = other104.reading;
-  is_part = other104.is_part;
-  is_late = other104.is_late;
-  memory_tokens = other104.memory_tokens;
-  read_left_ms = other104.read_left_ms;
-  end_left_ms = other104.end_left_ms;
-  max_pause_ms = other104.max_pause_ms;
-  value_thousandths = other104.value_thousandths;
-  patience_ms = other104.patience_ms;
-  __isset = other104.__isset;
+EngineWork& EngineWork::operator=(EngineWork&& other87) noexcept {
+  id = other87.id;
+  reading = other87.reading;
+  is_part = other87.is_part;
+  is_late = other87.is_late;
+  memory_tokens = other87.memory_tokens;
+  read_left_ms = other87.read_left_ms;
+  end_left_ms = other87.end_left_ms;
+  max_pause_ms = other87.max_pause_ms;
+  value_thousandths = other87.value_thousandths;
+  patience_ms = other87.patience_ms;
+  __isset = other87.__isset;
   return *this;
 }
 void EngineWork::printTo(std::ostream& out) const {
@@ -4851,14 +4361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->works.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->works.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->works.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->works[_i109].read(iprot);
+              xfer += this->works[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4891,10 +4401,10 @@
   xfer += oprot->writeFieldBegin("works", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->works.size()));
-    std::vector<EngineWork> ::const_iterator _iter110;
-    for (_iter110 = this->works.begin(); _iter110 != this->works.end(); ++_iter110)
+    std::vector<EngineWork> ::const_iterator _iter93;
+    for (_iter93 = this->works.begin(); _iter93 != this->works.end(); ++_iter93)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4912,26 +4422,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineWorks::EngineWorks(const EngineWorks& other111) {
-  engine = other111.engine;
-  works = other111.works;
-  __isset = other111.__isset;
+EngineWorks::EngineWorks(const EngineWorks& other94) {
+  engine = other94.engine;
+  works = other94.works;
+  __isset = other94.__isset;
 }
-EngineWorks::EngineWorks(EngineWorks&& other112) noexcept {
-  engine = std::move(other112.engine);
-  works = std::move(other112.works);
-  __isset = other112.__isset;
+EngineWorks::EngineWorks(EngineWorks&& other95) noexcept {
+  engine = std::move(other95.engine);
+  works = std::move(other95.works);
+  __isset = other95.__isset;
 }
-EngineWorks& EngineWorks::operator=(const EngineWorks& other113) {
-  engine = other113.engine;
-  works = other113.works;
-  __isset = other113.__isset;
+EngineWorks& EngineWorks::operator=(const EngineWorks& other96) {
+  engine = other96.engine;
+  works = other96.works;
+  __isset = other96.__isset;
   return *this;
 }
-EngineWorks& EngineWorks::operator=(EngineWorks&& other114) noexcept {
-  engine = std::move(other114.engine);
-  works = std::move(other114.works);
-  __isset = other114.__isset;
+EngineWorks& EngineWorks::operator=(EngineWorks&& other97) noexcept {
+  engine = std::move(other97.engine);
+  works = std::move(other97.works);
+  __isset = other97.__isset;
   return *this;
 }
 void EngineWorks::printTo(std::ostream& out) const {
@@ -5038,14 +4548,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->engines.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->engines.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->engines[_i119].read(iprot);
+              xfer += this->engines[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5126,10 +4636,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineWorks> ::const_iterator _iter120;
-    for (_iter120 = this->engines.begin(); _iter120 != this->engines.end(); ++_iter120)
+    std::vector<EngineWorks> ::const_iterator _iter103;
+    for (_iter103 = this->engines.begin(); _iter103 != this->engines.end(); ++_iter103)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5174,54 +4684,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryLoad::EntryLoad(const EntryLoad& other121) {
-  process_id = other121.process_id;
-  sequence = other121.sequence;
-  complete = other121.complete;
-  engines = other121.engines;
-  leaving = other121.leaving;
-  config_version = other121.config_version;
-  wants_reply = other121.wants_reply;
-  engines_digest = other121.engines_digest;
-  engines_offset = other121.engines_offset;
-  __isset = other121.__isset;
-}
-EntryLoad::EntryLoad(EntryLoad&& other122) noexcept {
-  process_id = std::move(other122.process_id);
-  sequence = other122.sequence;
-  complete = other122.complete;
-  engines = std::move(other122.engines);
-  leaving = other122.leaving;
-  config_version = other122.config_version;
-  wants_reply = other122.wants_reply;
-  engines_digest = other122.engines_digest;
-  engines_offset = other122.engines_offset;
-  __isset = other122.__isset;
-}
-EntryLoad& EntryLoad::operator=(const EntryLoad& other123) {
-  process_id = other123.process_id;
-  sequence = other123.sequence;
-  complete = other123.complete;
-  engines = other123.engines;
-  leaving = other123.leaving;
-  config_version = other123.config_version;
-  wants_reply = other123.wants_reply;
-  engines_digest = other123.engines_digest;
-  engines_offset = other123.engines_offset;
-  __isset = other123.__isset;
+EntryLoad::EntryLoad(const EntryLoad& other104) {
+  process_id = other104.process_id;
+  sequence = other104.sequence;
+  complete = other104.complete;
+  engines = other104.engines;
+  leaving = other104.leaving;
+  config_version = other104.config_version;
+  wants_reply = other104.wants_reply;
+  engines_digest = other104.engines_digest;
+  engines_offset = other104.engines_offset;
+  __isset = other104.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other105) noexcept {
+  process_id = std::move(other105.process_id);
+  sequence = other105.sequence;
+  complete = other105.complete;
+  engines = std::move(other105.engines);
+  leaving = other105.leaving;
+  config_version = other105.config_version;
+  wants_reply = other105.wants_reply;
+  engines_digest = other105.engines_digest;
+  engines_offset = other105.engines_offset;
+  __isset = other105.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other106) {
+  process_id = other106.process_id;
+  sequence = other106.sequence;
+  complete = other106.complete;
+  engines = other106.engines;
+  leaving = other106.leaving;
+  config_version = other106.config_version;
+  wants_reply = other106.wants_reply;
+  engines_digest = other106.engines_digest;
+  engines_offset = other106.engines_offset;
+  __isset = other106.__isset;
   return *this;
 }
-EntryLoad& EntryLoad::operator=(EntryLoad&& other124) noexcept {
-  process_id = std::move(other124.process_id);
-  sequence = other124.sequence;
-  complete = other124.complete;
-  engines = std::move(other124.engines);
-  leaving = other124.leaving;
-  config_version = other124.config_version;
-  wants_reply = other124.wants_reply;
-  engines_digest = other124.engines_digest;
-  engines_offset = other124.engines_offset;
-  __isset = other124.__isset;
+EntryLoad& EntryLoad::operator=(EntryLoad&& other107) noexcept {
+  process_id = std::move(other107.process_id);
+  sequence = other107.sequence;
+  complete = other107.complete;
+  engines = std::move(other107.engines);
+  leaving = other107.leaving;
+  config_version = other107.config_version;
+  wants_reply = other107.wants_reply;
+  engines_digest = other107.engines_digest;
+  engines_offset = other107.engines_offset;
+  __isset = other107.__isset;
   return *this;
 }
 void EntryLoad::printTo(std::ostream& out) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -172,32 +172,6 @@
   2: binary snapshot
 }
 
-// What one process has heard of another, spread by gossip.
-enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEAVING = 4 }
-
-struct MemberUpdate {
-  1: string host
-  2: MemberState state
-  // Set by the member itself; it raises it to refute a suspicion.
-  3: i64 incarnation
-}
-
-enum GossipKind { PING = 1, ACK = 2, PING_REQUEST = 3 }
-
-// One UDP datagram between members.
-struct Gossip {
-  1: GossipKind kind
-  2: i32 sequence
-  3: string sender
-  4: i64 incarnation
-  5: i64 control_version
-  // The member to be pinged for the sender, or, in an ACK, the member that
-  // answered.
-  6: string subject
-  7: list<MemberUpdate> updates
-  8: MemberState sender_state
-}
-
 struct Frame {
   1: optional Hello hello
   2: optional Heartbeat heartbeat
--- a/testsuite/common/bench.py
+++ b/testsuite/common/bench.py
@@ -73,7 +73,7 @@
         """Starts an entry that serves on while the balancer takes note."""
         return self.start(
             "entry-" + host, "entry", "--host", host, "--failure-domain",
-            domain, "--http-port", port, "--gossip-port", 0,
+            domain, "--http-port", port,
             "--drain-delay-ms", 1500, *self.platform_flags(), *args)
 
     def replace_entry(self, name):
--- a/testsuite/control_state/run.py
+++ b/testsuite/control_state/run.py
@@ -225,10 +225,10 @@
         self.wait_served()
 
     def signalled_entry_serves_on_for_its_delay(self):
-        port, gossip = f.free_ports(2)
+        (port,) = f.free_ports(1)
         process = self.fleet.start(
             "entry-e6", "entry", "--host", "e6", "--failure-domain", "north",
-            "--http-port", port, "--gossip-port", gossip, "--drain-delay-ms",
+            "--http-port", port, "--drain-delay-ms",
             2000, *self.fleet.platform_flags())
         f.wait_for("the entry serves", lambda: complete(port)[0] == 200)
         stream = Stream(port)
--- a/testsuite/measurements/capacity.py
+++ b/testsuite/measurements/capacity.py
@@ -80,14 +80,14 @@
             self.ports["side-" + name] = health
             listed.append(("side", name, port, f"d{i % 7}"))
         for i in range(entries):
-            port, gossip = next(ports), next(ports)
+            port = next(ports)
             name = f"e{i}"
             fleet.start("entry-" + name, "entry", "--host", name,
                         "--failure-domain", f"d{i % 7}", "--http-port", port,
-                        "--gossip-port", gossip, "--log-level", "error",
+                        "--log-level", "error",
                         *fleet.platform_flags())
             self.ports["entry-" + name] = port
-            listed.append(("entry", name, gossip, f"d{i % 7}"))
+            listed.append(("entry", name, 0, f"d{i % 7}"))
         f.call(fleet.hosts_port, "POST", "/v1/hosts", json.dumps({"hosts": [
             {"host": name, "role": role, "state": "live", "address": f.ADDRESS,
              "port": port, "failure_domain": domain}
--- a/testsuite/measurements/control_state.py
+++ b/testsuite/measurements/control_state.py
@@ -94,15 +94,14 @@
             url = self.dead if cut >= 1 else log
             cut -= 1 if cut >= 1 else 0
             kind = "side" if i < self.given.sides else "entry"
-            self.start_one(kind, i, url, next(free), next(free), next(free))
+            self.start_one(kind, i, url, next(free), next(free))
         self.accepted = {}
         self.version = self.fleet.publish(DOCUMENT)
         self.wait_all(self.version)
 
-    def start_one(self, kind, i, log, port, http_port, gossip_port):
+    def start_one(self, kind, i, log, port, http_port):
         name = f"{kind}-{i}"
-        ports = (["--port", port] if kind == "side"
-                 else ["--gossip-port", gossip_port])
+        ports = ["--port", port] if kind == "side" else []
         self.fleet.start(
             name, kind, "--host", name, "--failure-domain", f"d{i % 3}",
             "--http-port", http_port, *ports, "--threads", 1, "--log-url",
@@ -110,7 +109,7 @@
             f"http://{f.ADDRESS}:{self.fleet.hosts_port}")
         self.names.append(name)
         self.fleet.list_host(name, kind, port if kind == "side"
-                             else gossip_port, f"d{i % 3}")
+                             else 0, f"d{i % 3}")
 
     def times(self, name):
         """When each version was first in force at a process."""
