--- a/src/peridotshelf/command.h
+++ b/src/peridotshelf/command.h
@@ -17,6 +17,8 @@
 ExitCode RunLoad(Arguments args);
 /// What was decided about a request.
 ExitCode RunExplain(Arguments args);
+/// What logs say of one request.
+ExitCode RunStory(Arguments args);
 /// What daemons are doing.
 ExitCode RunStatus(Arguments args);
 ExitCode RunDemo(Arguments args);
--- a/src/peridotshelf/daemons.cc
+++ b/src/peridotshelf/daemons.cc
@@ -38,9 +38,7 @@
 
 }  // namespace
 
-void EntryDaemon::StartLeaving() {
-  m_entry->StartLeaving();
-}
+void EntryDaemon::StartLeaving() { m_entry->StartLeaving(); }
 
 Result<std::unique_ptr<EntryDaemon>> EntryDaemon::Create(
     io::IoThreads& threads, const settings::EntrySettings& settings) {
@@ -59,9 +57,7 @@
   return daemon;
 }
 
-void SideDaemon::StartLeaving() {
-  m_side->StartLeaving();
-}
+void SideDaemon::StartLeaving() { m_side->StartLeaving(); }
 
 Result<std::unique_ptr<SideDaemon>> SideDaemon::Create(
     io::IoThreads& threads, const settings::SideSettings& settings) {
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -28,6 +28,7 @@
     Command{"side", "serve entries beside backend servers", &RunSide},
     Command{"status", "show what entries and sides are doing", &RunStatus},
     Command{"explain", "show what was decided about a request", &RunExplain},
+    Command{"story", "join what logs say of one request", &RunStory},
     Command{"load", "send prompts and report what callers see", &RunLoad},
     Command{"demo", "run a whole small fleet on loopback", &RunDemo},
     Command{"standin", "stand in for engine, service, log, hosts or network",
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -75,9 +75,7 @@
       "side", "Guards the backend servers of its host and relays answers.");
   AddCommon(builder);
   builder
-      .Port(&S::port,
-            {"--port",
-             "Port for connections from entries; 0: any."})
+      .Port(&S::port, {"--port", "Port for connections from entries; 0: any."})
       .Port(&S::http_port,
             {"--http-port", "Port for health and metrics; 0: any."})
       .Milliseconds(
