--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -108,7 +108,13 @@
   needs.max_pause_ms = scheduling::MillisOf(live->route->max_pause);
   needs.value = live->value;
   const auto plan = scheduling::PlaceStream(needs, candidates);
-  if (!plan || !scheduling::ShouldStart(*plan, candidates)) return false;
+  if (!plan) return false;
+  const bool has_waited_long =
+      live->route->caller_patience > Duration::zero() &&
+      now - live->arrived > live->route->caller_patience / 2;
+  if (!scheduling::ShouldStart(*plan, candidates, has_waited_long)) {
+    return false;
+  }
   StartAttempt(live, *records[plan->first]);
   Attempt& attempt = *live->attempt;
   attempt.predicted_first_ms = plan->first_event_ms;
--- a/src/include/peridotshelf/scheduling/stream_placement.h
+++ b/src/include/peridotshelf/scheduling/stream_placement.h
@@ -78,8 +78,10 @@
 
 /// Whether a plan should be carried out now, or the request should wait for a
 /// better one. A late answer is worth little and its reading delays others, so
-/// late requests begin only while the fleet has little to read.
+/// late requests begin while the fleet has little to read, or, once half of
+/// their caller's patience is over, where they still gain more than they cost.
 bool ShouldStart(const StreamPlan& plan,
-                 std::span<const EngineCandidate> engines);
+                 std::span<const EngineCandidate> engines,
+                 bool has_waited_long = false);
 
 }  // namespace peridotshelf::scheduling
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -27,7 +27,7 @@
 constexpr double kOnTimeLoss = 0.6;
 /// Late requests begin while the fleet is at most this far behind.
 constexpr Millis kCalmBacklogMs = 50;
-constexpr double kMaxLateness = 5;
+constexpr double kMaxLateness = 2;
 /// Cost of each further engine in a reading: more engines may fail it.
 constexpr double kEngineCost = 0.004;
 constexpr double kFarCost = 0.002;
@@ -241,8 +241,9 @@
 }
 
 bool ShouldStart(const StreamPlan& plan,
-                 std::span<const EngineCandidate> engines) {
-  if (plan.is_on_time && plan.gain > 0) return true;
+                 std::span<const EngineCandidate> engines,
+                 bool has_waited_long) {
+  if (plan.gain > 0 && (plan.is_on_time || has_waited_long)) return true;
   return MeanBacklog(engines) <= kCalmBacklogMs;
 }
 
--- a/src/scheduling/stream_placement_test.cc
+++ b/src/scheduling/stream_placement_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(PlaceStream_CalmEngines_KeepsShortStreamsTogether);
   CPPUNIT_TEST(ShouldStart_LateWhileFleetIsBehind_Waits);
   CPPUNIT_TEST(ShouldStart_LateWhileFleetIsCalm_Starts);
+  CPPUNIT_TEST(ShouldStart_WaitedLong_StartsWhereItHarmsNobody);
   CPPUNIT_TEST(PlaceStream_MixedLoad_KeepsMorePausesThanLeastBacklog);
   CPPUNIT_TEST_SUITE_END();
 
@@ -170,6 +171,17 @@
     CPPUNIT_ASSERT(ShouldStart(*plan, engines));
   }
 
+  void ShouldStart_WaitedLong_StartsWhereItHarmsNobody() {
+    auto engines = Engines(4);
+    for (size_t i = 1; i < 4; ++i) engines[i].load.backlog_ms = 900;
+    StreamNeeds needs = ShortStream();
+    needs.objective_ms = 1;
+    const auto plan = PlaceStream(needs, engines);
+    CPPUNIT_ASSERT(plan && !plan->is_on_time);
+    CPPUNIT_ASSERT(!ShouldStart(*plan, engines));
+    CPPUNIT_ASSERT(ShouldStart(*plan, engines, /*has_waited_long=*/true));
+  }
+
   /// Short streams at a steady rate beside long prompts: what callers get, in
   /// value on time, against the engine with the least to read.
   void PlaceStream_MixedLoad_KeepsMorePausesThanLeastBacklog() {
