--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -136,6 +136,8 @@
   std::shared_ptr<const routing::Configuration> configuration;
   std::unordered_map<std::string, scheduling::EngineModel> models;
   std::unordered_map<std::string, EngineState> engine_states;
+  /// By address.
+  std::unordered_map<std::string, TimePoint> memory_full_until;
   /// By service.
   std::unordered_map<std::string, scheduling::RepeatBudget> budgets;
   std::unordered_map<uint64_t, LiveRequestPtr> live_requests;
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -13,6 +13,9 @@
 using scheduling::EngineCandidate;
 using scheduling::Work;
 
+/// An engine that refused a reservation has less memory than is known here; it
+/// gets no prompt for this long.
+constexpr Duration kMemoryFullPause = std::chrono::seconds(1);
 /// Peers' changes come often; what waits is tried again at most this often.
 constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
 /// When this many waiting requests found no place, the others find none either.
@@ -71,6 +74,10 @@
     candidate.engine = record->Key();
     candidate.model = &model;
     candidate.load = board.LoadOf(candidate.engine, now);
+    const auto full = memory_full_until.find(record->address);
+    if (full != memory_full_until.end() && now < full->second) {
+      candidate.load.memory_tokens = model.speed().memory_tokens;
+    }
     const EngineState& state = StateOf(candidate.engine);
     candidate.pace = state.health.Pace(now);
     candidate.success_rate = state.health.SuccessRate(now);
@@ -152,10 +159,14 @@
   reservations.Reserve(
       attempt.reservation, addresses, plan->reserve_tokens,
       [self = shared_from_this(), weak = std::weak_ptr(live),
-       number = attempt.number](bool granted) {
+       number = attempt.number](const std::vector<std::string>& refused) {
+        const TimePoint answered = SteadyClock().Now();
+        for (const std::string& address : refused) {
+          self->memory_full_until[address] = answered + kMemoryFullPause;
+        }
         const auto held = weak.lock();
         if (!held || !held->attempt || held->attempt->number != number) return;
-        if (granted) {
+        if (refused.empty()) {
           self->Send(held);
         } else {
           self->Fail(held, FailureCause::kNoMemory, "reservation refused");
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -27,9 +27,9 @@
   std::vector<std::string> addresses;
   int64_t tokens = 0;
   size_t unanswered = 0;
-  bool refused = false;
+  std::vector<std::string> refused;
   bool released = false;
-  std::function<void(bool)> on_done;
+  OnDone on_done;
 };
 
 void Reservations::Ask(const GroupPtr& group, const std::string& address,
@@ -58,8 +58,7 @@
 
 void Reservations::Reserve(const std::string& id,
                            std::span<const std::string> addresses,
-                           int64_t tokens,
-                           std::function<void(bool granted)> on_done) {
+                           int64_t tokens, OnDone on_done) {
   auto group = std::make_shared<Group>();
   group->shared = m_shared;
   group->id = id;
@@ -69,16 +68,15 @@
   group->on_done = std::move(on_done);
   m_groups[id] = group;
   for (const std::string& address : group->addresses) {
-    Ask(group, address, [this, group](bool granted) {
-      group->refused = group->refused || !granted;
+    Ask(group, address, [this, group, address](bool granted) {
+      if (!granted) group->refused.push_back(address);
       if (--group->unanswered > 0 || group->released) return;
-      const bool all = !group->refused;
-      if (all) {
+      if (group->refused.empty()) {
         Renew(group);
       } else {
         Release(group->id);
       }
-      std::exchange(group->on_done, nullptr)(all);
+      std::exchange(group->on_done, nullptr)(group->refused);
     });
   }
 }
--- a/src/gateway/reservations.h
+++ b/src/gateway/reservations.h
@@ -24,10 +24,13 @@
       : m_shared(
             std::make_shared<Shared>(Shared{threads, client, codec, hold})) {}
 
-  /// Asks each engine for `tokens` under `id`; `on_done` tells whether all
-  /// granted it. If not, what was granted is given back.
+  /// Called with the addresses of the engines that did not grant.
+  using OnDone = std::function<void(const std::vector<std::string>& refused)>;
+
+  /// Asks each engine for `tokens` under `id`; `on_done` tells which did not
+  /// grant it. If any did not, what the others granted is given back.
   void Reserve(const std::string& id, std::span<const std::string> addresses,
-               int64_t tokens, std::function<void(bool granted)> on_done);
+               int64_t tokens, OnDone on_done);
   /// Gives back all that is held under `id`.
   void Release(const std::string& id);
 
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -38,7 +38,7 @@
   PeerAddress own;
   /// Changes within this time, for each live peer, go in one datagram: the more
   /// peers, the fewer datagrams to each.
-  Duration gather_per_peer = std::chrono::milliseconds(2);
+  Duration gather_per_peer = std::chrono::microseconds(500);
   Duration max_gather = std::chrono::milliseconds(200);
   /// Peers that one datagram of changes goes to; others get it with the repeat.
   size_t max_receivers = 32;
