--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -280,6 +280,8 @@
 
 size_t Gateway::RunningCount() const { return m_impl->live_requests.size(); }
 
+size_t Gateway::WaitingCount() const { return m_impl->queue.size(); }
+
 void Gateway::AbortAll() {
   std::vector<LiveRequestPtr> open;
   for (const auto& [number, live] : m_impl->live_requests) open.push_back(live);
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -56,6 +56,8 @@
   void RefuseNewStreams();
   /// Requests without their final answer.
   size_t RunningCount() const;
+  /// Requests that wait for a place at an engine.
+  size_t WaitingCount() const;
   /// Ends all that still runs; for a process that has to stop now.
   void AbortAll();
 
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -101,6 +101,7 @@
   void FindPeers();
   bool IsReady() const;
   void NoteReadiness();
+  void AddMetrics();
   void ServeOperations(const http::ServerRequest& request,
                        http::Responder& responder);
 
@@ -312,6 +313,40 @@
   });
 }
 
+void GatewayDaemon::Impl::AddMetrics() {
+  const auto add = [this](const char* name, const char* help,
+                          std::function<double()> read) {
+    registry.AddReader({name, help, ""}, [read = std::move(read)] {
+      return std::vector<metrics::Sample>{{"", read()}};
+    });
+  };
+  const auto age = [](const Follower& follower) {
+    const Duration since = SteadyClock().Now() - follower.fresh_at();
+    return std::chrono::duration<double>(since).count();
+  };
+  add("peridotshelf_configuration_version", "The configuration in force.",
+      [this] {
+        const auto current = gateway->configuration();
+        return current ? static_cast<double>(current->version()) : 0;
+      });
+  add("peridotshelf_configuration_age_seconds",
+      "Since the store last answered about the configuration.",
+      [this, age] { return age(configuration_follower); });
+  add("peridotshelf_engines_known", "Engines that are registered.",
+      [this] { return static_cast<double>(engines.size()); });
+  add("peridotshelf_engines_age_seconds",
+      "Since the store last answered about engines.",
+      [this, age] { return age(engine_follower); });
+  add("peridotshelf_live_entries", "Entries heard from, this one included.",
+      [this] { return static_cast<double>(peers->LiveEntries()); });
+  add("peridotshelf_open_requests", "Requests without their final answer.",
+      [this] { return static_cast<double>(gateway->RunningCount()); });
+  add("peridotshelf_waiting_requests", "Requests that wait for a place.",
+      [this] { return static_cast<double>(gateway->WaitingCount()); });
+  add("peridotshelf_caller_connections", "Open connections of callers.",
+      [this] { return static_cast<double>(callers->counters().open); });
+}
+
 void GatewayDaemon::Impl::ServeOperations(const http::ServerRequest& request,
                                           http::Responder& responder) {
   if (request.path == "/metrics") {
@@ -371,6 +406,7 @@
         [this](const gateway::RecordsView& view) { CatchUp(view); });
     AdjustTiming();
   });
+  AddMetrics();
   configuration_follower.Start();
   engine_follower.Start();
   AnnounceSelf();
