--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,7 +50,7 @@
   responder->Reply(status, std::move(headers), "");
 }
 
-void Gateway::Impl::Handle(http::ServerRequest in,
+void Gateway::Impl::Handle(const http::ServerRequest& in,
                            const http::ResponderPtr& responder) {
   auto request = codec.read_request(in);
   if (!request) {
@@ -271,9 +271,9 @@
 
 void Gateway::NoteEnginesChanged() { m_impl->DrainQueueSoon(); }
 
-void Gateway::Handle(http::ServerRequest request,
-                     http::ResponderPtr responder) {
-  m_impl->Handle(std::move(request), responder);
+void Gateway::Handle(const http::ServerRequest& request,
+                     const http::ResponderPtr& responder) {
+  m_impl->Handle(request, responder);
 }
 
 void Gateway::RefuseNewStreams() { m_impl->refusing_streams = true; }
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -67,7 +67,7 @@
   request.connect_timeout = kConnectTimeout;
   // Callbacks come on the client's thread; each goes to the gateway's own.
   const auto post = [self = shared_from_this(), weak = std::weak_ptr(live),
-                     number = attempt.number](auto&& act) {
+                     number = attempt.number](auto act) {
     self->threads.Post([self, weak, number, act = std::move(act)] {
       const auto held = weak.lock();
       if (!held || !held->attempt || held->attempt->number != number) return;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -67,7 +67,8 @@
         random(std::random_device()()) {}
 
   // Arrival and end.
-  void Handle(http::ServerRequest in, const http::ResponderPtr& responder);
+  void Handle(const http::ServerRequest& in,
+              const http::ResponderPtr& responder);
   void Reject(const http::ResponderPtr& responder, const RequestId& id,
               int status, std::string_view reason);
   void Refuse(const LiveRequestPtr& live, Duration retry_after,
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -170,8 +170,8 @@
     m_port = testing::FreePort();
     m_front = std::move(*http::FrontServer::Create(
         *m_threads, "127.0.0.1", m_port,
-        [this](ServerRequest request, ResponderPtr responder) {
-          m_gateway->Handle(std::move(request), std::move(responder));
+        [this](const ServerRequest& request, const ResponderPtr& responder) {
+          m_gateway->Handle(request, responder);
         }));
   }
 
@@ -450,15 +450,15 @@
     FakeEngine& made = *engine;
     engine->server = std::move(*http::FrontServer::Create(
         *m_threads, "127.0.0.1", port,
-        [&made](ServerRequest request, const ResponderPtr& responder) {
-          ServeEngine(made, std::move(request), responder);
+        [&made](const ServerRequest& request, const ResponderPtr& responder) {
+          ServeEngine(made, request, responder);
         }));
     Register("engine-" + std::to_string(m_engines.size()), engine->address,
              service);
     m_engines.push_back(std::move(engine));
   }
 
-  static void ServeEngine(FakeEngine& engine, ServerRequest request,
+  static void ServeEngine(FakeEngine& engine, const ServerRequest& request,
                           const ResponderPtr& responder) {
     std::function<void(const ServerRequest&, const ResponderPtr&)> answer;
     {
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -111,13 +111,14 @@
   Shared& shared = *group->shared;
   http::ClientRequest request = shared.codec.write_release(address, group->id);
   request.timeout = kOrderTimeout;
-  shared.client.Fetch(std::move(request), [group, address, tries](
-                                              Result<http::ClientResponse> r) {
-    if (r || tries <= 1) return;
-    group->shared->threads.After(kReleaseRetryPause, [group, address, tries] {
-      GiveBack(group, address, tries - 1);
-    });
-  });
+  shared.client.Fetch(
+      std::move(request),
+      [group, address, tries](const Result<http::ClientResponse>& response) {
+        if (response || tries <= 1) return;
+        group->shared->threads.After(
+            kReleaseRetryPause,
+            [group, address, tries] { GiveBack(group, address, tries - 1); });
+      });
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -50,7 +50,8 @@
   /// Engines came or went.
   void NoteEnginesChanged();
   /// Answers one request.
-  void Handle(http::ServerRequest request, http::ResponderPtr responder);
+  void Handle(const http::ServerRequest& request,
+              const http::ResponderPtr& responder);
   /// From now on new streams are refused, since they might not end before the
   /// process has to; short calls are still served.
   void RefuseNewStreams();
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -375,8 +375,9 @@
       registry, options);
   auto made_callers = http::FrontServer::Create(
       threads, settings.callers.ip, settings.callers.port,
-      [this](http::ServerRequest request, http::ResponderPtr responder) {
-        gateway->Handle(std::move(request), std::move(responder));
+      [this](const http::ServerRequest& request,
+             const http::ResponderPtr& responder) {
+        gateway->Handle(request, responder);
       });
   if (!made_callers) return tl::unexpected<Error>(made_callers.error());
   callers = std::move(*made_callers);
