Drop log lines that a pipe could not take whole; test a reader that stopped

A pipe that polls writable takes PIPE_BUF bytes without waiting; a longer line could have blocked the process. The new test fills standard output with lines nobody reads and asks for the count of what was dropped.

--- a/src/events/events_test.cc
+++ b/src/events/events_test.cc
@@ -1,3 +1,7 @@
+#include <poll.h>
+#include <unistd.h>
+
+#include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <regex>
@@ -64,5 +68,53 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatLineTest);
 
+class StandardOutputTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StandardOutputTest);
+  CPPUNIT_TEST(Log_ReaderStopped_NeverWaitsAndCountsWhatItDropped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Standard output is a pipe that nobody reads; many lines, of events below
+  /// their limit a second, must pass without waiting. Afterwards, with the pipe
+  /// read, the next line tells how many were dropped.
+  void Log_ReaderStopped_NeverWaitsAndCountsWhatItDropped() {
+    int ends[2];
+    CPPUNIT_ASSERT(pipe(ends) == 0);
+    const int kept = dup(STDOUT_FILENO);
+    std::fflush(stdout);
+    dup2(ends[1], STDOUT_FILENO);
+    StartLogging(Level::kInfo, "test");
+    const std::string filler(1000, 'x');
+    for (const EventInfo& info : Catalogue()) {
+      for (int i = 0; i < 50; ++i) Log(info.id, {{"filler", filler}});
+    }
+    std::string written = ReadAll(ends[0]);
+    Log(EventId::kPeerLost, {{"peer", "p"}});
+    written = ReadAll(ends[0]);
+    dup2(kept, STDOUT_FILENO);
+    close(kept);
+    close(ends[0]);
+    close(ends[1]);
+    CPPUNIT_ASSERT(written.find("\"name\":\"peer_lost\"") != std::string::npos);
+    CPPUNIT_ASSERT(written.find("\"cause\":\"output_full\"") !=
+                   std::string::npos);
+  }
+
+ private:
+  /// What is in the pipe now.
+  static std::string ReadAll(int pipe_end) {
+    std::string all;
+    char buffer[4096];
+    pollfd input{pipe_end, POLLIN, 0};
+    while (poll(&input, 1, 0) == 1 && (input.revents & POLLIN) != 0) {
+      const ssize_t bytes = read(pipe_end, buffer, sizeof(buffer));
+      if (bytes <= 0) break;
+      all.append(buffer, static_cast<size_t>(bytes));
+    }
+    return all;
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StandardOutputTest);
+
 }  // namespace
 }  // namespace peridotshelf::events
--- a/src/events/log.cc
+++ b/src/events/log.cc
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -32,8 +33,10 @@
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
     const std::string line = event.getMessage() + "\n";
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
-    const bool writable =
-        poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    // A longer line could wait in the middle although the output polls
+    // writable.
+    const bool writable = line.size() <= PIPE_BUF && poll(&output, 1, 0) == 1 &&
+                          (output.revents & POLLOUT) != 0;
     if (!writable || write(STDOUT_FILENO, line.data(), line.size()) < 0) {
       ++m_dropped;
     }
