Follow the store apart from the daemon; say once what stood twice

A call to the store that ends after its caller is answered on the loop, which has stopped by then, not on a destroyed object. Gone since nothing read them: whether a request waits (the queue knows), a work's reading time, a peer's leaving, an engine's cold time, health path, connection limit and joint step.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,18 +4,13 @@
 
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/http/status.h"
 
 namespace peridotshelf::gateway {
 namespace {
 
 using events::EventId;
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 /// Time limit of a request whose caller and route name none.
 constexpr Duration kDefaultTimeLimit = std::chrono::seconds(30);
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
@@ -30,6 +25,22 @@
 /// time that they are told to wait.
 constexpr double kRetryAfterSpread = 0.5;
 
+/// The header that tells a caller when to come back, in seconds.
+http::Header RetryAfter(Duration wait) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f",
+                std::chrono::duration<double>(wait).count());
+  return {"Retry-After", text};
+}
+
+/// Tokens that the answer will probably have.
+int64_t ExpectedOutput(const CallerRequest& request) {
+  if (!request.prompt) return 0;
+  const int64_t most = std::max<int64_t>(request.prompt->max_output_tokens, 1);
+  return std::clamp<int64_t>(request.expected_output_tokens.value_or(most / 2),
+                             1, most);
+}
+
 }  // namespace
 
 void Gateway::Impl::Reject(const http::ResponderPtr& responder,
@@ -43,9 +54,8 @@
                {"config_version",
                 configuration ? configuration->version() : int64_t{0}}});
   std::vector<http::Header> headers;
-  if (status == kUnavailable) {
-    const double seconds = scheduling::MillisOf(kRetryAfterUnready) / 1000;
-    headers.push_back({"Retry-After", std::to_string(seconds)});
+  if (status == http::kUnavailable) {
+    headers.push_back(RetryAfter(kRetryAfterUnready));
   }
   responder->Reply(status, std::move(headers), "");
 }
@@ -54,38 +64,37 @@
                            const http::ResponderPtr& responder) {
   auto request = codec.read_request(in);
   if (!request) {
-    Reject(responder, RequestId(), kBadRequest, "bad_request");
+    Reject(responder, RequestId(), http::kBadRequest, "bad_request");
     return;
   }
   if (!configuration) {
-    Reject(responder, request->id, kUnavailable, "no_configuration");
+    Reject(responder, request->id, http::kUnavailable, "no_configuration");
     return;
   }
   const routing::Route* route =
       configuration->FindRoute(request->host, request->path);
   if (route == nullptr) {
-    Reject(responder, request->id, kNotFound, "no_route");
+    Reject(responder, request->id, http::kNotFound, "no_route");
     return;
   }
   if (refusing_streams && route->repetition == routing::Repetition::kStream) {
-    Reject(responder, request->id, kUnavailable, "stopping");
+    Reject(responder, request->id, http::kUnavailable, "stopping");
     return;
   }
   const routing::Team* team =
       request->key ? configuration->FindTeam(*request->key) : nullptr;
   if (configuration->keys_required() && !route->is_public && team == nullptr) {
-    Reject(responder, request->id, kUnauthorized, "unknown_key");
+    Reject(responder, request->id, http::kUnauthorized, "unknown_key");
     return;
   }
   std::uniform_real_distribution<double> draw(0, 1);
   const routing::WeightedService* service =
       routing::PickService(*route, draw(random));
   if (service == nullptr) {
-    Reject(responder, request->id, kUnavailable, "no_service");
+    Reject(responder, request->id, http::kUnavailable, "no_service");
     return;
   }
   auto live = std::make_shared<LiveRequest>();
-  live->number = next_number++;
   live->request = std::move(*request);
   live->responder = responder;
   live->configuration = configuration;
@@ -96,31 +105,34 @@
     live->team = team->id;
     live->priority = team->priority.value_or(route->priority);
   }
-  const CallerRequest& taken = live->request;
-  if (taken.prompt) {
-    live->prompt_tokens = taken.prompt->prompt_tokens;
-    live->output_tokens = std::clamp<int64_t>(
-        taken.expected_output_tokens.value_or(taken.prompt->max_output_tokens /
-                                              2),
-        1, std::max<int64_t>(taken.prompt->max_output_tokens, 1));
+  TakeOn(live);
+}
+
+void Gateway::Impl::TakeOn(const LiveRequestPtr& live) {
+  const CallerRequest& request = live->request;
+  live->number = next_number++;
+  live->arrived = SteadyClock().Now();
+  if (request.prompt) {
+    live->prompt_tokens = request.prompt->prompt_tokens;
   } else if (ModelOf(*live) != nullptr) {
     live->prompt_tokens = kUnknownPromptTokens;
   }
+  live->output_tokens = ExpectedOutput(request);
   live->value = 1 + static_cast<double>(live->prompt_tokens) / kTokensPerValue;
-  live->last_event = taken.resume_after;
-  live->arrived = SteadyClock().Now();
-  Duration limit = taken.time_left.value_or(kDefaultTimeLimit);
-  if (route->time_limit > Duration::zero()) {
-    limit = std::min(limit, route->time_limit);
+  live->last_event = request.resume_after;
+  Duration limit = request.time_left.value_or(kDefaultTimeLimit);
+  if (live->route->time_limit > Duration::zero()) {
+    limit = std::min(limit, live->route->time_limit);
   }
   live->deadline = live->arrived + limit;
   live_requests.emplace(live->number, live);
-  auto budget = budgets.try_emplace(live->service, options.repeats).first;
-  budget->second.NoteRequest(live->arrived);
-  responder->OnHangUp([self = shared_from_this(), weak = std::weak_ptr(live)] {
+  budgets.try_emplace(live->service, options.repeats)
+      .first->second.NoteRequest(live->arrived);
+  const std::weak_ptr<LiveRequest> weak = live;
+  live->responder->OnHangUp([self = shared_from_this(), weak] {
     if (const auto held = weak.lock()) self->OnHangUp(held);
   });
-  threads.After(limit, [self = shared_from_this(), weak = std::weak_ptr(live)] {
+  threads.After(limit, [self = shared_from_this(), weak] {
     if (const auto held = weak.lock()) self->OnDeadline(held);
   });
   EnsureTicking();
@@ -145,8 +157,8 @@
     Refuse(live, kRetryAfterUnready, reason);
     return;
   }
-  live->responder->Reply(kBadGateway, {}, "");
-  Finish(live, kBadGateway, "lost_at_engine");
+  live->responder->Reply(http::kBadGateway, {}, "");
+  Finish(live, http::kBadGateway, "lost_at_engine");
 }
 
 Duration Gateway::Impl::Spread(Duration wait) {
@@ -162,19 +174,17 @@
     GiveUp(live, reason);
     return;
   }
-  const double seconds = scheduling::MillisOf(Spread(retry_after)) / 1000;
-  char text[32];
-  std::snprintf(text, sizeof(text), "%.2f", seconds);
+  const Duration wait = Spread(retry_after);
   events::Log(EventId::kRequestRefused,
               {{"request", live->request.id.value()},
-               {"status", kUnavailable},
+               {"status", http::kUnavailable},
                {"reason", std::string(reason)},
-               {"retry_after_s", seconds},
+               {"retry_after_s", std::chrono::duration<double>(wait).count()},
                {"sends", live->sends},
                {"queue", static_cast<int64_t>(queue.size())},
                {"config_version", live->configuration->version()}});
-  live->responder->Reply(kUnavailable, {{"Retry-After", text}}, "");
-  Finish(live, kUnavailable, "refused");
+  live->responder->Reply(http::kUnavailable, {RetryAfter(wait)}, "");
+  Finish(live, http::kUnavailable, "refused");
 }
 
 void Gateway::Impl::OnDeadline(const LiveRequestPtr& live) {
@@ -186,8 +196,8 @@
     live->responder->Abort();
     Finish(live, 0, "stream_cut");
   } else if (may_have_run) {
-    live->responder->Reply(kGatewayTimeout, {}, "");
-    Finish(live, kGatewayTimeout, "timed_out");
+    live->responder->Reply(http::kGatewayTimeout, {}, "");
+    Finish(live, http::kGatewayTimeout, "timed_out");
   } else {
     Refuse(live, kRetryAfterUnready, "deadline");
   }
@@ -202,7 +212,7 @@
 void Gateway::Impl::Finish(const LiveRequestPtr& live, int status,
                            std::string_view outcome) {
   if (std::exchange(live->is_done, true)) return;
-  if (live->is_waiting) queue.Remove(live->number);
+  queue.Remove(live->number);
   finished.With(outcome).Add();
   events::Log(
       EventId::kRequestFinished,
@@ -214,7 +224,7 @@
        {"engine", live->tried.empty() ? std::string() : live->tried.back()},
        {"sends", live->sends},
        {"prompt_tokens", live->prompt_tokens},
-       {"first_ms", std::lround(live->first_event_ms)},
+       {"first_ms", std::lround(live->first_event_ms.value_or(0))},
        {"predicted_ms", std::lround(live->predicted_first_ms)},
        {"longest_pause_ms", std::lround(live->longest_pause_ms)},
        {"ms", ToMilliseconds(SteadyClock().Now() - live->arrived)},
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -3,6 +3,7 @@
 
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/http/status.h"
 
 namespace peridotshelf::gateway {
 namespace {
@@ -10,7 +11,6 @@
 using events::EventId;
 using scheduling::Work;
 
-constexpr int kServerError = 500;
 /// Time to connect to an engine: a few round trips between failure domains.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
 /// A stream that had events goes on at another engine after this share of the
@@ -117,7 +117,7 @@
   Attempt& attempt = *live->attempt;
   if (!attempt.head) return;
   attempt.last_progress = SteadyClock().Now();
-  if (!live->IsStream() || attempt.head->status / 100 != 2) {
+  if (!live->IsStream() || !http::IsSuccess(attempt.head->status)) {
     attempt.body += data;
     return;
   }
@@ -133,7 +133,7 @@
   Attempt& attempt = *live.attempt;
   attempt.got_event = true;
   attempt.last_event_at = now;
-  if (live.first_event_ms == 0) {
+  if (!live.first_event_ms) {
     live.first_event_ms = MillisBetween(live.arrived, now);
     live.predicted_first_ms = attempt.predicted_first_ms;
   }
@@ -150,7 +150,11 @@
     work->end = now + FromMillis(attempt.predicted_write_ms);
     peers.NoteChange(attempt.engine_key);
   }
-  if (!attempt.reservation.empty()) return;
+  // Reserved parts keep their memory until the end.
+  if (attempt.reservation.empty()) RemoveParts(attempt);
+}
+
+void Gateway::Impl::RemoveParts(const Attempt& attempt) {
   for (const std::string& helper : attempt.helper_keys) {
     board.Remove(helper, attempt.number);
     peers.NoteChange(helper);
@@ -218,14 +222,14 @@
     return;
   }
   const int status = attempt.head->status;
-  if (status >= kServerError) {
+  if (status >= http::kServerError) {
     live->engine_failure = attempt.head;
     live->engine_failure_body = std::move(attempt.body);
     Fail(live, FailureCause::kEngineFailure,
          "status " + std::to_string(status));
     return;
   }
-  const bool is_event_stream = live->IsStream() && status / 100 == 2;
+  const bool is_event_stream = live->IsStream() && http::IsSuccess(status);
   if (is_event_stream && (attempt.events.HasRest() || !attempt.got_event)) {
     Fail(live, FailureCause::kBroken, "the stream ended within an event");
     return;
@@ -254,7 +258,7 @@
     live->responder->Reply(head.status, std::move(head.headers),
                            std::move(body));
   }
-  Finish(live, status, status / 100 == 2 ? "served" : "engine_failure");
+  Finish(live, status, http::IsSuccess(status) ? "served" : "engine_failure");
 }
 
 void Gateway::Impl::EndAttempt(LiveRequest& live) {
@@ -263,10 +267,7 @@
   if (attempt.call) client.Cancel(*attempt.call);
   board.Remove(attempt.engine_key, attempt.number);
   peers.NoteChange(attempt.engine_key);
-  for (const std::string& helper : attempt.helper_keys) {
-    board.Remove(helper, attempt.number);
-    peers.NoteChange(helper);
-  }
+  RemoveParts(attempt);
   if (!attempt.reservation.empty()) reservations.Release(attempt.reservation);
   live.attempt.reset();
 }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -69,6 +69,9 @@
   // Arrival and end.
   void Handle(const http::ServerRequest& in,
               const http::ResponderPtr& responder);
+  /// Follows the request from now on, until its final answer.
+  void TakeOn(const LiveRequestPtr& live);
+  /// Answers what is not taken on.
   void Reject(const http::ResponderPtr& responder, const RequestId& id,
               int status, std::string_view reason);
   void Refuse(const LiveRequestPtr& live, Duration retry_after,
@@ -107,6 +110,16 @@
             std::string_view detail);
   void GiveUp(const LiveRequestPtr& live, std::string_view reason);
   void EndAttempt(LiveRequest& live);
+  /// The helpers have read their parts, or need not read them any more.
+  void RemoveParts(const Attempt& attempt);
+  /// What placement is told of the request.
+  static scheduling::StreamNeeds NeedsOf(const LiveRequest& live,
+                                         TimePoint now);
+  static bool HasWaitedLong(const LiveRequest& live, TimePoint now);
+  void LogPlacement(const LiveRequest& live, const scheduling::StreamPlan& plan,
+                    const scheduling::EngineCandidate& first);
+  /// Reserves memory at the try's helpers, then sends it.
+  void ReserveThenSend(const LiveRequestPtr& live, int64_t tokens);
   void PutWork(LiveRequest& live, const scheduling::StreamPlan& plan,
                const std::vector<scheduling::EngineCandidate>& candidates);
 
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -20,7 +20,6 @@
 constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
 /// When this many waiting requests found no place, the others find none either.
 constexpr int kMaxDrainFailures = 6;
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
 
 std::string JoinKeys(const std::vector<std::string>& keys) {
   std::string joined;
@@ -102,31 +101,37 @@
   if (must_queue || !TryStream(live, *model)) WaitOrRefuse(live, *model);
 }
 
+scheduling::StreamNeeds Gateway::Impl::NeedsOf(const LiveRequest& live,
+                                               TimePoint now) {
+  scheduling::StreamNeeds needs;
+  needs.prompt_tokens = live.prompt_tokens;
+  needs.output_tokens = live.output_tokens;
+  needs.objective_ms = std::max(
+      1.0, MillisBetween(now, live.arrived + live.route->latency_objective));
+  needs.max_pause_ms = scheduling::MillisOf(live.route->max_pause);
+  needs.value = live.value;
+  return needs;
+}
+
+bool Gateway::Impl::HasWaitedLong(const LiveRequest& live, TimePoint now) {
+  const Duration patience = live.route->caller_patience;
+  return patience > Duration::zero() && now - live.arrived > patience / 2;
+}
+
 bool Gateway::Impl::TryStream(const LiveRequestPtr& live,
                               const scheduling::EngineModel& model) {
   const TimePoint now = SteadyClock().Now();
   const auto records = Usable(*live);
   const auto candidates = Candidates(records, model);
-  scheduling::StreamNeeds needs;
-  needs.prompt_tokens = live->prompt_tokens;
-  needs.output_tokens = live->output_tokens;
-  needs.objective_ms = std::max(
-      1.0, MillisBetween(now, live->arrived + live->route->latency_objective));
-  needs.max_pause_ms = scheduling::MillisOf(live->route->max_pause);
-  needs.value = live->value;
-  const auto plan = scheduling::PlaceStream(needs, candidates);
-  if (!plan) return false;
-  const bool has_waited_long =
-      live->route->caller_patience > Duration::zero() &&
-      now - live->arrived > live->route->caller_patience / 2;
-  if (!scheduling::ShouldStart(*plan, candidates, has_waited_long)) {
+  const auto plan = scheduling::PlaceStream(NeedsOf(*live, now), candidates);
+  if (!plan ||
+      !scheduling::ShouldStart(*plan, candidates, HasWaitedLong(*live, now))) {
     return false;
   }
   StartAttempt(live, *records[plan->first]);
   Attempt& attempt = *live->attempt;
   attempt.predicted_first_ms = plan->first_event_ms;
   attempt.predicted_write_ms = plan->write_ms;
-  std::vector<std::string> addresses;
   if (plan->reserve_tokens > 0) {
     attempt.reservation =
         live->request.id.value() + "-" + std::to_string(attempt.number);
@@ -134,30 +139,48 @@
   for (const size_t index : plan->helpers) {
     attempt.helper_keys.push_back(candidates[index].engine);
     attempt.helpers.push_back({records[index]->address, attempt.reservation});
-    addresses.push_back(records[index]->address);
   }
   PutWork(*live, *plan, candidates);
-  events::Log(
-      EventId::kRequestPlaced,
-      {{"request", live->request.id.value()},
-       {"engine", attempt.engine_key},
-       {"helpers", static_cast<int64_t>(plan->helpers.size())},
-       {"helper_engines", JoinKeys(attempt.helper_keys)},
-       {"part_ms", std::lround(plan->part_ms)},
-       {"reserved_tokens", plan->reserve_tokens},
-       {"prompt_tokens", live->prompt_tokens},
-       {"predicted_ms", std::lround(plan->first_event_ms)},
-       {"backlog_ms", std::lround(candidates[plan->first].load.backlog_ms)},
-       {"running", candidates[plan->first].load.running},
-       {"pace", candidates[plan->first].pace},
-       {"gain", plan->gain},
-       {"waited_ms", ToMilliseconds(now - live->arrived)}});
+  LogPlacement(*live, *plan, candidates[plan->first]);
   if (attempt.reservation.empty()) {
     Send(live);
-    return true;
+  } else {
+    ReserveThenSend(live, plan->reserve_tokens);
+  }
+  return true;
+}
+
+void Gateway::Impl::LogPlacement(const LiveRequest& live,
+                                 const scheduling::StreamPlan& plan,
+                                 const EngineCandidate& first) {
+  const Attempt& attempt = *live.attempt;
+  const TimePoint now = SteadyClock().Now();
+  events::Log(EventId::kRequestPlaced,
+              {{"request", live.request.id.value()},
+               {"engine", attempt.engine_key},
+               {"helpers", static_cast<int64_t>(plan.helpers.size())},
+               {"helper_engines", JoinKeys(attempt.helper_keys)},
+               {"part_ms", std::lround(plan.part_ms)},
+               {"reserved_tokens", plan.reserve_tokens},
+               {"prompt_tokens", live.prompt_tokens},
+               {"predicted_ms", std::lround(plan.first_event_ms)},
+               {"backlog_ms", std::lround(first.load.backlog_ms)},
+               {"running", first.load.running},
+               {"pace", first.pace},
+               {"gain", plan.gain},
+               {"waited_ms", ToMilliseconds(now - live.arrived)}});
+}
+
+void Gateway::Impl::ReserveThenSend(const LiveRequestPtr& live,
+                                    int64_t tokens) {
+  const Attempt& attempt = *live->attempt;
+  std::vector<std::string> addresses;
+  addresses.reserve(attempt.helpers.size());
+  for (const HelperRef& helper : attempt.helpers) {
+    addresses.push_back(helper.address);
   }
   reservations.Reserve(
-      attempt.reservation, addresses, plan->reserve_tokens,
+      attempt.reservation, addresses, tokens,
       [self = shared_from_this(), weak = std::weak_ptr(live),
        number = attempt.number](const std::vector<std::string>& refused) {
         const TimePoint answered = SteadyClock().Now();
@@ -172,7 +195,6 @@
           self->Fail(held, FailureCause::kNoMemory, "reservation refused");
         }
       });
-  return true;
 }
 
 void Gateway::Impl::PutWork(LiveRequest& live,
@@ -191,7 +213,6 @@
     } else if (is_part) {
       work.memory_tokens = 0;
     }
-    work.read_ms = plan.part_ms;
     work.max_pause_ms = scheduling::MillisOf(live.route->max_pause);
     work.patience_ms = scheduling::MillisOf(live.route->caller_patience);
     work.value = live.value;
@@ -268,7 +289,6 @@
       live->arrived + live->route->latency_objective - FromMillis(begin_ms);
   waiting.give_up_at = give_up_at;
   queue.Add(waiting);
-  live->is_waiting = true;
   events::Log(EventId::kRequestWaits,
               {{"request", live->request.id.value()},
                {"place_in_ms", ToMilliseconds(decision.place_in)},
@@ -282,8 +302,7 @@
     const auto found = live_requests.find(id);
     if (found == live_requests.end()) continue;
     const LiveRequestPtr live = found->second;
-    live->is_waiting = false;
-    Refuse(live, kMinRetryAfter, "waited_too_long");
+    Refuse(live, Duration::zero(), "waited_too_long");
   }
   int failures = 0;
   for (const uint64_t id : queue.InOrder(now)) {
@@ -300,7 +319,6 @@
       continue;
     }
     queue.Remove(id);
-    live->is_waiting = false;
   }
   draining_queue = false;
 }
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -55,7 +55,6 @@
   TimePoint arrived{};
   TimePoint deadline{};
   bool is_done = false;
-  bool is_waiting = false;
   /// Engines that may have run it.
   int32_t runs = 0;
   /// Engines that it was sent to.
@@ -64,8 +63,8 @@
   std::optional<Attempt> attempt;
   /// The answer's head is with the caller.
   bool head_sent = false;
-  /// From arrival to the first event; 0 before it.
-  double first_event_ms = 0;
+  /// From arrival to the first event; none before it.
+  std::optional<double> first_event_ms;
   /// The same as predicted when the try that brought it was sent.
   double predicted_first_ms = 0;
   /// Between two events that the caller got.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -95,7 +95,6 @@
   int64_t last_sequence = 0;
   TimePoint heard_at{};
   bool is_live = false;
-  bool is_leaving = false;
 };
 
 }  // namespace
@@ -117,7 +116,6 @@
   int64_t sequence = 0;
   int64_t repeats = 0;
   size_t next_receiver = 0;
-  bool leaving = false;
   bool stopped = false;
   bool flush_due = false;
   std::set<std::string> changed;
@@ -147,7 +145,6 @@
   wire::EntryLoad load;
   load.process_id = process_id;
   load.sequence = ++sequence;
-  load.leaving = leaving;
   load.config_version = view.configuration_version;
   load.engines_digest = view.engines_digest;
   load.engines_offset = view.engines_offset;
@@ -279,7 +276,6 @@
   if (load->sequence <= peer.last_sequence) return;
   peer.last_sequence = load->sequence;
   peer.heard_at = now;
-  peer.is_leaving = load->leaving;
   if (!std::exchange(peer.is_live, true)) {
     events::Log(EventId::kPeerConnected, {{"peer", address}});
   }
@@ -363,11 +359,6 @@
   m_impl->on_peer_view = std::move(callback);
 }
 
-void PeerExchange::Leave() {
-  m_impl->leaving = true;
-  m_impl->SendWorks(m_impl->board.OwnEngines(), /*complete=*/true);
-}
-
 size_t PeerExchange::LiveEntries() const { return m_impl->LivePeers() + 1; }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -3,14 +3,13 @@
 #include <utility>
 
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/http/status.h"
 
 namespace peridotshelf::gateway {
 namespace {
 
 using events::EventId;
 
-constexpr int kOk = 200;
-constexpr int kAccepted = 202;
 /// An order that is not answered within this time may still be carried out.
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(600);
 /// Renewals in the time that a reservation holds: one may be lost, and it is
@@ -43,13 +42,13 @@
                               Result<http::ClientResponse> response) {
         const int status = response ? response->status : 0;
         group->shared->threads.Post([group, address, on_answer, status] {
-          events::Log(status == kOk ? EventId::kReservationGranted
-                                    : EventId::kReservationRefused,
+          events::Log(status == http::kOk ? EventId::kReservationGranted
+                                          : EventId::kReservationRefused,
                       {{"reservation", group->id},
                        {"engine", address},
                        {"tokens", group->tokens},
                        {"status", status}});
-          on_answer(status == kOk || status == kAccepted);
+          on_answer(status == http::kOk || status == http::kAccepted);
           // The order may have been carried out after the release.
           if (group->released) GiveBack(group, address, kReleaseTries);
         });
--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -8,6 +8,7 @@
 #include <limits>
 
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/http/status.h"
 
 namespace peridotshelf::http {
 namespace {
@@ -19,10 +20,6 @@
 /// How long a peer may leave sent bytes unacknowledged, in ms
 /// (TCP_USER_TIMEOUT).
 constexpr int kUserTimeoutMs = 8000;
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kHeaderTooLarge = 431;
 
 }  // namespace
 
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "front_connection.h"
+#include "peridotshelf/http/status.h"
 
 namespace peridotshelf::http {
 namespace {
@@ -11,7 +12,7 @@
 constexpr Duration kSweepInterval = std::chrono::milliseconds(500);
 
 bool HasNoBody(int status) {
-  return status == 204 || status == 304 || status / 100 == 1;
+  return status == kNoContent || status == kNotModified || status / 100 == 1;
 }
 
 /// Answers one request. All calls come on the server's thread.
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -28,8 +28,6 @@
   int64_t started_unix_ms = 0;
   /// Requests that it runs at once; 0 if it does not say.
   int32_t slots = 0;
-  /// How much longer it stays slow after its start.
-  Duration cold_left{};
 
   /// Names one start of one engine.
   std::string Key() const { return id + "@" + std::to_string(started_unix_ms); }
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -70,8 +70,6 @@
   void SetView(const RecordsView& view);
   /// Called with what a peer has read.
   void OnPeerView(std::function<void(const RecordsView&)> callback);
-  /// Tells peers that this entry is about to stop.
-  void Leave();
   /// Entries that are heard from, this one included.
   size_t LiveEntries() const;
 
--- a/src/include/peridotshelf/routing/configuration.h
+++ b/src/include/peridotshelf/routing/configuration.h
@@ -75,16 +75,11 @@
   int64_t read_tokens_per_step = 1;
   /// Steps of one pass over the batch while anything is written.
   int32_t steps_per_pass = 1;
-  /// Added to each step of a request whose prompt was read by several engines.
-  double joint_step_ms = 0;
 };
 
 /// Backend servers that do the same work.
 struct Service {
   std::string name;
-  std::string health_path;
-  /// Connections that one backend server takes from all callers.
-  int32_t max_connections = 0;
   /// Set for model engines, absent for plain services.
   std::optional<EngineSpeed> speed;
 };
--- a/src/include/peridotshelf/scheduling/load_board.h
+++ b/src/include/peridotshelf/scheduling/load_board.h
@@ -27,8 +27,6 @@
   bool is_late = false;
   /// Prompt and output tokens that it keeps in the engine's memory.
   int64_t memory_tokens = 0;
-  /// Reading that this work asks of this engine, at the stated speed.
-  Millis read_ms = 0;
   /// The longest pause between events that still is on time.
   Millis max_pause_ms = 0;
   /// The pause at which its caller gives up.
--- /dev/null
+++ b/src/peridotshelf/store_following.cc
@@ -0,0 +1,277 @@
+#include "peridotshelf/store_following.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "peridotshelf/events/log.h"
+#include "platform/configuration_json.h"
+#include "platform/engine_entry.h"
+
+namespace peridotshelf::program {
+namespace {
+
+using deployment::StoreTopic;
+using discovery::EngineRecord;
+using discovery::EngineState;
+using discovery::KeyedRecord;
+using events::EventId;
+
+/// The configuration comes as soon as it is published; one call waits this
+/// long. An answer that is lost shows only when the call times out, and a
+/// change must be in force before that is seen by callers.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(1500);
+/// Engines' entries change with each heartbeat, so they are polled. Entries
+/// tell each other of changes: together they poll at this interval, and each
+/// one at the longest interval by itself, well within the time in which a
+/// leaving engine may still get requests.
+constexpr Duration kEnginePollInterval = std::chrono::milliseconds(500);
+constexpr Duration kMaxEnginePollInterval = std::chrono::milliseconds(1400);
+/// With peers that tell of new versions, a call for the configuration may wait
+/// longer: a lost answer does not go unnoticed.
+constexpr Duration kConfigurationWaitWithPeers = std::chrono::seconds(6);
+constexpr Duration kTimingInterval = std::chrono::seconds(1);
+constexpr Duration kRetryPause = std::chrono::seconds(1);
+
+discovery::FollowTiming ConfigurationTiming(size_t live_entries) {
+  discovery::FollowTiming timing;
+  timing.wait =
+      live_entries > 1 ? kConfigurationWaitWithPeers : kConfigurationWait;
+  return timing;
+}
+
+discovery::FollowTiming EngineTiming(size_t live_entries) {
+  discovery::FollowTiming timing;
+  timing.pause =
+      std::min(kMaxEnginePollInterval,
+               kEnginePollInterval * static_cast<int64_t>(live_entries));
+  return timing;
+}
+
+}  // namespace
+
+StoreFollowing::StoreFollowing(io::IoThreads& threads, http::Client& client,
+                               const deployment::ProcessSettings& settings,
+                               gateway::PeerExchange& peers,
+                               discovery::EngineDirectory& engines,
+                               StoreCallbacks callbacks)
+    : m_threads(threads),
+      m_host(settings.host),
+      m_own_address(settings.peers.ToString()),
+      m_peers(peers),
+      m_engines(engines),
+      m_callbacks(std::move(callbacks)),
+      m_entry_topic(settings.store, deployment::kEntryTopic, client),
+      m_configuration_follower(
+          threads,
+          StoreTopic(settings.store, deployment::kOperatorTopic, client),
+          ConfigurationTiming(1), ConfigurationCallbacks()),
+      m_engine_follower(
+          threads, StoreTopic(settings.store, deployment::kEngineTopic, client),
+          EngineTiming(1), EngineCallbacks()) {}
+
+void StoreFollowing::Start() {
+  m_peers.OnPeerView(
+      [this](const gateway::RecordsView& view) { CatchUp(view); });
+  AdjustTiming();
+  m_configuration_follower.Start();
+  m_engine_follower.Start();
+  AnnounceSelf();
+  FindPeers();
+}
+
+int64_t StoreFollowing::Version() const {
+  return m_configuration ? m_configuration->version() : 0;
+}
+
+Duration StoreFollowing::ConfigurationAge() const {
+  return SteadyClock().Now() - m_configuration_follower.fresh_at();
+}
+
+Duration StoreFollowing::EnginesAge() const {
+  return SteadyClock().Now() - m_engine_follower.fresh_at();
+}
+
+discovery::FollowCallbacks StoreFollowing::ConfigurationCallbacks() {
+  discovery::FollowCallbacks callbacks;
+  callbacks.on_all = [this](const auto& records) {
+    TakeConfiguration(records);
+  };
+  callbacks.on_changes = callbacks.on_all;
+  callbacks.on_lost = [](const Error& error) {
+    events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
+                                         {"reason", error.detail}});
+  };
+  callbacks.on_back = [] {
+    events::Log(EventId::kRegistryBack,
+                {{"topic", deployment::kOperatorTopic}});
+  };
+  return callbacks;
+}
+
+void StoreFollowing::TakeConfiguration(
+    const std::vector<KeyedRecord>& records) {
+  const KeyedRecord* newest = nullptr;
+  for (const KeyedRecord& record : records) {
+    if (record.key == deployment::kConfigurationKey && record.value) {
+      newest = &record;
+    }
+  }
+  if (newest == nullptr) return;
+  auto parsed = deployment::ParseConfiguration(*newest->value);
+  if (!parsed) {
+    events::Log(EventId::kConfigurationRejected,
+                {{"reason", parsed.error().detail}});
+    return;
+  }
+  // An answer that was long on its way must not bring an older version back.
+  if (parsed->version() <= Version()) return;
+  events::Log(EventId::kConfigurationAdopted,
+              {{"config_version", parsed->version()},
+               {"before", Version()},
+               {"routes", static_cast<int64_t>(parsed->route_count())}});
+  m_configuration =
+      std::make_shared<const routing::Configuration>(std::move(*parsed));
+  ShareView();
+  m_callbacks.on_configuration(m_configuration);
+}
+
+discovery::FollowCallbacks StoreFollowing::EngineCallbacks() {
+  discovery::FollowCallbacks callbacks;
+  callbacks.on_all = [this](const auto& records) { TakeAllEngines(records); };
+  callbacks.on_changes = [this](const auto& records) {
+    for (const KeyedRecord& record : records) TakeEngine(record);
+    m_engines.Expire(SteadyClock().Now());
+    ShareView();
+    if (!records.empty()) m_callbacks.on_engines();
+  };
+  callbacks.on_lost = [this](const Error& error) {
+    events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
+                                         {"reason", error.detail}});
+    m_engines.NoteRegistryLost();
+  };
+  callbacks.on_back = [this] {
+    events::Log(EventId::kRegistryBack, {{"topic", deployment::kEngineTopic}});
+    m_engines.NoteRegistryBack(SteadyClock().Now());
+  };
+  return callbacks;
+}
+
+void StoreFollowing::TakeAllEngines(const std::vector<KeyedRecord>& records) {
+  std::vector<std::string> ids;
+  for (const KeyedRecord& record : records) {
+    if (!record.value) continue;
+    ids.push_back(record.key);
+    TakeEngine(record);
+  }
+  m_engines.KeepOnly(ids, SteadyClock().Now());
+  m_engines_known = true;
+  ShareView();
+  m_callbacks.on_engines();
+}
+
+void StoreFollowing::TakeEngine(const KeyedRecord& record) {
+  const TimePoint now = SteadyClock().Now();
+  const EngineRecord* known = m_engines.Find(record.key);
+  if (!record.value) {
+    if (known != nullptr) {
+      events::Log(EventId::kEngineGone, {{"engine", known->Key()}});
+    }
+    m_engines.Remove(record.key, now);
+    return;
+  }
+  const auto parsed = deployment::ParseEngineEntry(record.key, *record.value);
+  if (!parsed) {
+    if (m_rejected_entries.insert(record.key).second) {
+      events::Log(EventId::kEngineEntryRejected,
+                  {{"id", record.key}, {"reason", parsed.error().detail}});
+    }
+    m_engines.Remove(record.key, now);
+    return;
+  }
+  m_rejected_entries.erase(record.key);
+  const bool is_new = known == nullptr || known->Key() != parsed->Key();
+  const bool is_leaving = parsed->state == EngineState::kLeaving &&
+                          (is_new || known->state != EngineState::kLeaving);
+  if (is_new || is_leaving) {
+    events::Log(
+        is_leaving ? EventId::kEngineLeaving : EventId::kEngineRegistered,
+        {{"engine", parsed->Key()},
+         {"address", parsed->address},
+         {"service", parsed->service}});
+  }
+  m_engines.Update(*parsed);
+}
+
+void StoreFollowing::ShareView() {
+  gateway::RecordsView view;
+  view.configuration_version = Version();
+  view.engines_digest = m_engines.Digest();
+  view.engines_offset = m_engine_follower.next_offset();
+  m_peers.SetView(view);
+}
+
+void StoreFollowing::CatchUp(const gateway::RecordsView& peer) {
+  if (peer.configuration_version > Version()) {
+    m_configuration_follower.Hurry();
+  }
+  if (peer.engines_offset > m_engine_follower.next_offset() &&
+      peer.engines_digest != m_engines.Digest()) {
+    m_engine_follower.Hurry();
+  }
+}
+
+void StoreFollowing::AdjustTiming() {
+  const size_t live = m_peers.LiveEntries();
+  m_configuration_follower.SetTiming(ConfigurationTiming(live));
+  m_engine_follower.SetTiming(EngineTiming(live));
+  m_threads.After(kTimingInterval, [this] { AdjustTiming(); });
+}
+
+void StoreFollowing::AnnounceSelf() {
+  const nlohmann::json value = {{"address", m_own_address},
+                                {"host", m_host.value()}};
+  // The answer comes on the client's thread, maybe after this object's end.
+  m_entry_topic.Put(m_host.value(), value.dump(),
+                    [this, threads = &m_threads](const Result<void>& done) {
+                      if (!done)
+                        threads->Post([this, error = done.error()] {
+                          RetryLater("announce", error,
+                                     [this] { AnnounceSelf(); });
+                        });
+                    });
+}
+
+void StoreFollowing::FindPeers() {
+  m_entry_topic.ReadNewest(
+      [this, threads = &m_threads](Result<discovery::RecordPage> page) {
+        threads->Post([this, page = std::move(page)] {
+          if (page) {
+            AddPeers(page->records);
+          } else {
+            RetryLater("find_entries", page.error(), [this] { FindPeers(); });
+          }
+        });
+      });
+}
+
+void StoreFollowing::AddPeers(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    if (!record.value) continue;
+    const auto entry = nlohmann::json::parse(*record.value, nullptr,
+                                             /*allow_exceptions=*/false);
+    if (entry.is_object() && entry.contains("address") &&
+        entry["address"].is_string()) {
+      m_peers.AddPeer(entry["address"].get<std::string>());
+    }
+  }
+}
+
+void StoreFollowing::RetryLater(const char* call, const Error& error,
+                                std::function<void()> again) {
+  events::Log(EventId::kPlatformCallFailed,
+              {{"call", call}, {"reason", error.detail}});
+  m_threads.After(kRetryPause, std::move(again));
+}
+
+}  // namespace peridotshelf::program
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <numeric>
 
 namespace peridotshelf::scheduling {
 namespace {
@@ -20,16 +19,18 @@
 /// The same for the first event and its objective.
 constexpr double kFirstEventRiskFrom = 0.75;
 constexpr double kFirstEventRiskTo = 1.05;
-/// Value lost for each millisecond of waiting, in shares of the objective: of
-/// two plans on time the earlier one wins.
+/// Share of the value that a first event just at its objective costs against
+/// one at once: of two plans on time the earlier one wins.
 constexpr double kEarlinessWeight = 0.04;
 /// A plan counts as on time while it risks less than this share of the value.
 constexpr double kOnTimeLoss = 0.6;
 /// Late requests begin while the fleet is at most this far behind.
 constexpr Millis kCalmBacklogMs = 50;
+/// Times the objective; waiting beyond that costs no more.
 constexpr double kMaxLateness = 2;
 /// Cost of each further engine in a reading: more engines may fail it.
 constexpr double kEngineCost = 0.004;
+/// Cost of an engine in another failure domain, of two that are alike.
 constexpr double kFarCost = 0.002;
 /// Share of a stream's value that its being alone at an engine may cost.
 constexpr double kOpeningCost = 0.1;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4473,10 +4473,6 @@
   this->engines = val;
 }
 
-void EntryLoad::__set_leaving(const bool val) {
-  this->leaving = val;
-}
-
 void EntryLoad::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
@@ -4564,14 +4560,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaving);
-          this->__isset.leaving = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->config_version);
@@ -4645,10 +4633,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->leaving);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
@@ -4676,7 +4660,6 @@
   swap(a.sequence, b.sequence);
   swap(a.complete, b.complete);
   swap(a.engines, b.engines);
-  swap(a.leaving, b.leaving);
   swap(a.config_version, b.config_version);
   swap(a.wants_reply, b.wants_reply);
   swap(a.engines_digest, b.engines_digest);
@@ -4689,7 +4672,6 @@
   sequence = other104.sequence;
   complete = other104.complete;
   engines = other104.engines;
-  leaving = other104.leaving;
   config_version = other104.config_version;
   wants_reply = other104.wants_reply;
   engines_digest = other104.engines_digest;
@@ -4701,7 +4683,6 @@
   sequence = other105.sequence;
   complete = other105.complete;
   engines = std::move(other105.engines);
-  leaving = other105.leaving;
   config_version = other105.config_version;
   wants_reply = other105.wants_reply;
   engines_digest = other105.engines_digest;
@@ -4713,7 +4694,6 @@
   sequence = other106.sequence;
   complete = other106.complete;
   engines = other106.engines;
-  leaving = other106.leaving;
   config_version = other106.config_version;
   wants_reply = other106.wants_reply;
   engines_digest = other106.engines_digest;
@@ -4726,7 +4706,6 @@
   sequence = other107.sequence;
   complete = other107.complete;
   engines = std::move(other107.engines);
-  leaving = other107.leaving;
   config_version = other107.config_version;
   wants_reply = other107.wants_reply;
   engines_digest = other107.engines_digest;
@@ -4741,7 +4720,6 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "complete=" << to_string(complete);
   out << ", " << "engines=" << to_string(engines);
-  out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "wants_reply=" << to_string(wants_reply);
   out << ", " << "engines_digest=" << to_string(engines_digest);
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1740,12 +1740,11 @@
 std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
 
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), leaving(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
   bool engines :1;
-  bool leaving :1;
   bool config_version :1;
   bool wants_reply :1;
   bool engines_digest :1;
@@ -1763,7 +1762,6 @@
             : process_id(),
               sequence(0),
               complete(0),
-              leaving(0),
               config_version(0),
               wants_reply(0),
               engines_digest(0),
@@ -1775,7 +1773,6 @@
   int64_t sequence;
   bool complete;
   std::vector<EngineWorks>  engines;
-  bool leaving;
   int64_t config_version;
   bool wants_reply;
   int64_t engines_digest;
@@ -1791,8 +1788,6 @@
 
   void __set_engines(const std::vector<EngineWorks> & val);
 
-  void __set_leaving(const bool val);
-
   void __set_config_version(const int64_t val);
 
   void __set_wants_reply(const bool val);
@@ -1811,8 +1806,6 @@
       return false;
     if (!(engines == rhs.engines))
       return false;
-    if (!(leaving == rhs.leaving))
-      return false;
     if (!(config_version == rhs.config_version))
       return false;
     if (!(wants_reply == rhs.wants_reply))
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -218,7 +218,6 @@
   2: i64 sequence             // an older datagram that comes late is dropped
   3: bool complete            // engines that are not listed have no work
   4: list<EngineWorks> engines
-  5: bool leaving             // the sender is about to stop
   6: i64 config_version
   7: bool wants_reply         // the sender has not heard of the receiver
   8: i64 engines_digest       // of the engines that the sender knows
