Tell engines that are kept from engines that are gone, in logs

Removals found by a complete read, and the end of the grace, were not logged at all.

Changed: engine_gone (605) is logged when the engine gets no more requests, with the reason; engine_kept (608) when its registration is missing and it is still used. registry_back has the time since the last answer, and request_placed the age of the registrations that decided it. No decision changes.

--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotshelf::discovery {
 
@@ -10,27 +11,36 @@
   m_entries[record.id] = Entry{record, std::nullopt};
 }
 
-void EngineDirectory::Remove(const std::string& id, TimePoint now) {
+std::optional<MissingEngine> EngineDirectory::Remove(const std::string& id,
+                                                     TimePoint now) {
   const auto found = m_entries.find(id);
-  if (found == m_entries.end()) return;
+  if (found == m_entries.end()) return std::nullopt;
+  MissingEngine missing{found->second.record.Key()};
   // A leaving engine does not register again, so it gets no grace period.
   const bool in_grace = m_registry_lost || now < m_grace_until;
   if (!in_grace || found->second.record.state == EngineState::kLeaving) {
     m_entries.erase(found);
-    return;
+    return missing;
   }
-  if (!found->second.missing_since) found->second.missing_since = now;
+  if (found->second.missing_since) return std::nullopt;
+  found->second.missing_since = now;
+  missing.is_kept = true;
+  return missing;
 }
 
-void EngineDirectory::KeepOnly(const std::vector<std::string>& ids,
-                               TimePoint now) {
+std::vector<MissingEngine> EngineDirectory::KeepOnly(
+    const std::vector<std::string>& ids, TimePoint now) {
   std::vector<std::string> missing;
   for (const auto& [id, entry] : m_entries) {
     if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
       missing.push_back(id);
     }
   }
-  for (const std::string& id : missing) Remove(id, now);
+  std::vector<MissingEngine> removed;
+  for (const std::string& id : missing) {
+    if (auto engine = Remove(id, now)) removed.push_back(std::move(*engine));
+  }
+  return removed;
 }
 
 void EngineDirectory::NoteRegistryLost() { m_registry_lost = true; }
@@ -40,11 +50,15 @@
   m_grace_until = now + m_return_grace;
 }
 
-void EngineDirectory::Expire(TimePoint now) {
-  if (m_registry_lost || now < m_grace_until) return;
-  std::erase_if(m_entries, [](const auto& item) {
-    return item.second.missing_since.has_value();
+std::vector<MissingEngine> EngineDirectory::Expire(TimePoint now) {
+  std::vector<MissingEngine> expired;
+  if (m_registry_lost || now < m_grace_until) return expired;
+  std::erase_if(m_entries, [&expired](const auto& item) {
+    if (!item.second.missing_since) return false;
+    expired.push_back({item.second.record.Key()});
+    return true;
   });
+  return expired;
 }
 
 std::vector<const EngineRecord*> EngineDirectory::FindReadyEngines(
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -207,7 +207,8 @@
                {"running", first.load.running},
                {"pace", first.slowdown_factor},
                {"gain", plan.gain},
-               {"waited_ms", ToMilliseconds(now - live.arrived)}});
+               {"waited_ms", ToMilliseconds(now - live.arrived)},
+               {"engines_age_ms", ToMilliseconds(engines.ComputeAge(now))}});
 }
 
 void Gateway::Impl::ReserveThenSend(const LiveRequestPtr& live,
@@ -303,7 +304,8 @@
                {"engine", live->attempt->engine_key},
                {"running", servers[*chosen].running},
                {"call_ms", servers[*chosen].call_ms},
-               {"success_rate", servers[*chosen].success_rate}});
+               {"success_rate", servers[*chosen].success_rate},
+               {"engines_age_ms", ToMilliseconds(engines.ComputeAge(now))}});
   Send(live);
   return true;
 }
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -34,6 +34,15 @@
   friend bool operator==(const EngineRecord&, const EngineRecord&) = default;
 };
 
+/// An engine whose registration is gone.
+struct MissingEngine {
+  /// Key of the engine's last registration.
+  std::string engine;
+  /// The engine may still receive requests, since its registration may have
+  /// lapsed in a registry outage.
+  bool is_kept = false;
+};
+
 /// Tracks the registrations of engines. During a registry outage, registrations
 /// expire although their engines still run; running engines register again
 /// within `return_grace` after the registry recovers. Until then the directory
@@ -45,16 +54,24 @@
 
   /// Adds or replaces a registration.
   void Update(const EngineRecord& record);
-  /// Handles a registration of `id` that is gone or no longer valid.
-  void Remove(const std::string& id, TimePoint now);
+  /// Handles a registration of `id` that is gone or no longer valid. Returns
+  /// the engine unless it was unknown or already missing.
+  std::optional<MissingEngine> Remove(const std::string& id, TimePoint now);
   /// Handles a complete read of the registrations: removes all but `ids`.
-  void KeepOnly(const std::vector<std::string>& ids, TimePoint now);
+  /// Returns the removed engines.
+  std::vector<MissingEngine> KeepOnly(const std::vector<std::string>& ids,
+                                      TimePoint now);
   /// Records that the registry stopped responding.
   void NoteRegistryLost();
   /// Records that the registry responds again.
   void NoteRegistryRecovered(TimePoint now);
-  /// Removes the engines that are still missing after the grace period.
-  void Expire(TimePoint now);
+  /// Removes and returns the engines that are still missing after the grace
+  /// period.
+  std::vector<MissingEngine> Expire(TimePoint now);
+  /// Records that the registrations were read at `at`.
+  void NoteRegistryRead(TimePoint at) { m_registry_read_at = at; }
+  /// Time since the registrations were last read.
+  Duration ComputeAge(TimePoint now) const { return now - m_registry_read_at; }
 
   /// Returns the engines of `service` that may receive requests.
   std::vector<const EngineRecord*> FindReadyEngines(
@@ -75,6 +92,7 @@
   };
 
   Duration m_return_grace;
+  TimePoint m_registry_read_at{};
   bool m_registry_lost = false;
   TimePoint m_grace_until{};
   std::unordered_map<std::string, Entry> m_entries;
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -51,6 +51,7 @@
   kEngineGone = 605,
   kEngineEntryRejected = 606,
   kReadinessChanged = 607,
+  kEngineKept = 608,
   kBackendCallFailed = 700,
   kPeerConnected = 800,
   kPeerLost = 801,
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -115,8 +115,12 @@
   discovery::FollowCallbacks callbacks;
   callbacks.on_all = [this](const auto& records) { ApplyAllEngines(records); };
   callbacks.on_changes = [this](const auto& records) {
+    const TimePoint now = SteadyClock().Now();
+    m_engines.NoteRegistryRead(now);
     for (const KeyedRecord& record : records) ApplyEngine(record);
-    m_engines.Expire(SteadyClock().Now());
+    for (const auto& engine : m_engines.Expire(now)) {
+      LogMissingEngine(engine, "not_back");
+    }
     ShareProgress();
     if (!records.empty()) m_callbacks.on_engines();
   };
@@ -126,35 +130,49 @@
     m_engines.NoteRegistryLost();
   };
   callbacks.on_recovered = [this] {
-    events::Log(EventId::kRegistryBack, {{"topic", deployment::kEngineTopic}});
-    m_engines.NoteRegistryRecovered(SteadyClock().Now());
+    const TimePoint now = SteadyClock().Now();
+    events::Log(EventId::kRegistryBack,
+                {{"topic", deployment::kEngineTopic},
+                 {"unread_ms", ToMilliseconds(m_engines.ComputeAge(now))}});
+    m_engines.NoteRegistryRecovered(now);
   };
   return callbacks;
 }
 
 void StoreFollower::ApplyAllEngines(const std::vector<KeyedRecord>& records) {
+  const TimePoint now = SteadyClock().Now();
+  m_engines.NoteRegistryRead(now);
   std::vector<std::string> ids;
   for (const KeyedRecord& record : records) {
     if (!record.value) continue;
     ids.push_back(record.key);
     ApplyEngine(record);
   }
-  m_engines.KeepOnly(ids, SteadyClock().Now());
+  for (const auto& engine : m_engines.KeepOnly(ids, now)) {
+    LogMissingEngine(engine, "not_listed");
+  }
   m_has_all_engines = true;
   ShareProgress();
   m_callbacks.on_engines();
 }
 
+void StoreFollower::RemoveEngine(const std::string& id, const char* reason) {
+  const auto missing = m_engines.Remove(id, SteadyClock().Now());
+  if (missing) LogMissingEngine(*missing, reason);
+}
+
+void StoreFollower::LogMissingEngine(const discovery::MissingEngine& engine,
+                                     const char* reason) {
+  events::Log(engine.is_kept ? EventId::kEngineKept : EventId::kEngineGone,
+              {{"engine", engine.engine}, {"reason", std::string(reason)}});
+}
+
 void StoreFollower::ApplyEngine(const KeyedRecord& record) {
-  const TimePoint now = SteadyClock().Now();
-  const EngineRecord* current = m_engines.Find(record.key);
   if (!record.value) {
-    if (current != nullptr) {
-      events::Log(EventId::kEngineGone, {{"engine", current->Key()}});
-    }
-    m_engines.Remove(record.key, now);
+    RemoveEngine(record.key, "removed");
     return;
   }
+  const EngineRecord* current = m_engines.Find(record.key);
   const auto parsed =
       deployment::ParseEngineRegistration(record.key, *record.value);
   if (!parsed) {
@@ -162,7 +180,7 @@
       events::Log(EventId::kEngineEntryRejected,
                   {{"id", record.key}, {"reason", parsed.error().detail}});
     }
-    m_engines.Remove(record.key, now);
+    RemoveEngine(record.key, "not_valid");
     return;
   }
   m_rejected_entries.erase(record.key);
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -61,6 +61,10 @@
   void ApplyConfiguration(const std::vector<KeyedRecord>& records);
   void ApplyEngine(const KeyedRecord& record);
   void ApplyAllEngines(const std::vector<KeyedRecord>& records);
+  /// Removes the engine `id`, whose registration is gone for `reason`.
+  void RemoveEngine(const std::string& id, const char* reason);
+  static void LogMissingEngine(const discovery::MissingEngine& engine,
+                               const char* reason);
   int64_t Version() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
