Remove engines that leave after an outage at once, not after its grace

Cause: the directory kept every engine whose registration was removed within 2.8 s after the end of an outage, and dropped it at the next poll after that. The grace is for registrations that lapse while the store is away. It was also applied to removals written after the outage, to outages too short for a lapse, and to engines that left while only this entry was turned away and its peers read the store all the time. Class of fault: an entry takes the loss of its own connection for a failure of the registry, and lets that guess override records that it has read.

Changed: an outage is a time without reads by any entry that is long enough for a registration to lapse (two heartbeats). Entries tell each other when they last read the registrations (a new optional field of their datagrams). Only engines missing from the read that ends an outage are kept; the grace is the 2 s in which running engines register again, and ends by a timer instead of the next poll. All other removals take effect at once.

Why it works: removals after an outage, and removals while a peer reads the store, no longer depend on a guess. What is left of the grace ends 2 s after this entry's first read, about when the entry counts as undisturbed again.

EngineDirectoryTest::Remove_AfterRegistryOutage_ KeepsTheEngineUntilTheGraceEnds asserted the fault: it removed an engine 100 ms after the outage and expected it to stay. Its successor removes the engine in the read that ends the outage and checks the grace to the millisecond; three more cases assert that other removals are final. Disabling peer reads in the directory fails Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -19,9 +19,12 @@
   CPPUNIT_TEST_SUITE(EngineDirectoryTest);
   CPPUNIT_TEST(FindReadyEngines_LeavingEngine_IsExcluded);
   CPPUNIT_TEST(Remove_RegistryAvailable_RemovesTheEngineAtOnce);
-  CPPUNIT_TEST(Remove_AfterRegistryOutage_KeepsTheEngineUntilTheGraceEnds);
-  CPPUNIT_TEST(Remove_AfterRegistryOutage_KeepsEngineThatRegistersAgain);
-  CPPUNIT_TEST(Remove_LeavingEngineDuringOutage_RemovesItAtOnce);
+  CPPUNIT_TEST(Remove_InReadThatEndsAnOutage_KeepsTheEngineUntilTheGraceEnds);
+  CPPUNIT_TEST(Remove_InReadThatEndsAnOutage_KeepsEngineThatRegistersAgain);
+  CPPUNIT_TEST(Remove_InLaterReadAfterAnOutage_RemovesTheEngineAtOnce);
+  CPPUNIT_TEST(Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce);
+  CPPUNIT_TEST(Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce);
+  CPPUNIT_TEST(Remove_LeavingEngineAfterOutage_RemovesItAtOnce);
   CPPUNIT_TEST(KeepOnly_SomeIds_RemovesTheOthers);
   CPPUNIT_TEST(Update_RestartWithSameId_ReplacesTheEngine);
   CPPUNIT_TEST_SUITE_END();
@@ -35,30 +38,58 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), ready[0]->id);
   }
   void Remove_RegistryAvailable_RemovesTheEngineAtOnce() {
+    m_directory.BeginRead(kNow);
     m_directory.Update(MakeEngine("a"));
-    m_directory.Remove("a", kNow);
+    m_directory.BeginRead(kNow + seconds(1));
+    const auto missing = m_directory.Remove("a", kNow + seconds(1));
+    CPPUNIT_ASSERT(missing && !missing->is_kept);
     CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
   }
-  void Remove_AfterRegistryOutage_KeepsTheEngineUntilTheGraceEnds() {
-    SimulateRegistryOutage();
-    m_directory.Remove("a", kNow + milliseconds(100));
+  void Remove_InReadThatEndsAnOutage_KeepsTheEngineUntilTheGraceEnds() {
+    SimulateRegistryOutage(kOutage);
+    const auto missing = m_directory.Remove("a", kRecovered);
+    CPPUNIT_ASSERT(missing && missing->is_kept);
+    CPPUNIT_ASSERT(m_directory.Expire(kRecovered + milliseconds(1999)).empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
-    m_directory.Expire(kNow + seconds(1));
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
-    m_directory.Expire(kNow + seconds(3));
+    const auto expired = m_directory.Expire(kRecovered + seconds(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, expired.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a@0"), expired[0].engine);
     CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
   }
-  void Remove_AfterRegistryOutage_KeepsEngineThatRegistersAgain() {
-    SimulateRegistryOutage();
-    m_directory.Remove("a", kNow + milliseconds(100));
+  void Remove_InReadThatEndsAnOutage_KeepsEngineThatRegistersAgain() {
+    SimulateRegistryOutage(kOutage);
+    m_directory.Remove("a", kRecovered);
+    m_directory.BeginRead(kRecovered + seconds(1));
     m_directory.Update(MakeEngine("a"));
-    m_directory.Expire(kNow + seconds(3));
+    m_directory.Expire(kRecovered + seconds(3));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
   }
-  void Remove_LeavingEngineDuringOutage_RemovesItAtOnce() {
+  // Guards against requests to engines that leave soon after an outage.
+  void Remove_InLaterReadAfterAnOutage_RemovesTheEngineAtOnce() {
+    SimulateRegistryOutage(kOutage);
+    m_directory.BeginRead(kRecovered + milliseconds(100));
+    m_directory.Remove("a", kRecovered + milliseconds(100));
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+  }
+  // Guards against requests to engines that left while only this entry was cut
+  // off from the registry.
+  void Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a"));
+    m_directory.NotePeerRead(kRecovered - seconds(1));
+    m_directory.BeginRead(kRecovered);
+    m_directory.Remove("a", kRecovered);
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+  }
+  void Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce() {
+    SimulateRegistryOutage(kShortestLapse - milliseconds(1));
+    m_directory.Remove("a", kRecovered);
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+  }
+  void Remove_LeavingEngineAfterOutage_RemovesItAtOnce() {
+    SimulateRegistryOutage(kOutage);
     m_directory.Update(MakeEngine("a", EngineState::kLeaving));
-    m_directory.NoteRegistryLost();
-    m_directory.Remove("a", kNow);
+    m_directory.Remove("a", kRecovered);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_directory.size());
   }
   void KeepOnly_SomeIds_RemovesTheOthers() {
@@ -86,13 +117,19 @@
     engine.state = state;
     return engine;
   }
-  void SimulateRegistryOutage() {
+  /// Registers engine "a" and begins the read that ends an outage at
+  /// kRecovered.
+  void SimulateRegistryOutage(Duration outage) {
+    m_directory.BeginRead(kRecovered - outage);
     m_directory.Update(MakeEngine("a"));
-    m_directory.NoteRegistryLost();
-    m_directory.NoteRegistryRecovered(kNow);
+    m_directory.BeginRead(kRecovered);
   }
 
-  EngineDirectory m_directory{seconds(2)};
+  static constexpr Duration kOutage = seconds(8);
+  static constexpr Duration kShortestLapse = milliseconds(2400);
+  static constexpr TimePoint kRecovered = kNow + kOutage;
+
+  EngineDirectory m_directory{{kShortestLapse, seconds(2)}};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineDirectoryTest);
 
--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -17,8 +17,8 @@
   if (found == m_entries.end()) return std::nullopt;
   MissingEngine missing{found->second.record.Key()};
   // A leaving engine does not register again, so it gets no grace period.
-  const bool in_grace = m_registry_lost || now < m_grace_until;
-  if (!in_grace || found->second.record.state == EngineState::kLeaving) {
+  if (!m_is_after_outage ||
+      found->second.record.state == EngineState::kLeaving) {
     m_entries.erase(found);
     return missing;
   }
@@ -43,18 +43,19 @@
   return removed;
 }
 
-void EngineDirectory::NoteRegistryLost() { m_registry_lost = true; }
-
-void EngineDirectory::NoteRegistryRecovered(TimePoint now) {
-  m_registry_lost = false;
-  m_grace_until = now + m_return_grace;
+void EngineDirectory::BeginRead(TimePoint now) {
+  m_is_after_outage = now - m_registry_read_at >= m_timing.shortest_lapse;
+  m_read_at = now;
+  m_registry_read_at = now;
 }
 
 std::vector<MissingEngine> EngineDirectory::Expire(TimePoint now) {
   std::vector<MissingEngine> expired;
-  if (m_registry_lost || now < m_grace_until) return expired;
-  std::erase_if(m_entries, [&expired](const auto& item) {
-    if (!item.second.missing_since) return false;
+  std::erase_if(m_entries, [&](const auto& item) {
+    const auto& missing_since = item.second.missing_since;
+    if (!missing_since || now - *missing_since < m_timing.return_grace) {
+      return false;
+    }
     expired.push_back({item.second.record.Key()});
     return true;
   });
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -139,8 +139,8 @@
     m_client = std::make_unique<http::Client>();
     m_callers_client = std::make_unique<http::Client>();
     m_registry = std::make_unique<metrics::Registry>();
-    m_directory =
-        std::make_unique<discovery::EngineDirectory>(Duration(seconds(1)));
+    m_directory = std::make_unique<discovery::EngineDirectory>(
+        discovery::RegistrationTiming{seconds(1), seconds(1)});
     m_active_request_table = std::make_unique<scheduling::ActiveRequestTable>();
     PeerExchangeOptions exchange;
     exchange.local_address = {"127.0.0.1", testing::FindFreePort()};
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -90,6 +90,18 @@
   return request;
 }
 
+RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now) {
+  RecordsProgress progress;
+  progress.configuration_version = load.config_version;
+  progress.engines_digest = load.engines_digest;
+  progress.engines_offset = load.engines_offset;
+  if (load.__isset.engines_age_ms) {
+    const auto age = std::max<int64_t>(load.engines_age_ms, 0);
+    progress.engines_read_at = now - std::chrono::milliseconds(age);
+  }
+  return progress;
+}
+
 struct Peer {
   udp::endpoint endpoint;
   std::string process_id;
@@ -150,6 +162,10 @@
   load.config_version = progress.configuration_version;
   load.engines_digest = progress.engines_digest;
   load.engines_offset = progress.engines_offset;
+  if (progress.engines_read_at) {
+    load.__set_engines_age_ms(
+        ToMilliseconds(SteadyClock().Now() - *progress.engines_read_at));
+  }
   return load;
 }
 
@@ -297,8 +313,7 @@
     active_request_table.SetPeerRequests(address, engine_requests.engine,
                                          std::move(decoded));
   }
-  on_peer_progress(
-      {load->config_version, load->engines_digest, load->engines_offset});
+  on_peer_progress(ReadProgress(*load, now));
   on_peer_change();
 }
 
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -1,6 +1,7 @@
 /// The registered backend servers and their states.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,14 +44,36 @@
   bool is_kept = false;
 };
 
+/// How the registry treats engines that it does not hear from.
+struct RegistrationTiming {
+  /// The shortest registry outage in which the registration of a running engine
+  /// can lapse.
+  Duration shortest_lapse{};
+  /// Time after an outage within which running engines register again.
+  Duration return_grace{};
+
+  friend bool operator==(const RegistrationTiming&,
+                         const RegistrationTiming&) = default;
+};
+
 /// Tracks the registrations of engines. During a registry outage, registrations
-/// expire although their engines still run; running engines register again
-/// within `return_grace` after the registry recovers. Until then the directory
-/// keeps the known engines. Not thread-safe.
+/// lapse although their engines still run. The directory therefore keeps
+/// engines that are missing from the read that ends an outage until
+/// `return_grace` has passed. A removal found by any other read is final, since
+/// the registry was available to the engine. The registry was available while
+/// any entry read it; an entry that alone lost its connection has not seen an
+/// outage. Not thread-safe.
 class EngineDirectory {
  public:
-  explicit EngineDirectory(Duration return_grace)
-      : m_return_grace(return_grace) {}
+  explicit EngineDirectory(const RegistrationTiming& timing)
+      : m_timing(timing) {}
+
+  /// Starts the changes of one read of the registrations, made at `now`.
+  void BeginRead(TimePoint now);
+  /// Records that another entry read the registrations at `at`.
+  void NotePeerRead(TimePoint at) {
+    m_registry_read_at = std::max(m_registry_read_at, at);
+  }
 
   /// Adds or replaces a registration.
   void Update(const EngineRecord& record);
@@ -61,17 +84,11 @@
   /// Returns the removed engines.
   std::vector<MissingEngine> KeepOnly(const std::vector<std::string>& ids,
                                       TimePoint now);
-  /// Records that the registry stopped responding.
-  void NoteRegistryLost();
-  /// Records that the registry responds again.
-  void NoteRegistryRecovered(TimePoint now);
-  /// Removes and returns the engines that are still missing after the grace
+  /// Removes and returns the engines that have been missing for the grace
   /// period.
   std::vector<MissingEngine> Expire(TimePoint now);
-  /// Records that the registrations were read at `at`.
-  void NoteRegistryRead(TimePoint at) { m_registry_read_at = at; }
-  /// Time since the registrations were last read.
-  Duration ComputeAge(TimePoint now) const { return now - m_registry_read_at; }
+  /// Time since this entry last read the registrations.
+  Duration ComputeAge(TimePoint now) const { return now - m_read_at; }
 
   /// Returns the engines of `service` that may receive requests.
   std::vector<const EngineRecord*> FindReadyEngines(
@@ -87,14 +104,18 @@
  private:
   struct Entry {
     EngineRecord record;
-    /// Set while the registration is missing during the grace period.
+    /// Set while the registration is missing and the engine is kept.
     std::optional<TimePoint> missing_since;
   };
 
-  Duration m_return_grace;
+  RegistrationTiming m_timing;
+  /// Last read by this entry.
+  TimePoint m_read_at{};
+  /// Last read by any entry.
   TimePoint m_registry_read_at{};
-  bool m_registry_lost = false;
-  TimePoint m_grace_until{};
+  /// The current read ends an outage that was long enough for registrations to
+  /// lapse.
+  bool m_is_after_outage = false;
   std::unordered_map<std::string, Entry> m_entries;
 };
 
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   int64_t engines_digest = 0;
   /// Offset of the next registration to read.
   int64_t engines_offset = 0;
+  /// When the entry last read the registrations; none before the first read.
+  std::optional<TimePoint> engines_read_at;
 };
 
 struct PeerExchangeOptions {
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -27,7 +27,7 @@
 struct GatewayDaemon::Impl {
   explicit Impl(ProcessSettings process_settings)
       : settings(std::move(process_settings)),
-        engines(settings.engine_return_grace) {}
+        engines(settings.registrations) {}
 
   ~Impl() {
     // Destroying the server waits for the threads, so they must still run.
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -32,6 +32,7 @@
                              StoreCallbacks callbacks)
     : m_threads(threads),
       m_host(settings.host),
+      m_return_grace(settings.registrations.return_grace),
       m_local_address(settings.peers.ToString()),
       m_peers(peers),
       m_engines(engines),
@@ -116,32 +117,27 @@
   callbacks.on_all = [this](const auto& records) { ApplyAllEngines(records); };
   callbacks.on_changes = [this](const auto& records) {
     const TimePoint now = SteadyClock().Now();
-    m_engines.NoteRegistryRead(now);
+    m_engines.BeginRead(now);
     for (const KeyedRecord& record : records) ApplyEngine(record);
-    for (const auto& engine : m_engines.Expire(now)) {
-      LogMissingEngine(engine, "not_back");
-    }
     ShareProgress();
     if (!records.empty()) m_callbacks.on_engines();
   };
-  callbacks.on_lost = [this](const Error& error) {
+  callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
                                          {"reason", error.detail}});
-    m_engines.NoteRegistryLost();
   };
   callbacks.on_recovered = [this] {
-    const TimePoint now = SteadyClock().Now();
     events::Log(EventId::kRegistryBack,
                 {{"topic", deployment::kEngineTopic},
-                 {"unread_ms", ToMilliseconds(m_engines.ComputeAge(now))}});
-    m_engines.NoteRegistryRecovered(now);
+                 {"unread_ms",
+                  ToMilliseconds(m_engines.ComputeAge(SteadyClock().Now()))}});
   };
   return callbacks;
 }
 
 void StoreFollower::ApplyAllEngines(const std::vector<KeyedRecord>& records) {
   const TimePoint now = SteadyClock().Now();
-  m_engines.NoteRegistryRead(now);
+  m_engines.BeginRead(now);
   std::vector<std::string> ids;
   for (const KeyedRecord& record : records) {
     if (!record.value) continue;
@@ -149,7 +145,7 @@
     ApplyEngine(record);
   }
   for (const auto& engine : m_engines.KeepOnly(ids, now)) {
-    LogMissingEngine(engine, "not_listed");
+    NoteMissingEngine(engine, "not_listed");
   }
   m_has_all_engines = true;
   ShareProgress();
@@ -158,13 +154,22 @@
 
 void StoreFollower::RemoveEngine(const std::string& id, const char* reason) {
   const auto missing = m_engines.Remove(id, SteadyClock().Now());
-  if (missing) LogMissingEngine(*missing, reason);
+  if (missing) NoteMissingEngine(*missing, reason);
 }
 
-void StoreFollower::LogMissingEngine(const discovery::MissingEngine& engine,
-                                     const char* reason) {
+void StoreFollower::NoteMissingEngine(const discovery::MissingEngine& engine,
+                                      const char* reason) {
   events::Log(engine.is_kept ? EventId::kEngineKept : EventId::kEngineGone,
               {{"engine", engine.engine}, {"reason", std::string(reason)}});
+  if (engine.is_kept) {
+    m_threads.RunAfter(m_return_grace, [this] { ExpireEngines(); });
+  }
+}
+
+void StoreFollower::ExpireEngines() {
+  for (const auto& engine : m_engines.Expire(SteadyClock().Now())) {
+    NoteMissingEngine(engine, "not_back");
+  }
 }
 
 void StoreFollower::ApplyEngine(const KeyedRecord& record) {
@@ -202,10 +207,14 @@
   progress.configuration_version = Version();
   progress.engines_digest = m_engines.ComputeDigest();
   progress.engines_offset = m_engine_follower.next_offset();
+  if (m_has_all_engines) {
+    progress.engines_read_at = m_engine_follower.last_read_at();
+  }
   m_peers.SetRecordsProgress(progress);
 }
 
 void StoreFollower::CatchUp(const gateway::RecordsProgress& peer) {
+  if (peer.engines_read_at) m_engines.NotePeerRead(*peer.engines_read_at);
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
   }
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -63,8 +63,11 @@
   void ApplyAllEngines(const std::vector<KeyedRecord>& records);
   /// Removes the engine `id`, whose registration is gone for `reason`.
   void RemoveEngine(const std::string& id, const char* reason);
-  static void LogMissingEngine(const discovery::MissingEngine& engine,
-                               const char* reason);
+  /// Logs an engine whose registration is gone; if it is kept, schedules the
+  /// end of its grace period.
+  void NoteMissingEngine(const discovery::MissingEngine& engine,
+                         const char* reason);
+  void ExpireEngines();
   int64_t Version() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
@@ -79,6 +82,7 @@
 
   io::IoThreads& m_threads;
   HostId m_host;
+  Duration m_return_grace;
   std::string m_local_address;
   gateway::PeerExchange& m_peers;
   discovery::EngineDirectory& m_engines;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4488,6 +4488,11 @@
 void EntryLoad::__set_engines_offset(const int64_t val) {
   this->engines_offset = val;
 }
+
+void EntryLoad::__set_engines_age_ms(const int64_t val) {
+  this->engines_age_ms = val;
+__isset.engines_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -4592,6 +4597,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engines_age_ms);
+          this->__isset.engines_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4649,6 +4662,11 @@
   xfer += oprot->writeI64(this->engines_offset);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.engines_age_ms) {
+    xfer += oprot->writeFieldBegin("engines_age_ms", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->engines_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4664,6 +4682,7 @@
   swap(a.wants_reply, b.wants_reply);
   swap(a.engines_digest, b.engines_digest);
   swap(a.engines_offset, b.engines_offset);
+  swap(a.engines_age_ms, b.engines_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4676,6 +4695,7 @@
   wants_reply = other104.wants_reply;
   engines_digest = other104.engines_digest;
   engines_offset = other104.engines_offset;
+  engines_age_ms = other104.engines_age_ms;
   __isset = other104.__isset;
 }
 EntryLoad::EntryLoad(EntryLoad&& other105) noexcept {
@@ -4687,6 +4707,7 @@
   wants_reply = other105.wants_reply;
   engines_digest = other105.engines_digest;
   engines_offset = other105.engines_offset;
+  engines_age_ms = other105.engines_age_ms;
   __isset = other105.__isset;
 }
 EntryLoad& EntryLoad::operator=(const EntryLoad& other106) {
@@ -4698,6 +4719,7 @@
   wants_reply = other106.wants_reply;
   engines_digest = other106.engines_digest;
   engines_offset = other106.engines_offset;
+  engines_age_ms = other106.engines_age_ms;
   __isset = other106.__isset;
   return *this;
 }
@@ -4710,6 +4732,7 @@
   wants_reply = other107.wants_reply;
   engines_digest = other107.engines_digest;
   engines_offset = other107.engines_offset;
+  engines_age_ms = other107.engines_age_ms;
   __isset = other107.__isset;
   return *this;
 }
@@ -4724,6 +4747,7 @@
   out << ", " << "wants_reply=" << to_string(wants_reply);
   out << ", " << "engines_digest=" << to_string(engines_digest);
   out << ", " << "engines_offset=" << to_string(engines_offset);
+  out << ", " << "engines_age_ms="; (__isset.engines_age_ms ? (out << to_string(engines_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -225,4 +225,5 @@
   7: bool wants_reply         // the sender receives no load from the receiver
   8: i64 engines_digest       // digest of the engines known to the sender
   9: i64 engines_offset       // offset of the next registration to read
+ 10: optional i64 engines_age_ms  // time since the sender read registrations
 }
--- /dev/null
+++ b/testsuite/leave_after_outage/run.py
@@ -0,0 +1,86 @@
+"""Engines leave, without announcing it, a second after an outage of the store.
+
+python3 testsuite/leave_after_outage/run.py PROGRAM
+"""
+
+import asyncio
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "platform", "standin"))
+sys.path.insert(0, os.path.join(HERE, "..", "soak"))
+
+import fleet as fleets  # noqa: E402
+import callers as load  # noqa: E402
+from run import wait_until_ready  # noqa: E402
+
+SEED = 19
+GATEWAYS = 2
+# Prompts that any engine can run.
+load.PROMPT_TOKENS = (2_000,)
+OUTAGE_S = 4.0
+# Longer than the retry pause of a gateway, so that it has read the store again.
+OUTAGE_END_TO_LEAVE_S = 0.7
+LEAVE_TO_CHECK_S = 5.0
+
+
+def read_runs(history):
+    with open(history, encoding="utf-8") as file:
+        events = [json.loads(line) for line in file]
+    return [event for event in events if event["step"] == "run"]
+
+
+async def remove_engines_after_outage(fleet):
+    """Removes the registrations of all model engines but the least used one;
+    returns the removed ones and the time at which the store acknowledged the last
+    removal."""
+    await fleet.set_store_fault({"mode": "refuse"})
+    await asyncio.sleep(OUTAGE_S)
+    await fleet.set_store_fault({"mode": "ok"})
+    await asyncio.sleep(OUTAGE_END_TO_LEAVE_S)
+    runs = [run["engine"] for run in read_runs(fleet.history)]
+    models = [host.id for host in fleet.engines if host.service == "models"]
+    leaving = sorted(models, key=runs.count)[1:]
+    for engine in leaving:
+        await fleet.put_engine(engine, b"")
+    return leaving, time.time()
+
+
+async def main(program):
+    with tempfile.TemporaryDirectory() as folder:
+        net = f"127.{1 + os.getpid() % 250}.{SEED}"
+        fleet = fleets.Fleet(os.path.abspath(program), folder, net, GATEWAYS,
+                             fleets.STREAM_OBJECTIVE_S)
+        watchers = []
+        try:
+            await fleet.start()
+            watchers = [asyncio.ensure_future(gateway.watch_readiness())
+                        for gateway in fleet.gateways]
+            await wait_until_ready(fleet)
+            stop_event = asyncio.Event()
+            callers = asyncio.ensure_future(
+                load.Callers(fleet, random.Random(SEED)).run(stop_event))
+            leaving, removed_at = await remove_engines_after_outage(fleet)
+            await asyncio.sleep(LEAVE_TO_CHECK_S)
+            stop_event.set()
+            await callers
+            run_times = [run["at"] for run in read_runs(fleet.history)
+                         if run["engine"] in leaving]
+        finally:
+            for watcher in watchers:
+                watcher.cancel()
+            await fleet.stop()
+    last_run_s = max(run_times) - removed_at
+    print(f"the last of {len(run_times)} requests at the leaving engines ran "
+          f"{last_run_s:.2f} s after their removal, allowed "
+          f"{fleets.DRAIN_PROPAGATION_S} s")
+    return last_run_s <= fleets.DRAIN_PROPAGATION_S
+
+
+if __name__ == "__main__":
+    sys.exit(0 if asyncio.run(main(sys.argv[1])) else 1)
