Send no request to an engine that started to leave during a reservation

With the 1.4 s that an entry may need to learn of a leaving engine a request could arrive 2.35 s after the engine's word; 2 s are allowed. The measured reservations take a few milliseconds, so it needs slow engines too.

Cause: placement and sending are two steps, and the second one did not look at the directory again. Class: a decision used after the facts behind it have changed.

Changed: after the reservation the engines of the attempt must still be ready; otherwise the attempt fails as engine_left, which is not a send: it costs neither the engine's health nor the retry budget, the memory is released and the request is placed anew.

Tests that failed before (a request reached a leaving engine, expected none): GatewayStreamTest::Stream_EngineLeavesDuringReservation_IsNotSentThere and Stream_HelperLeavesDuringReservation_IsNotSent.

--- a/src/gateway/failure.cc
+++ b/src/gateway/failure.cc
@@ -18,6 +18,8 @@
       return "engine_failure";
     case FailureCause::kNoMemory:
       return "no_memory";
+    case FailureCause::kEngineLeft:
+      return "engine_left";
   }
   return "unknown";
 }
@@ -26,7 +28,7 @@
   return cause == FailureCause::kUnreachable ||
          cause == FailureCause::kNotRun ||
          cause == FailureCause::kOtherEngine ||
-         cause == FailureCause::kNoMemory;
+         cause == FailureCause::kNoMemory || cause == FailureCause::kEngineLeft;
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -309,6 +309,7 @@
       health.NoteFailure(now);
       break;
     case FailureCause::kNoMemory:
+    case FailureCause::kEngineLeft:
       break;
   }
   failed_attempts.With(ToString(cause)).Add();
@@ -335,7 +336,8 @@
     GiveUp(live, ToString(cause));
     return;
   }
-  const bool was_sent = cause != FailureCause::kNoMemory;
+  const bool was_sent =
+      cause != FailureCause::kNoMemory && cause != FailureCause::kEngineLeft;
   auto& budget = budgets.at(live->service);
   if (was_sent && !budget.TrySpend(now, peers.CountLiveEntries())) {
     GiveUp(live, "repeat_budget");
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -91,6 +91,8 @@
   std::string address;
   std::unique_ptr<http::FrontServer> server;
   std::function<void(const ServerRequest&, const ResponderPtr&)> handler;
+  /// Called on the loop thread before a reservation is granted.
+  std::function<void()> on_reserve = [] {};
   std::mutex mutex;
   std::vector<ServerRequest> requests;
   std::map<std::string, int64_t> reserved;
@@ -220,6 +222,7 @@
       std::scoped_lock lock(engine.mutex);
       const std::string id(request.FindQuery("id").value_or(""));
       if (request.path == "/reserve") {
+        engine.on_reserve();
         engine.reserved[id] =
             std::stoll(std::string(*request.FindQuery("tokens")));
         responder->Reply(200, {}, "");
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -132,6 +132,8 @@
   static bool HasWaitedLong(const LiveRequest& live, TimePoint now);
   void LogPlacement(const LiveRequest& live, const scheduling::StreamPlan& plan,
                     const scheduling::EngineCandidate& first);
+  /// Returns whether all engines of the attempt may still receive requests.
+  bool AreEnginesReady(const LiveRequest& live) const;
   /// Reserves memory at the helper engines of the attempt, then sends it.
   void ReserveThenSend(const LiveRequestPtr& live, int64_t tokens);
   void AddActiveRequests(
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -211,6 +211,20 @@
                {"engines_age_ms", ToMilliseconds(engines.ComputeAge(now))}});
 }
 
+bool Gateway::Impl::AreEnginesReady(const LiveRequest& live) const {
+  const auto ready = engines.FindReadyEngines(live.service);
+  const auto is_ready = [&ready](const std::string& key) {
+    return std::any_of(ready.begin(), ready.end(),
+                       [&key](const discovery::EngineRecord* record) {
+                         return record->Key() == key;
+                       });
+  };
+  const Attempt& attempt = *live.attempt;
+  return is_ready(attempt.engine_key) &&
+         std::all_of(attempt.helper_keys.begin(), attempt.helper_keys.end(),
+                     is_ready);
+}
+
 void Gateway::Impl::ReserveThenSend(const LiveRequestPtr& live,
                                     int64_t tokens) {
   const Attempt& attempt = *live->attempt;
@@ -230,11 +244,14 @@
         }
         const auto held = weak.lock();
         if (!held || !held->attempt || held->attempt->number != number) return;
-        if (refused_addresses.empty()) {
-          self->Send(held);
-        } else {
+        if (!refused_addresses.empty()) {
           self->Fail(held, FailureCause::kNoMemory,
                      "a helper engine refused the reservation");
+        } else if (!self->AreEnginesReady(*held)) {
+          self->Fail(held, FailureCause::kEngineLeft,
+                     "an engine started to leave during the reservation");
+        } else {
+          self->Send(held);
         }
       });
 }
--- a/src/gateway/gateway_stream_test.cc
+++ b/src/gateway/gateway_stream_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(RefuseNewStreams_StreamAndCall_OnlyStreamIsRefused);
   CPPUNIT_TEST(Stream_PromptOverOneEnginesMemory_ReservesAndReleases);
   CPPUNIT_TEST(Stream_StallsWithReservedMemory_ReleasesIt);
+  CPPUNIT_TEST(Stream_EngineLeavesDuringReservation_IsNotSentThere);
+  CPPUNIT_TEST(Stream_HelperLeavesDuringReservation_IsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,7 +211,46 @@
     outcome.get();
   }
 
+  // Guards against requests to an engine that started to leave while memory was
+  // reserved at helper engines.
+  void Stream_EngineLeavesDuringReservation_IsNotSentThere() {
+    AddModelEngines();
+    for (size_t helper = 0; helper < 3; ++helper) {
+      EngineAt(helper).on_reserve = [this, helper] {
+        for (size_t i = 0; i < 3; ++i) {
+          if (i != helper) MarkLeaving(i);
+        }
+      };
+    }
+    const int status = Call("/model/x", {{"Tokens", "15000"}}).status;
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, CountCalls());
+    CPPUNIT_ASSERT_EQUAL(503, status);
+  }
+
+  void Stream_HelperLeavesDuringReservation_IsNotSent() {
+    AddModelEngines();
+    for (size_t helper = 0; helper < 3; ++helper) {
+      EngineAt(helper).on_reserve = [this, helper] { MarkLeaving(helper); };
+    }
+    const int status = Call("/model/x", {{"Tokens", "15000"}}).status;
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, CountCalls());
+    CPPUNIT_ASSERT_EQUAL(503, status);
+  }
+
  private:
+  /// Starts three engines, of which two are needed for a prompt of 15,000
+  /// tokens.
+  void AddModelEngines() {
+    for (int i = 0; i < 3; ++i) AddEngine(&RespondOk, "models");
+    Configure();
+  }
+  /// Must be called on the loop thread.
+  void MarkLeaving(size_t index) {
+    discovery::EngineRecord record =
+        *m_directory->Find("engine-" + std::to_string(index));
+    record.state = discovery::EngineState::kLeaving;
+    m_directory->Update(record);
+  }
   size_t CountCalls() {
     size_t calls = 0;
     for (const auto& engine : m_engines) calls += engine->Count();
