Release a reservation once when its group ends with an answer

Changed: only an answer that finds the group released before is followed by another release. The tests of engines that leave during a reservation count the releases; with the former code they fail (two releases for one reservation).

--- a/src/gateway/gateway_stream_test.cc
+++ b/src/gateway/gateway_stream_test.cc
@@ -225,6 +225,7 @@
     const int status = Call("/model/x", {{"Tokens", "15000"}}).status;
     CPPUNIT_ASSERT_EQUAL(size_t{0}, CountCalls());
     CPPUNIT_ASSERT_EQUAL(503, status);
+    WaitForReleases(CountReservations());
   }
 
   void Stream_HelperLeavesDuringReservation_IsNotSent() {
@@ -235,6 +236,7 @@
     const int status = Call("/model/x", {{"Tokens", "15000"}}).status;
     CPPUNIT_ASSERT_EQUAL(size_t{0}, CountCalls());
     CPPUNIT_ASSERT_EQUAL(503, status);
+    WaitForReleases(CountReservations());
   }
 
  private:
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -49,9 +49,10 @@
                        {"engine", address},
                        {"tokens", group->tokens},
                        {"status", status}});
+          const bool was_released = group->is_released;
           on_answer(status == http::kOk || status == http::kAccepted);
           // The engine may have granted the reservation after the release.
-          if (group->is_released) SendRelease(group, address, kReleaseAttempts);
+          if (was_released) SendRelease(group, address, kReleaseAttempts);
         });
       });
 }
