Tell peers since when the registrations are read without an outage

What callers would see: after an outage in which all registrations lapse, four of five gateways dropped all engines until these registered again.

The first entry that read the store after the outage told its peers so at once; they took that for a proof that the registry had been available all the time.

Changed: the datagrams carry a second age, the time since which some entry has read the registrations without an outage in between. A peer's reads count only if they continue the reads known here. The directory computes the age of its engines from peers with the same engines, too; the digest for that is computed only after a change.

Test that failed before: EngineDirectoryTest::Remove_PeerReadsFirstAfterAnOutage_KeepsTheEngine.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -23,8 +23,12 @@
   CPPUNIT_TEST(Remove_InReadThatEndsAnOutage_KeepsEngineThatRegistersAgain);
   CPPUNIT_TEST(Remove_InLaterReadAfterAnOutage_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce);
+  CPPUNIT_TEST(Remove_PeerReadsFirstAfterAnOutage_KeepsTheEngine);
   CPPUNIT_TEST(Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_LeavingEngineAfterOutage_RemovesItAtOnce);
+  CPPUNIT_TEST(NotePeerReads_PeerHasSameEngines_LowersTheAge);
+  CPPUNIT_TEST(NotePeerReads_PeerHasOtherEngines_LeavesTheAge);
+  CPPUNIT_TEST(ComputeDigest_AfterEachChange_Differs);
   CPPUNIT_TEST(KeepOnly_SomeIds_RemovesTheOthers);
   CPPUNIT_TEST(Update_RestartWithSameId_ReplacesTheEngine);
   CPPUNIT_TEST_SUITE_END();
@@ -76,11 +80,21 @@
   void Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce() {
     m_directory.BeginRead(kNow);
     m_directory.Update(MakeEngine("a"));
-    m_directory.NotePeerRead(kRecovered - seconds(1));
+    m_directory.NotePeerReads({kNow - seconds(9), kRecovered - seconds(1)},
+                              kOtherDigest);
     m_directory.BeginRead(kRecovered);
     m_directory.Remove("a", kRecovered);
     CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
   }
+  void Remove_PeerReadsFirstAfterAnOutage_KeepsTheEngine() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a"));
+    const TimePoint peer_read_at = kRecovered - milliseconds(10);
+    m_directory.NotePeerReads({peer_read_at, peer_read_at}, kOtherDigest);
+    m_directory.BeginRead(kRecovered);
+    m_directory.Remove("a", kRecovered);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
+  }
   void Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce() {
     SimulateRegistryOutage(kShortestLapse - milliseconds(1));
     m_directory.Remove("a", kRecovered);
@@ -92,6 +106,31 @@
     m_directory.Remove("a", kRecovered);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_directory.size());
   }
+  void NotePeerReads_PeerHasSameEngines_LowersTheAge() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a"));
+    CPPUNIT_ASSERT(m_directory.NotePeerReads({kNow, kNow + seconds(3)},
+                                             m_directory.ComputeDigest()));
+    CPPUNIT_ASSERT(m_directory.ComputeAge(kNow + seconds(4)) == seconds(1));
+  }
+  void NotePeerReads_PeerHasOtherEngines_LeavesTheAge() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a"));
+    CPPUNIT_ASSERT(
+        !m_directory.NotePeerReads({kNow, kNow + seconds(3)}, kOtherDigest));
+    CPPUNIT_ASSERT(m_directory.ComputeAge(kNow + seconds(4)) == seconds(4));
+  }
+  void ComputeDigest_AfterEachChange_Differs() {
+    const int64_t none = m_directory.ComputeDigest();
+    m_directory.Update(MakeEngine("a"));
+    const int64_t ready = m_directory.ComputeDigest();
+    m_directory.Update(MakeEngine("a", EngineState::kLeaving));
+    const int64_t leaving = m_directory.ComputeDigest();
+    m_directory.Remove("a", kNow);
+    CPPUNIT_ASSERT(none != ready);
+    CPPUNIT_ASSERT(ready != leaving);
+    CPPUNIT_ASSERT_EQUAL(none, m_directory.ComputeDigest());
+  }
   void KeepOnly_SomeIds_RemovesTheOthers() {
     m_directory.Update(MakeEngine("a"));
     m_directory.Update(MakeEngine("b"));
@@ -125,6 +164,7 @@
     m_directory.BeginRead(kRecovered);
   }
 
+  static constexpr int64_t kOtherDigest = 1;
   static constexpr Duration kOutage = seconds(8);
   static constexpr Duration kShortestLapse = milliseconds(2400);
   static constexpr TimePoint kRecovered = kNow + kOutage;
--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -8,13 +8,17 @@
 namespace peridotshelf::discovery {
 
 void EngineDirectory::Update(const EngineRecord& record) {
-  m_entries[record.id] = Entry{record, std::nullopt};
+  Entry& entry = m_entries[record.id];
+  if (entry.record == record && !entry.missing_since) return;
+  entry = Entry{record, std::nullopt};
+  m_digest.reset();
 }
 
 std::optional<MissingEngine> EngineDirectory::Remove(const std::string& id,
                                                      TimePoint now) {
   const auto found = m_entries.find(id);
   if (found == m_entries.end()) return std::nullopt;
+  m_digest.reset();
   MissingEngine missing{found->second.record.Key()};
   // A leaving engine does not register again, so it gets no grace period.
   if (!m_is_after_outage ||
@@ -45,10 +49,24 @@
 
 void EngineDirectory::BeginRead(TimePoint now) {
   m_is_after_outage = now - m_registry_read_at >= m_timing.shortest_lapse;
-  m_read_at = now;
+  if (m_is_after_outage) m_reads.available_since = now;
+  m_reads.last = now;
+  m_fresh_at = now;
   m_registry_read_at = now;
 }
 
+bool EngineDirectory::NotePeerReads(const RegistryReads& reads,
+                                    int64_t digest) {
+  // A peer that reads the registry again after an outage does not show that it
+  // was available during the outage.
+  if (reads.available_since - m_registry_read_at < m_timing.shortest_lapse) {
+    m_registry_read_at = std::max(m_registry_read_at, reads.last);
+  }
+  if (digest != ComputeDigest()) return false;
+  m_fresh_at = std::max(m_fresh_at, reads.last);
+  return true;
+}
+
 std::vector<MissingEngine> EngineDirectory::Expire(TimePoint now) {
   std::vector<MissingEngine> expired;
   std::erase_if(m_entries, [&](const auto& item) {
@@ -80,6 +98,7 @@
 }
 
 int64_t EngineDirectory::ComputeDigest() const {
+  if (m_digest) return *m_digest;
   uint64_t digest = 0;
   for (const auto& [id, entry] : m_entries) {
     if (entry.missing_since) continue;
@@ -88,7 +107,8 @@
     // A sum is independent of the iteration order.
     digest += XXH64(key.data(), key.size(), is_ready ? 1 : 0);
   }
-  return static_cast<int64_t>(digest);
+  m_digest = static_cast<int64_t>(digest);
+  return *m_digest;
 }
 
 const EngineRecord* EngineDirectory::Find(const std::string& id) const {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -95,9 +95,12 @@
   progress.configuration_version = load.config_version;
   progress.engines_digest = load.engines_digest;
   progress.engines_offset = load.engines_offset;
-  if (load.__isset.engines_age_ms) {
-    const auto age = std::max<int64_t>(load.engines_age_ms, 0);
-    progress.engines_read_at = now - std::chrono::milliseconds(age);
+  if (load.__isset.engines_age_ms && load.__isset.engines_available_ms) {
+    const auto before_now = [now](int64_t millis) {
+      return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
+    };
+    progress.registry_reads = {before_now(load.engines_available_ms),
+                               before_now(load.engines_age_ms)};
   }
   return progress;
 }
@@ -162,9 +165,12 @@
   load.config_version = progress.configuration_version;
   load.engines_digest = progress.engines_digest;
   load.engines_offset = progress.engines_offset;
-  if (progress.engines_read_at) {
+  if (progress.registry_reads) {
+    const TimePoint now = SteadyClock().Now();
     load.__set_engines_age_ms(
-        ToMilliseconds(SteadyClock().Now() - *progress.engines_read_at));
+        ToMilliseconds(now - progress.registry_reads->last));
+    load.__set_engines_available_ms(
+        ToMilliseconds(now - progress.registry_reads->available_since));
   }
   return load;
 }
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -14,31 +14,37 @@
 
 class PeerExchangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerExchangeTest);
-  CPPUNIT_TEST(SetRecordsProgress_WithReadTime_ReachesPeer);
-  CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReadTime);
+  CPPUNIT_TEST(SetRecordsProgress_WithReads_ReachesPeer);
+  CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void SetRecordsProgress_WithReadTime_ReachesPeer() {
+  void SetRecordsProgress_WithReads_ReachesPeer() {
     RecordsProgress progress;
     progress.engines_digest = kDigest;
-    progress.engines_read_at = SteadyClock().Now() - seconds(5);
-    const RecordsProgress received = Exchange(progress);
-    CPPUNIT_ASSERT(received.engines_read_at.has_value());
-    // The age is sent in whole milliseconds.
-    CPPUNIT_ASSERT(*received.engines_read_at >= *progress.engines_read_at);
-    CPPUNIT_ASSERT(*received.engines_read_at <
-                   *progress.engines_read_at + seconds(4));
+    const TimePoint now = SteadyClock().Now();
+    progress.registry_reads = {now - seconds(60), now - seconds(30)};
+    const auto received = Exchange(progress).registry_reads;
+    CPPUNIT_ASSERT(received.has_value());
+    CPPUNIT_ASSERT(IsDelayed(progress.registry_reads->available_since,
+                             received->available_since));
+    CPPUNIT_ASSERT(IsDelayed(progress.registry_reads->last, received->last));
   }
-  void SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReadTime() {
+  void SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads() {
     RecordsProgress progress;
     progress.engines_digest = kDigest;
-    CPPUNIT_ASSERT(!Exchange(progress).engines_read_at);
+    CPPUNIT_ASSERT(!Exchange(progress).registry_reads);
   }
 
  private:
   static constexpr int64_t kDigest = 7;
 
+  /// Returns whether `received` is `sent` plus the transfer time. Times are
+  /// sent as ages in whole milliseconds.
+  static bool IsDelayed(TimePoint sent, TimePoint received) {
+    return received >= sent && received < sent + seconds(20);
+  }
+
   static std::unique_ptr<PeerExchange> CreateExchange(
       io::IoThreads& threads, scheduling::ActiveRequestTable& requests,
       const PeerAddress& address) {
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -56,6 +56,14 @@
                          const RegistrationTiming&) = default;
 };
 
+/// Reads of the registrations by one entry.
+struct RegistryReads {
+  /// Since then some entry has read them without an outage in between.
+  TimePoint available_since{};
+  /// The entry's last read.
+  TimePoint last{};
+};
+
 /// Tracks the registrations of engines. During a registry outage, registrations
 /// lapse although their engines still run. The directory therefore keeps
 /// engines that are missing from the read that ends an outage until
@@ -70,10 +78,11 @@
 
   /// Starts the changes of one read of the registrations, made at `now`.
   void BeginRead(TimePoint now);
-  /// Records that another entry read the registrations at `at`.
-  void NotePeerRead(TimePoint at) {
-    m_registry_read_at = std::max(m_registry_read_at, at);
-  }
+  /// Records the reads of another entry, whose engines have the digest
+  /// `digest`. Returns whether this directory has the same engines.
+  bool NotePeerReads(const RegistryReads& reads, int64_t digest);
+  /// Reads of this entry; only valid after the first one.
+  const RegistryReads& reads() const { return m_reads; }
 
   /// Adds or replaces a registration.
   void Update(const EngineRecord& record);
@@ -87,8 +96,9 @@
   /// Removes and returns the engines that have been missing for the grace
   /// period.
   std::vector<MissingEngine> Expire(TimePoint now);
-  /// Time since this entry last read the registrations.
-  Duration ComputeAge(TimePoint now) const { return now - m_read_at; }
+  /// Time since the engines of this directory were last read from the registry,
+  /// by this entry or by another one that has the same engines.
+  Duration ComputeAge(TimePoint now) const { return now - m_fresh_at; }
 
   /// Returns the engines of `service` that may receive requests.
   std::vector<const EngineRecord*> FindReadyEngines(
@@ -109,14 +119,17 @@
   };
 
   RegistrationTiming m_timing;
-  /// Last read by this entry.
-  TimePoint m_read_at{};
-  /// Last read by any entry.
+  RegistryReads m_reads;
+  /// Last read, by any entry, that found the engines of this directory.
+  TimePoint m_fresh_at{};
+  /// Last read, by any entry, that no outage separates from the reads before.
   TimePoint m_registry_read_at{};
   /// The current read ends an outage that was long enough for registrations to
   /// lapse.
   bool m_is_after_outage = false;
   std::unordered_map<std::string, Entry> m_entries;
+  /// Reset by each change.
+  mutable std::optional<int64_t> m_digest;
 };
 
 }  // namespace peridotshelf::discovery
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/discovery/engine_directory.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/scheduling/active_request_table.h"
 
@@ -34,8 +35,8 @@
   int64_t engines_digest = 0;
   /// Offset of the next registration to read.
   int64_t engines_offset = 0;
-  /// When the entry last read the registrations; none before the first read.
-  std::optional<TimePoint> engines_read_at;
+  /// When the entry read the registrations; none before the first read.
+  std::optional<discovery::RegistryReads> registry_reads;
 };
 
 struct PeerExchangeOptions {
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -129,8 +129,7 @@
   callbacks.on_recovered = [this] {
     events::Log(EventId::kRegistryBack,
                 {{"topic", deployment::kEngineTopic},
-                 {"unread_ms",
-                  ToMilliseconds(m_engines.ComputeAge(SteadyClock().Now()))}});
+                 {"unread_ms", ToMilliseconds(EnginesAge())}});
   };
   return callbacks;
 }
@@ -207,14 +206,14 @@
   progress.configuration_version = Version();
   progress.engines_digest = m_engines.ComputeDigest();
   progress.engines_offset = m_engine_follower.next_offset();
-  if (m_has_all_engines) {
-    progress.engines_read_at = m_engine_follower.last_read_at();
-  }
+  if (m_has_all_engines) progress.registry_reads = m_engines.reads();
   m_peers.SetRecordsProgress(progress);
 }
 
 void StoreFollower::CatchUp(const gateway::RecordsProgress& peer) {
-  if (peer.engines_read_at) m_engines.NotePeerRead(*peer.engines_read_at);
+  if (peer.registry_reads) {
+    m_engines.NotePeerReads(*peer.registry_reads, peer.engines_digest);
+  }
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
   }
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4493,6 +4493,11 @@
   this->engines_age_ms = val;
 __isset.engines_age_ms = true;
 }
+
+void EntryLoad::__set_engines_available_ms(const int64_t val) {
+  this->engines_available_ms = val;
+__isset.engines_available_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -4605,6 +4610,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engines_available_ms);
+          this->__isset.engines_available_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4667,6 +4680,11 @@
     xfer += oprot->writeI64(this->engines_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.engines_available_ms) {
+    xfer += oprot->writeFieldBegin("engines_available_ms", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->engines_available_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4683,6 +4701,7 @@
   swap(a.engines_digest, b.engines_digest);
   swap(a.engines_offset, b.engines_offset);
   swap(a.engines_age_ms, b.engines_age_ms);
+  swap(a.engines_available_ms, b.engines_available_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4696,6 +4715,7 @@
   engines_digest = other104.engines_digest;
   engines_offset = other104.engines_offset;
   engines_age_ms = other104.engines_age_ms;
+  engines_available_ms = other104.engines_available_ms;
   __isset = other104.__isset;
 }
 EntryLoad::EntryLoad(EntryLoad&& other105) noexcept {
@@ -4708,6 +4728,7 @@
   engines_digest = other105.engines_digest;
   engines_offset = other105.engines_offset;
   engines_age_ms = other105.engines_age_ms;
+  engines_available_ms = other105.engines_available_ms;
   __isset = other105.__isset;
 }
 EntryLoad& EntryLoad::operator=(const EntryLoad& other106) {
@@ -4720,6 +4741,7 @@
   engines_digest = other106.engines_digest;
   engines_offset = other106.engines_offset;
   engines_age_ms = other106.engines_age_ms;
+  engines_available_ms = other106.engines_available_ms;
   __isset = other106.__isset;
   return *this;
 }
@@ -4733,6 +4755,7 @@
   engines_digest = other107.engines_digest;
   engines_offset = other107.engines_offset;
   engines_age_ms = other107.engines_age_ms;
+  engines_available_ms = other107.engines_available_ms;
   __isset = other107.__isset;
   return *this;
 }
@@ -4748,6 +4771,7 @@
   out << ", " << "engines_digest=" << to_string(engines_digest);
   out << ", " << "engines_offset=" << to_string(engines_offset);
   out << ", " << "engines_age_ms="; (__isset.engines_age_ms ? (out << to_string(engines_age_ms)) : (out << "<null>"));
+  out << ", " << "engines_available_ms="; (__isset.engines_available_ms ? (out << to_string(engines_available_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -226,4 +226,6 @@
   8: i64 engines_digest       // digest of the engines known to the sender
   9: i64 engines_offset       // offset of the next registration to read
  10: optional i64 engines_age_ms  // time since the sender read registrations
+ 11: optional i64 engines_available_ms  // time since entries read them again
+                                        // after the last outage
 }
