Limit the age of the known engines, whatever the number of live peers

Cause: the pause between polls grows with the number of live peers, to 4 s with 23 gateways and 6 s at most, since their polls together leave no long gap. A peer that is turned away by the store, or was killed less than 3.5 s ago, counts as live but reads nothing. Class: liveness taken for the service that the live peer renders.

Changed: a follower has a limit on the age of its records. Reads of peers that have the same engines count, by the ages in their datagrams; if there was no read for 1.5 s, the entry polls at once. The limit is above the 1.4 s of regular polls, so fleets up to eight entries make the same calls as before, and larger ones too while their peers read.

Why it works: each entry's knowledge is at most 1.5 s old while it reads the store itself; with 0.35 s for the connection a request arrives within 1.85 s.

Tests that failed before: RecordFollowerTest::MaxAge_NoOtherFollowerReads_ PollsBeforeThePauseEnds (one call instead of at least three with the check taken out), SharedPollingTest::MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -250,6 +250,8 @@
   CPPUNIT_TEST(Follow_CallsFail_ReportsOnceAndPollsWithoutWaiting);
   CPPUNIT_TEST(PollNow_DuringALongRead_LetsItComplete);
   CPPUNIT_TEST(PollNow_ManyFollowersAtOnce_ContinueAtDifferentTimes);
+  CPPUNIT_TEST(MaxAge_NoOtherFollowerReads_PollsBeforeThePauseEnds);
+  CPPUNIT_TEST(MaxAge_OtherFollowerReads_WaitsForThePause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -305,6 +307,14 @@
     CPPUNIT_ASSERT(changes >= 1);
   }
 
+  // Guards against entries that rely on peers which cannot read the registry.
+  void MaxAge_NoOtherFollowerReads_PollsBeforeThePauseEnds() {
+    CPPUNIT_ASSERT(CountCallsWithLongPause(/*others_read=*/false) >= 3);
+  }
+  void MaxAge_OtherFollowerReads_WaitsForThePause() {
+    CPPUNIT_ASSERT_EQUAL(1, CountCallsWithLongPause(/*others_read=*/true));
+  }
+
   void PollNow_ManyFollowersAtOnce_ContinueAtDifferentTimes() {
     constexpr int kFollowers = 20;
     constexpr Duration kPause = milliseconds(500);
@@ -342,6 +352,30 @@
   }
 
  private:
+  /// Returns the calls within ten times the greatest age, with a pause that
+  /// does not end meanwhile.
+  static int CountCallsWithLongPause(bool others_read) {
+    constexpr Duration kMaxAge = milliseconds(100);
+    io::IoThreads threads(1);
+    PollTiming timing;
+    timing.pause = std::chrono::hours(10000);
+    timing.max_age = kMaxAge;
+    const auto calls = std::make_shared<CountingTopic::Calls>(0);
+    std::unique_ptr<RecordFollower<CountingTopic>> follower;
+    FollowCallbacks callbacks;
+    callbacks.on_all = [&](const auto&) {
+      if (others_read) {
+        follower->NoteFresh(SteadyClock().Now() + std::chrono::hours(1));
+      }
+    };
+    callbacks.on_changes = [](const auto&) {};
+    follower = std::make_unique<RecordFollower<CountingTopic>>(
+        threads, CountingTopic{calls}, timing, callbacks);
+    follower->Start();
+    std::this_thread::sleep_for(10 * kMaxAge);
+    threads.Stop();
+    return *calls;
+  }
   static RecordPage MakePage(int64_t next_offset) {
     RecordPage page;
     page.next_offset = next_offset;
--- a/src/discovery/shared_polling.cc
+++ b/src/discovery/shared_polling.cc
@@ -17,6 +17,9 @@
 /// The longest time without a poll by any entry. A leaving engine may receive
 /// requests for 2 s; the remainder is for learning that it is leaving.
 constexpr Duration kMaxPollGap = std::chrono::milliseconds(1400);
+/// Limit for entries whose live peers cannot read the registrations. It is
+/// above `kMaxPollGap`, so that in small fleets the regular polls come first.
+constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
 /// With more entries than this, their polls are spread evenly enough that the
 /// pause of each entry can grow with their number without longer gaps.
 constexpr int64_t kMinEntriesToSpread = 8;
@@ -39,6 +42,7 @@
   PollTiming timing;
   timing.pause =
       std::min({kPollInterval * entries, max_pause_for_gap, kMaxPause});
+  timing.max_age = kMaxAge;
   return timing;
 }
 
--- a/src/discovery/shared_polling_test.cc
+++ b/src/discovery/shared_polling_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(MakeRegistrationTiming_OneEntry_PollsTwiceASecond);
   CPPUNIT_TEST(MakeRegistrationTiming_AfterSimultaneousPolls_LeavesNoLongGap);
   CPPUNIT_TEST(MakeRegistrationTiming_MoreEntries_MakeFewCalls);
+  CPPUNIT_TEST(MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge);
   CPPUNIT_TEST(MakeConfigurationTiming_NoPeers_DetectsALostResponseSoon);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,17 @@
     }
   }
 
+  // Live peers that the store turns away do not replace an entry's own polls.
+  void MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge() {
+    constexpr Duration kLeaveBound = std::chrono::seconds(2);
+    constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
+    for (const size_t entries : {1, 2, 5, 8, 9, 23, 100, 390}) {
+      const PollTiming timing = MakeRegistrationTiming(entries);
+      CPPUNIT_ASSERT(timing.max_age > Duration::zero());
+      CPPUNIT_ASSERT(timing.max_age <= kLeaveBound - kConnectTimeout);
+    }
+  }
+
   void MakeConfigurationTiming_NoPeers_DetectsALostResponseSoon() {
     CPPUNIT_ASSERT(MakeConfigurationTiming(1).wait < std::chrono::seconds(2));
     CPPUNIT_ASSERT(MakeConfigurationTiming(5).wait >= std::chrono::seconds(2));
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -54,6 +54,9 @@
   /// follow a full pause it is drawn uniformly from zero to this value, so that
   /// followers notified of the same change do not keep polling simultaneously.
   Duration pause{};
+  /// Longest time without a read, by this follower or by another one that has
+  /// reported it to `NoteFresh`; zero for no limit.
+  Duration max_age{};
   /// Pause after a failed call; doubles up to `max_retry_pause`.
   Duration retry_pause = std::chrono::milliseconds(150);
   Duration max_retry_pause = std::chrono::milliseconds(600);
@@ -96,6 +99,11 @@
     m_state->follows_full_pause = false;
     Poll(m_state, Duration::zero());
   }
+  /// Records that another follower, which has the same records, read the topic
+  /// at `at`. Must be called on the thread of the `IoThreads`.
+  void NoteFresh(TimePoint at) {
+    m_state->fresh_at = std::max(m_state->fresh_at, at);
+  }
   /// Takes effect with the next call. Must be called on the thread of the
   /// `IoThreads`.
   void SetTiming(const PollTiming& timing) { m_state->timing = timing; }
@@ -122,6 +130,9 @@
     bool lost = false;
     bool stopped = false;
     TimePoint last_read_at{};
+    /// Last read of the topic that found the records that this follower has.
+    TimePoint fresh_at{};
+    bool is_age_check_scheduled = false;
     TimePoint called_at{};
     /// The call in progress reads existing records without waiting for more.
     bool is_reading = false;
@@ -193,6 +204,8 @@
     const bool is_full_read = !state->next_offset.has_value();
     state->next_offset = page->next_offset;
     state->last_read_at = SteadyClock().Now();
+    state->fresh_at = state->last_read_at;
+    ScheduleAgeCheck(state);
     if (is_full_read) {
       state->callbacks.on_all(page->records);
     } else {
@@ -201,6 +214,30 @@
     PollAfter(state, state->DrawPause());
   }
 
+  static void ScheduleAgeCheck(const StatePtr& state) {
+    if (state->timing.max_age <= Duration::zero() ||
+        std::exchange(state->is_age_check_scheduled, true)) {
+      return;
+    }
+    const Duration age = SteadyClock().Now() - state->fresh_at;
+    state->threads.RunAfter(
+        std::max(state->timing.max_age - age, Duration::zero()), [state] {
+          state->is_age_check_scheduled = false;
+          CheckAge(state);
+        });
+  }
+
+  static void CheckAge(const StatePtr& state) {
+    // The next successful read schedules another check.
+    if (state->stopped || state->lost || state->is_reading) return;
+    if (SteadyClock().Now() - state->fresh_at < state->timing.max_age) {
+      ScheduleAgeCheck(state);
+      return;
+    }
+    state->follows_full_pause = false;
+    Poll(state, Duration::zero());
+  }
+
   static void PollAfter(const StatePtr& state, Duration pause) {
     if (pause <= Duration::zero()) {
       Poll(state);
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -211,8 +211,9 @@
 }
 
 void StoreFollower::CatchUp(const gateway::RecordsProgress& peer) {
-  if (peer.registry_reads) {
-    m_engines.NotePeerReads(*peer.registry_reads, peer.engines_digest);
+  if (peer.registry_reads &&
+      m_engines.NotePeerReads(*peer.registry_reads, peer.engines_digest)) {
+    m_engine_follower.NoteFresh(peer.registry_reads->last);
   }
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
