Derive the gap between polls from the deployment's bound for leaving engines

What callers would see: none on the sites at hand. With a bound under 1.85 s requests would have arrived too late.

Changed: the gap is seven tenths of the setting, at most the 1.4 s of before, since engines that are taken away exit about 2 s after their notice; the greatest age is 0.1 s above the gap. Nothing changes for bounds of 2 s and more.

Test: SharedPollingTest::MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge holds the greatest age and the connection's 350 ms against bounds from 1.6 to 10 s; the former 1.5 s does not fit the first one (1.25 s).

--- a/src/discovery/shared_polling_test.cc
+++ b/src/discovery/shared_polling_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr uint32_t kSeed = 20261204;
+constexpr Duration kLeaveBound = std::chrono::seconds(2);
 
 class SharedPollingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SharedPollingTest);
@@ -22,7 +23,7 @@
 
  public:
   void MakeRegistrationTiming_OneEntry_PollsTwiceASecond() {
-    CPPUNIT_ASSERT(MakeRegistrationTiming(1).pause ==
+    CPPUNIT_ASSERT(MakeRegistrationTiming(1, kLeaveBound).pause ==
                    std::chrono::milliseconds(500));
   }
 
@@ -46,7 +47,7 @@
   void MakeRegistrationTiming_MoreEntries_MakeFewCalls() {
     for (const size_t entries : {5, 8, 23, 100, 390}) {
       const double calls_per_second =
-          1 / ToSeconds(MakeRegistrationTiming(entries).pause);
+          1 / ToSeconds(MakeRegistrationTiming(entries, kLeaveBound).pause);
       CPPUNIT_ASSERT(calls_per_second < 1);
       if (entries >= 23) CPPUNIT_ASSERT(calls_per_second <= 0.25);
     }
@@ -54,12 +55,15 @@
 
   // Live peers that the store turns away do not replace an entry's own polls.
   void MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge() {
-    constexpr Duration kLeaveBound = std::chrono::seconds(2);
     constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
-    for (const size_t entries : {1, 2, 5, 8, 9, 23, 100, 390}) {
-      const PollTiming timing = MakeRegistrationTiming(entries);
-      CPPUNIT_ASSERT(timing.max_age > Duration::zero());
-      CPPUNIT_ASSERT(timing.max_age <= kLeaveBound - kConnectTimeout);
+    for (const int bound_ms : {1600, 2000, 3000, 10000}) {
+      const Duration bound = std::chrono::milliseconds(bound_ms);
+      for (const size_t entries : {1, 2, 5, 8, 9, 23, 100, 390}) {
+        const PollTiming timing = MakeRegistrationTiming(entries, bound);
+        CPPUNIT_ASSERT(timing.max_age > Duration::zero());
+        CPPUNIT_ASSERT(timing.max_age <= bound - kConnectTimeout);
+        CPPUNIT_ASSERT(timing.max_age <= kLeaveBound - kConnectTimeout);
+      }
     }
   }
 
@@ -77,7 +81,8 @@
   /// within the 10 s after all entries polled at once.
   static double LongestGap(size_t entries, std::mt19937& random) {
     constexpr double kSimulatedSeconds = 10;
-    const double pause = ToSeconds(MakeRegistrationTiming(entries).pause);
+    const double pause =
+        ToSeconds(MakeRegistrationTiming(entries, kLeaveBound).pause);
     std::uniform_real_distribution<double> first(0, pause);
     std::vector<double> polls = {0};
     for (size_t i = 0; i < entries; ++i) {
--- a/src/include/peridotshelf/discovery/shared_polling.h
+++ b/src/include/peridotshelf/discovery/shared_polling.h
@@ -16,6 +16,8 @@
 /// Returns the timing for reading engine registrations. They change with each
 /// heartbeat, so a call that waits for a change would return at once; the
 /// entries poll in turn instead.
-PollTiming MakeRegistrationTiming(size_t live_entries);
+/// `leave_bound` is the time for which a leaving engine may still receive
+/// requests.
+PollTiming MakeRegistrationTiming(size_t live_entries, Duration leave_bound);
 
 }  // namespace peridotshelf::discovery
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -33,6 +33,7 @@
     : m_threads(threads),
       m_host(settings.host),
       m_return_grace(settings.registrations.return_grace),
+      m_leave_bound(settings.engine_leave_bound),
       m_local_address(settings.peers.ToString()),
       m_peers(peers),
       m_engines(engines),
@@ -44,7 +45,8 @@
           MakeConfigurationTiming(1), ConfigurationCallbacks()),
       m_engine_follower(
           threads, StoreTopic(settings.store, deployment::kEngineTopic, client),
-          MakeRegistrationTiming(1), EngineCallbacks()) {}
+          MakeRegistrationTiming(1, settings.engine_leave_bound),
+          EngineCallbacks()) {}
 
 void StoreFollower::Start() {
   m_peers.OnPeerRecordsProgress(
@@ -227,7 +229,7 @@
 void StoreFollower::AdjustTiming() {
   const size_t live = m_peers.CountLiveEntries();
   m_configuration_follower.SetTiming(MakeConfigurationTiming(live));
-  m_engine_follower.SetTiming(MakeRegistrationTiming(live));
+  m_engine_follower.SetTiming(MakeRegistrationTiming(live, m_leave_bound));
   m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
 }
 
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -83,6 +83,7 @@
   io::IoThreads& m_threads;
   HostId m_host;
   Duration m_return_grace;
+  Duration m_leave_bound;
   std::string m_local_address;
   gateway::PeerExchange& m_peers;
   discovery::EngineDirectory& m_engines;
