End the grace for engines when a peer shows that only this entry was cut off

What callers would see: an entry that loses the store and its peers together takes that for an outage of the store.

Its peers' word that they read the store all the time arrives after the read that ends the cut, and was used only for later reads.

Changed: reads of a peer that cover the outage make the kept engines due at once, and after an outage the entry asks the peers that it takes for stopped for a report instead of waiting for the next greeting, up to 4 s.

Tests: EngineDirectoryTest::NotePeerReads_PeerReadDuringOwnOutage_EndsTheGrace (fails with the change taken out); NotePeerReads_PeerHadTheSameOutage_ LeavesTheGrace guards the other side.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(Remove_InLaterReadAfterAnOutage_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_RegistryReadByPeerMeanwhile_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_PeerReadsFirstAfterAnOutage_KeepsTheEngine);
+  CPPUNIT_TEST(NotePeerReads_PeerReadDuringOwnOutage_EndsTheGrace);
+  CPPUNIT_TEST(NotePeerReads_PeerHadTheSameOutage_LeavesTheGrace);
   CPPUNIT_TEST(Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_LeavingEngineAfterOutage_RemovesItAtOnce);
   CPPUNIT_TEST(NotePeerReads_PeerHasSameEngines_LowersTheAge);
@@ -95,6 +97,26 @@
     m_directory.Remove("a", kRecovered);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
   }
+  // Guards against requests to engines that left while this entry was cut off
+  // from the registry and from its peers.
+  void NotePeerReads_PeerReadDuringOwnOutage_EndsTheGrace() {
+    SimulateRegistryOutage(kOutage);
+    m_directory.Remove("a", kRecovered);
+    m_directory.NotePeerReads({kNow - seconds(9), kRecovered - seconds(1)},
+                              kOtherDigest);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.Expire(kRecovered).size());
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+    CPPUNIT_ASSERT(m_directory.reads().available_since == kNow - seconds(9));
+  }
+  void NotePeerReads_PeerHadTheSameOutage_LeavesTheGrace() {
+    SimulateRegistryOutage(kOutage);
+    m_directory.Remove("a", kRecovered);
+    // One peer has not read again yet, the other one has.
+    m_directory.NotePeerReads({kNow - seconds(9), kNow}, kOtherDigest);
+    m_directory.NotePeerReads({kRecovered - seconds(1), kRecovered},
+                              kOtherDigest);
+    CPPUNIT_ASSERT(m_directory.Expire(kRecovered + seconds(1)).empty());
+  }
   void Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce() {
     SimulateRegistryOutage(kShortestLapse - milliseconds(1));
     m_directory.Remove("a", kRecovered);
--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -9,7 +9,7 @@
 
 void EngineDirectory::Update(const EngineRecord& record) {
   Entry& entry = m_entries[record.id];
-  if (entry.record == record && !entry.missing_since) return;
+  if (entry.record == record && !entry.remove_at) return;
   entry = Entry{record, std::nullopt};
   m_digest.reset();
 }
@@ -26,8 +26,9 @@
     m_entries.erase(found);
     return missing;
   }
-  if (found->second.missing_since) return std::nullopt;
-  found->second.missing_since = now;
+  if (found->second.remove_at) return std::nullopt;
+  found->second.remove_at = now + m_timing.return_grace;
+  m_may_keep_engines = true;
   missing.is_kept = true;
   return missing;
 }
@@ -49,12 +50,22 @@
 
 void EngineDirectory::BeginRead(TimePoint now) {
   m_is_after_outage = now - m_registry_read_at >= m_timing.shortest_lapse;
-  if (m_is_after_outage) m_reads.available_since = now;
+  if (m_is_after_outage) {
+    m_reads.available_since = now;
+    m_read_before_outage = m_registry_read_at;
+  }
   m_reads.last = now;
   m_fresh_at = now;
   m_registry_read_at = now;
 }
 
+bool EngineDirectory::CoversOutage(const RegistryReads& reads) const {
+  return m_read_before_outage &&
+         reads.available_since - *m_read_before_outage <
+             m_timing.shortest_lapse &&
+         m_reads.available_since - reads.last < m_timing.shortest_lapse;
+}
+
 bool EngineDirectory::NotePeerReads(const RegistryReads& reads,
                                     int64_t digest) {
   // A peer that reads the registry again after an outage does not show that it
@@ -62,6 +73,13 @@
   if (reads.available_since - m_registry_read_at < m_timing.shortest_lapse) {
     m_registry_read_at = std::max(m_registry_read_at, reads.last);
   }
+  if (CoversOutage(reads)) {
+    m_read_before_outage.reset();
+    m_reads.available_since = reads.available_since;
+    for (auto& [id, entry] : m_entries) {
+      if (entry.remove_at) entry.remove_at = TimePoint::min();
+    }
+  }
   if (digest != ComputeDigest()) return false;
   m_fresh_at = std::max(m_fresh_at, reads.last);
   return true;
@@ -69,9 +87,12 @@
 
 std::vector<MissingEngine> EngineDirectory::Expire(TimePoint now) {
   std::vector<MissingEngine> expired;
+  if (!std::exchange(m_may_keep_engines, false)) return expired;
   std::erase_if(m_entries, [&](const auto& item) {
-    const auto& missing_since = item.second.missing_since;
-    if (!missing_since || now - *missing_since < m_timing.return_grace) {
+    const auto& remove_at = item.second.remove_at;
+    if (!remove_at) return false;
+    if (now < *remove_at) {
+      m_may_keep_engines = true;
       return false;
     }
     expired.push_back({item.second.record.Key()});
@@ -101,7 +122,7 @@
   if (m_digest) return *m_digest;
   uint64_t digest = 0;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.missing_since) continue;
+    if (entry.remove_at) continue;
     const std::string key = entry.record.Key();
     const bool is_ready = entry.record.state == EngineState::kReady;
     // A sum is independent of the iteration order.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -148,6 +148,7 @@
   void ScheduleFlush();
   void Flush();
   void SendFullReport();
+  void GreetLostPeers();
   void SendTo(Peer& peer, const std::string& bytes);
   void SendToLive(const std::string& bytes, bool to_all);
   size_t CountLivePeers() const;
@@ -260,17 +261,21 @@
   SendReport(active_request_table.EnginesWithLocalRequests(),
              /*complete=*/true);
   if (full_reports++ % kFullReportsPerGreeting == 0) {
-    wire::EntryLoad greeting = MakeReport();
-    greeting.wants_reply = true;
-    const std::string bytes = Encode(greeting);
-    for (auto& [address, peer] : peers) {
-      if (!peer.is_live) SendTo(peer, bytes);
-    }
+    GreetLostPeers();
   }
   threads.RunAfter(options.full_report_interval,
                    [self = shared_from_this()] { self->SendFullReport(); });
 }
 
+void PeerExchange::Impl::GreetLostPeers() {
+  wire::EntryLoad greeting = MakeReport();
+  greeting.wants_reply = true;
+  const std::string bytes = Encode(greeting);
+  for (auto& [address, peer] : peers) {
+    if (!peer.is_live) SendTo(peer, bytes);
+  }
+}
+
 void PeerExchange::Impl::Receive() {
   socket.async_receive_from(
       asio::buffer(buffer), sender,
@@ -367,6 +372,8 @@
   m_impl->SendTo(peer, Encode(greeting));
 }
 
+void PeerExchange::GreetLostPeers() { m_impl->GreetLostPeers(); }
+
 void PeerExchange::NoteChange(const std::string& engine) {
   m_impl->changed_engines.insert(engine);
   m_impl->ScheduleFlush();
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -79,7 +79,9 @@
   /// Starts the changes of one read of the registrations, made at `now`.
   void BeginRead(TimePoint now);
   /// Records the reads of another entry, whose engines have the digest
-  /// `digest`. Returns whether this directory has the same engines.
+  /// `digest`. If they show that only this entry was cut off, the engines kept
+  /// after that are due for removal. Returns whether this directory has the
+  /// same engines.
   bool NotePeerReads(const RegistryReads& reads, int64_t digest);
   /// Reads of this entry; only valid after the first one.
   const RegistryReads& reads() const { return m_reads; }
@@ -93,8 +95,7 @@
   /// Returns the removed engines.
   std::vector<MissingEngine> KeepOnly(const std::vector<std::string>& ids,
                                       TimePoint now);
-  /// Removes and returns the engines that have been missing for the grace
-  /// period.
+  /// Removes and returns the missing engines that are due at `now`.
   std::vector<MissingEngine> Expire(TimePoint now);
   /// Time since the engines of this directory were last read from the registry,
   /// by this entry or by another one that has the same engines.
@@ -112,21 +113,30 @@
   const EngineRecord* Find(const std::string& id) const;
 
  private:
+  /// Returns whether the reads show that the registry was available during the
+  /// outage after which engines are kept.
+  bool CoversOutage(const RegistryReads& reads) const;
+
   struct Entry {
     EngineRecord record;
-    /// Set while the registration is missing and the engine is kept.
-    std::optional<TimePoint> missing_since;
+    /// Set while the registration is missing: when the engine is removed unless
+    /// it registers again.
+    std::optional<TimePoint> remove_at;
   };
 
   RegistrationTiming m_timing;
   RegistryReads m_reads;
   /// Last read, by any entry, that found the engines of this directory.
   TimePoint m_fresh_at{};
+  /// Last read by any entry before the outage that the engines are kept after.
+  std::optional<TimePoint> m_read_before_outage;
   /// Last read, by any entry, that no outage separates from the reads before.
   TimePoint m_registry_read_at{};
   /// The current read ends an outage that was long enough for registrations to
   /// lapse.
   bool m_is_after_outage = false;
+  /// Engines may be kept; spares looking through all of them.
+  bool m_may_keep_engines = false;
   std::unordered_map<std::string, Entry> m_entries;
   /// Reset by each change.
   mutable std::optional<int64_t> m_digest;
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -69,6 +69,9 @@
 
   /// Adds a peer by its address, "IP:PORT"; ignores this entry's address.
   void AddPeer(const std::string& address);
+  /// Asks the peers that are considered stopped for a report, for an entry that
+  /// may have been cut off from them.
+  void GreetLostPeers();
   /// Reports that local requests at `engine` changed.
   void NoteChange(const std::string& engine);
   /// Sets the callback for changes of a peer's requests.
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -132,6 +132,8 @@
     events::Log(EventId::kRegistryBack,
                 {{"topic", deployment::kEngineTopic},
                  {"unread_ms", ToMilliseconds(EnginesAge())}});
+    // Their read times tell whether the store was available to others.
+    m_peers.GreetLostPeers();
   };
   return callbacks;
 }
@@ -217,6 +219,7 @@
       m_engines.NotePeerReads(*peer.registry_reads, peer.engines_digest)) {
     m_engine_follower.NoteFresh(peer.registry_reads->last);
   }
+  ExpireEngines();
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
   }
