Read the registrations once more before kept engines are removed

What callers would see: fewer engines for up to a second.

Cause: the grace now ends by its own timer 2 s after the first read; an engine that comes back in its last second may be found only by the next poll, up to 1.4 s later.

Changed: 0.2 s before the end of the grace the entry polls out of turn.

One call more for each entry and outage.

--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -22,6 +22,9 @@
 
 constexpr Duration kTimingUpdateInterval = std::chrono::seconds(1);
 constexpr Duration kRetryDelay = std::chrono::seconds(1);
+/// The registrations are read once more this long before kept engines are
+/// removed.
+constexpr Duration kFinalReadLead = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -165,6 +168,8 @@
   events::Log(engine.is_kept ? EventId::kEngineKept : EventId::kEngineGone,
               {{"engine", engine.engine}, {"reason", std::string(reason)}});
   if (engine.is_kept) {
+    m_threads.RunAfter(m_return_grace - kFinalReadLead,
+                       [this] { m_engine_follower.PollNow(); });
     m_threads.RunAfter(m_return_grace, [this] { ExpireEngines(); });
   }
 }
