--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(PeerExchangeTest);
   CPPUNIT_TEST(SetRecordsProgress_WithReads_ReachesPeer);
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
+  CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -36,6 +37,33 @@
     CPPUNIT_ASSERT(!Exchange(progress).registry_reads);
   }
 
+  void GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    auto receiver = CreateExchange(threads, requests,
+                                   {"127.0.0.1", testing::FindFreePort()});
+    std::promise<RecordsProgress> received;
+    std::promise<void> greeted;
+    threads.Post([&] {
+      ExpectProgress(*receiver, received);
+      receiver->AddPeer(address.ToString());
+      greeted.set_value();
+    });
+    greeted.get_future().get();
+    auto sender = CreateExchange(threads, peer_requests, address);
+    threads.Post([&] {
+      RecordsProgress progress;
+      progress.engines_digest = kDigest;
+      sender->SetRecordsProgress(progress);
+      receiver->GreetLostPeers();
+    });
+    const auto status = received.get_future().wait_for(seconds(20));
+    threads.Stop();
+    CPPUNIT_ASSERT(status == std::future_status::ready);
+  }
+
  private:
   static constexpr int64_t kDigest = 7;
 
@@ -50,9 +78,22 @@
       const PeerAddress& address) {
     PeerExchangeOptions options;
     options.local_address = address;
+    // Only greetings are answered.
+    options.full_report_interval = std::chrono::hours(1);
     return std::move(*PeerExchange::Create(threads, requests, options));
   }
 
+  /// Makes `exchange` fulfil `received` with the first progress of kDigest.
+  static void ExpectProgress(PeerExchange& exchange,
+                             std::promise<RecordsProgress>& received) {
+    exchange.OnPeerRecordsProgress(
+        [&received, is_done = false](const RecordsProgress& peer) mutable {
+          if (peer.engines_digest != kDigest || is_done) return;
+          is_done = true;
+          received.set_value(peer);
+        });
+  }
+
   /// Returns `progress` as another entry receives it.
   static RecordsProgress Exchange(const RecordsProgress& progress) {
     io::IoThreads threads(1);
@@ -64,12 +105,7 @@
                                    {"127.0.0.1", testing::FindFreePort()});
     std::promise<RecordsProgress> received;
     threads.Post([&] {
-      receiver->OnPeerRecordsProgress(
-          [&received, is_done = false](const RecordsProgress& peer) mutable {
-            if (peer.engines_digest != kDigest || is_done) return;
-            is_done = true;
-            received.set_value(peer);
-          });
+      ExpectProgress(*receiver, received);
       sender->SetRecordsProgress(progress);
       receiver->AddPeer(address.ToString());
     });
