Log each call that reads the configuration or the registrations

Users saw changes in force seconds late, and the logs could not tell a store that does not answer a waiting call from an answer that the gateway drops. store_read (609) has the offset, how long the call might wait and took, its records and whether a newer call had replaced it.

--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -52,6 +52,7 @@
               Level::kWarning},
     EventInfo{EventId::kReadinessChanged, "readiness_changed", Level::kInfo},
     EventInfo{EventId::kEngineKept, "engine_kept", Level::kInfo},
+    EventInfo{EventId::kStoreRead, "store_read", Level::kInfo},
     EventInfo{EventId::kBackendCallFailed, "backend_call_failed",
               Level::kWarning},
     EventInfo{EventId::kPeerConnected, "peer_connected", Level::kInfo},
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -62,6 +62,27 @@
   Duration max_retry_pause = std::chrono::milliseconds(600);
 };
 
+/// How a follower's call to its topic ended.
+enum class ReadOutcome {
+  kCompleted,
+  kHistoryLost,
+  kFailed,
+  /// The answer came after another call had replaced this one, and was dropped.
+  kReplaced,
+};
+
+/// One call that a follower made to its topic.
+struct ReadReport {
+  ReadOutcome outcome = ReadOutcome::kCompleted;
+  /// Offset that was read from; nullopt for a read of the newest records.
+  std::optional<int64_t> from;
+  /// How long the call might wait at the topic.
+  Duration wait{};
+  /// Time from the call to its answer.
+  Duration duration{};
+  size_t record_count = 0;
+};
+
 /// Callbacks of a follower. All run on the thread of its `IoThreads`.
 struct FollowCallbacks {
   /// Receives the newest records of all existing keys.
@@ -70,6 +91,8 @@
   std::function<void(const std::vector<KeyedRecord>&)> on_changes;
   std::function<void(const Error&)> on_lost;
   std::function<void()> on_recovered;
+  /// Receives each call that was answered or failed, before its records.
+  std::function<void(const ReadReport&)> on_read = [](const ReadReport&) {};
 };
 
 /// Follows one topic from `Start` until destroyed.
@@ -168,9 +191,20 @@
     const uint64_t call = ++state->calls;
     state->called_at = SteadyClock().Now();
     state->is_reading = !state->next_offset || wait <= Duration::zero();
-    auto on_page = [state, call](Result<RecordPage> page) {
-      state->threads.Post([state, call, page = std::move(page)] {
-        if (!state->stopped && call == state->calls) HandlePage(state, page);
+    ReadReport report;
+    report.from = state->next_offset;
+    report.wait = wait;
+    auto on_page = [state, call, report,
+                    called_at = state->called_at](Result<RecordPage> page) {
+      state->threads.Post([state, call, report, called_at,
+                           page = std::move(page)]() mutable {
+        if (state->stopped) return;
+        const bool is_replaced = call != state->calls;
+        report.duration = SteadyClock().Now() - called_at;
+        report.outcome = is_replaced ? ReadOutcome::kReplaced : Outcome(page);
+        if (page) report.record_count = page->records.size();
+        state->callbacks.on_read(report);
+        if (!is_replaced) HandlePage(state, page);
       });
     };
     if (state->next_offset) {
@@ -180,6 +214,12 @@
     }
   }
 
+  static ReadOutcome Outcome(const Result<RecordPage>& page) {
+    if (!page) return ReadOutcome::kFailed;
+    return page->history_lost ? ReadOutcome::kHistoryLost
+                              : ReadOutcome::kCompleted;
+  }
+
   static void HandlePage(const StatePtr& state,
                          const Result<RecordPage>& page) {
     state->is_reading = false;
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -52,6 +52,7 @@
   kEngineEntryRejected = 606,
   kReadinessChanged = 607,
   kEngineKept = 608,
+  kStoreRead = 609,
   kBackendCallFailed = 700,
   kPeerConnected = 800,
   kPeerLost = 801,
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -26,6 +26,30 @@
 /// removed.
 constexpr Duration kFinalReadLead = std::chrono::milliseconds(200);
 
+std::string_view ToString(discovery::ReadOutcome outcome) {
+  switch (outcome) {
+    case discovery::ReadOutcome::kCompleted:
+      return "completed";
+    case discovery::ReadOutcome::kHistoryLost:
+      return "history_lost";
+    case discovery::ReadOutcome::kFailed:
+      return "failed";
+    case discovery::ReadOutcome::kReplaced:
+      return "replaced";
+  }
+  return "unknown";
+}
+
+void LogRead(const char* topic, const discovery::ReadReport& read) {
+  events::Log(EventId::kStoreRead,
+              {{"topic", topic},
+               {"outcome", std::string(ToString(read.outcome))},
+               {"from", read.from.value_or(-1)},
+               {"wait_ms", ToMilliseconds(read.wait)},
+               {"took_ms", ToMilliseconds(read.duration)},
+               {"records", static_cast<int64_t>(read.record_count)}});
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(io::IoThreads& threads, http::Client& client,
@@ -79,6 +103,9 @@
     ApplyConfiguration(records);
   };
   callbacks.on_changes = callbacks.on_all;
+  callbacks.on_read = [](const discovery::ReadReport& read) {
+    LogRead(deployment::kOperatorTopic, read);
+  };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
                                          {"reason", error.detail}});
@@ -127,6 +154,9 @@
     ShareProgress();
     if (!records.empty()) m_callbacks.on_engines();
   };
+  callbacks.on_read = [](const discovery::ReadReport& read) {
+    LogRead(deployment::kEngineTopic, read);
+  };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
                                          {"reason", error.detail}});
