Find changes of the configuration without the store's notification

Callers got 404 for routes that had been added more than 2 s before, or answers of a service that a route had left. Cause: each call for the configuration waited up to 6 s, and the entries trusted the store to end it when a record arrives. Calls that began to wait while the store was slow are not ended then. The only other source were announcements of peers, and when all entries miss the same record nobody announces it. Class: a bound that rests on a notification and on peers that need the same notification.

A call now waits no longer than the bound for changes (bounds.configMs) leaves after one lost answer, the next call and the adoption: 0.75 s for 2 s. The bound holds for each entry by itself; announcements only make it faster.

MakeConfigurationTiming_NoPeers_DetectsALostResponseSoon asserted the fault (a wait of 2 s or more beside peers). MakeConfigurationTiming_AnswerLost_FindsChanges- WithinTheBound replaces it and is stricter: it holds with and without peers.

--- a/src/discovery/shared_polling.cc
+++ b/src/discovery/shared_polling.cc
@@ -5,13 +5,10 @@
 namespace peridotshelf::discovery {
 namespace {
 
-/// How long a call waits for a new configuration; it returns as soon as one is
-/// published. A lost response is detected only when the call times out, and a
-/// change must be applied before callers notice the delay.
-constexpr Duration kConfigurationWait = std::chrono::milliseconds(1500);
-/// Peers announce new versions, so that a lost response is detected before the
-/// call times out.
-constexpr Duration kConfigurationWaitWithPeers = std::chrono::seconds(6);
+constexpr Duration kMinConfigurationWait = std::chrono::milliseconds(200);
+constexpr Duration kMaxConfigurationWait = std::chrono::seconds(6);
+/// Time for the call that follows a lost one, and for applying its records.
+constexpr Duration kAdoptionTime = std::chrono::milliseconds(100);
 /// Interval between polls of the registrations by all entries together.
 constexpr Duration kPollInterval = std::chrono::milliseconds(500);
 /// The longest time without a poll by any entry, as a fraction of the time for
@@ -31,10 +28,11 @@
 
 }  // namespace
 
-PollTiming MakeConfigurationTiming(size_t live_entries) {
+PollTiming MakeConfigurationTiming(Duration bound, Duration answer_timeout) {
   PollTiming timing;
   timing.wait =
-      live_entries > 1 ? kConfigurationWaitWithPeers : kConfigurationWait;
+      std::clamp(bound - answer_timeout - timing.retry_pause - kAdoptionTime,
+                 kMinConfigurationWait, kMaxConfigurationWait);
   return timing;
 }
 
--- a/src/discovery/shared_polling_test.cc
+++ b/src/discovery/shared_polling_test.cc
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(MakeRegistrationTiming_AfterSimultaneousPolls_LeavesNoLongGap);
   CPPUNIT_TEST(MakeRegistrationTiming_MoreEntries_MakeFewCalls);
   CPPUNIT_TEST(MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge);
-  CPPUNIT_TEST(MakeConfigurationTiming_NoPeers_DetectsALostResponseSoon);
+  CPPUNIT_TEST(MakeConfigurationTiming_AnswerLost_FindsChangesWithinTheBound);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,9 +67,20 @@
     }
   }
 
-  void MakeConfigurationTiming_NoPeers_DetectsALostResponseSoon() {
-    CPPUNIT_ASSERT(MakeConfigurationTiming(1).wait < std::chrono::seconds(2));
-    CPPUNIT_ASSERT(MakeConfigurationTiming(5).wait >= std::chrono::seconds(2));
+  // Guards against changes that no entry is notified of, so that none can
+  // announce them to its peers.
+  void MakeConfigurationTiming_AnswerLost_FindsChangesWithinTheBound() {
+    constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+    for (const int bound_ms : {1500, 2000, 3000, 10000}) {
+      const Duration bound = std::chrono::milliseconds(bound_ms);
+      const PollTiming timing = MakeConfigurationTiming(bound, kAnswerTimeout);
+      CPPUNIT_ASSERT(timing.wait + kAnswerTimeout + timing.retry_pause < bound);
+      CPPUNIT_ASSERT(timing.pause == Duration::zero());
+    }
+    // At most two calls per second and entry.
+    CPPUNIT_ASSERT(
+        MakeConfigurationTiming(std::chrono::seconds(2), kAnswerTimeout).wait >=
+        std::chrono::milliseconds(500));
   }
 
  private:
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -69,7 +69,9 @@
       m_configuration_follower(
           threads,
           StoreTopic(settings.store, deployment::kOperatorTopic, client),
-          MakeConfigurationTiming(1), ConfigurationCallbacks()),
+          MakeConfigurationTiming(settings.configuration_bound,
+                                  StoreTopic::kAnswerTimeout),
+          ConfigurationCallbacks()),
       m_engine_follower(
           threads, StoreTopic(settings.store, deployment::kEngineTopic, client),
           MakeRegistrationTiming(1, settings.engine_leave_bound),
@@ -266,7 +268,6 @@
 
 void StoreFollower::AdjustTiming() {
   const size_t live = m_peers.CountLiveEntries();
-  m_configuration_follower.SetTiming(MakeConfigurationTiming(live));
   m_engine_follower.SetTiming(MakeRegistrationTiming(live, m_leave_bound));
   m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
 }
