--- /dev/null
+++ b/testsuite/restored_store/run.py
@@ -0,0 +1,145 @@
+"""The store is restored from a copy some seconds old.
+
+python3 testsuite/restored_store/run.py PROGRAM
+"""
+
+import asyncio
+import json
+import os
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "common"))
+
+import gateway_fleet  # noqa: E402
+import fleet as fleets  # noqa: E402
+
+SEED = 29
+GATEWAYS = 3
+COPY_AGE_S = 1.0
+PROBE_S = 4.0
+SETTLE_S = 0.5
+# Engines write their registrations again within this time of a restore.
+ENGINES_RETURN_S = 1.5
+LEAVE_PROBE_S = 4.0
+# Gateways have announced themselves again, and greeted each other, by then.
+ENTRIES_RETURN_S = 3.0
+
+
+def read_runs(fleet, engines):
+    with open(fleet.history, encoding="utf-8") as file:
+        events = [json.loads(line) for line in file]
+    return [event for event in events
+            if event["step"] == "run" and event["engine"] in engines]
+
+
+async def check_configuration(fleet):
+    """Two versions are lost; the newest is written again and another one follows
+    at once, so that the topic ends again where the gateways' next read begins."""
+    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+    await fleet.move_route()
+    await fleet.move_route()
+    await asyncio.sleep(SETTLE_S)
+    other_service = fleet.route_moves[-2][1]
+    await fleet.restore_store(COPY_AGE_S, other_service)
+    slowest_s = await gateway_fleet.measure_adoptions(fleet, PROBE_S)
+    print("the last request under an outdated configuration was sent "
+          f"{slowest_s:.2f} s after the change, allowed "
+          f"{fleets.CONFIGURATION_PROPAGATION_S} s")
+    return slowest_s <= fleets.CONFIGURATION_PROPAGATION_S
+
+
+async def send_page_requests(fleet, until):
+    """Sends requests to all gateways; returns how many were not served."""
+    failed = 0
+    while time.time() < until:
+        for gateway in fleet.gateways:
+            if await gateway_fleet.send_page_request(fleet, gateway) is None:
+                failed += 1
+        await asyncio.sleep(gateway_fleet.PROBE_INTERVAL_S)
+    return failed
+
+
+async def check_leaving_engine(fleet, host, is_announced):
+    """An engine leaves, and the copy has it as ready. It never writes again."""
+    await host.register()
+    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+    if is_announced:
+        await host.register(is_leaving=True)
+    else:
+        await fleet.put_engine(host.id, b"")
+    left_at = time.time()
+    await asyncio.sleep(SETTLE_S)
+    await fleet.restore_store(COPY_AGE_S)
+    await send_page_requests(fleet, left_at + LEAVE_PROBE_S)
+    run_times = [run["at"] - left_at for run in read_runs(fleet, [host.id])]
+    last_run_s = max(run_times, default=0.0)
+    kind = "announced" if is_announced else "silent"
+    print(f"the last request at an engine that left ({kind}) ran "
+          f"{last_run_s:.2f} s after it, allowed {fleets.DRAIN_PROPAGATION_S} s")
+    await fleet.put_engine(host.id, b"")
+    return last_run_s <= fleets.DRAIN_PROPAGATION_S
+
+
+async def check_new_engines(fleet, service):
+    """Engines that the copy does not have serve on until they write again."""
+    hosts = [host for host in fleet.engines if host.service == service]
+    for host in hosts:
+        await fleet.put_engine(host.id, b"")
+    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+    for host in hosts:
+        await host.register()
+    await asyncio.sleep(SETTLE_S)
+    await fleet.restore_store(COPY_AGE_S)
+    failed = await send_page_requests(fleet, time.time() + ENGINES_RETURN_S)
+    for host in hosts:
+        await host.register()
+    failed += await send_page_requests(fleet, time.time() + SETTLE_S)
+    print(f"{failed} requests were refused since the store had lost the engines")
+    return failed == 0
+
+
+async def read_live_entries(gateway):
+    answer = await fleets.call((gateway.ip, fleets.PORTS.operations), "GET",
+                               "/metrics")
+    for line in answer.body.decode().splitlines():
+        if line.startswith("peridotshelf_live_entries "):
+            return int(float(line.split()[1]))
+    raise ValueError("no metric peridotshelf_live_entries")
+
+
+async def check_peers(fleet):
+    """A gateway that starts after a restore finds those that the copy does not
+    have."""
+    await asyncio.sleep(SETTLE_S)
+    first_start = min(gateway.started_at for gateway in fleet.gateways)
+    await fleet.restore_store(time.time() - first_start)
+    await asyncio.sleep(ENTRIES_RETURN_S)
+    new = await fleet.add_gateway()
+    await asyncio.sleep(ENTRIES_RETURN_S)
+    live = await read_live_entries(new)
+    print(f"a new gateway found {live} of {GATEWAYS + 1} live entries, itself "
+          "included")
+    new.kill()
+    fleet.gateways.remove(new)
+    return live == GATEWAYS + 1
+
+
+async def main(program):
+    async with gateway_fleet.running_fleet(program, SEED, GATEWAYS) as fleet:
+        results = [await check_peers(fleet),
+                   await check_configuration(fleet)]
+        service = fleet.route_moves[-1][1]
+        hosts = [host for host in fleet.engines if host.service == service]
+        results.append(await check_leaving_engine(fleet, hosts[0], True))
+        await hosts[0].register()
+        results.append(await check_leaving_engine(fleet, hosts[1], False))
+        await hosts[1].register()
+        await asyncio.sleep(SETTLE_S)
+        results.append(await check_new_engines(fleet, service))
+    return all(results)
+
+
+if __name__ == "__main__":
+    sys.exit(0 if asyncio.run(main(sys.argv[1])) else 1)
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of a run: gateways, a simulated store and simulated engines."""
 
 import asyncio
+import base64
 import dataclasses
 import json
 import os
@@ -85,6 +86,7 @@
 
     def start(self):
         self.exit_expected = False
+        self.started_at = time.time()
         with open(self.log, "ab") as out:
             self.process = subprocess.Popen(self.arguments, stdout=out,
                                             stderr=out, env=self.env)
@@ -218,12 +220,17 @@
         for host in self.engines:
             await self.wait_until_listening(host.link.target)
             await host.register()
-        for index in range(self.gateway_count):
-            link = Link(f"{self.net}.{100 + index}", 8000, store_address)
-            await link.start()
-            self.store_links.append(link)
-            self.gateways.append(
-                Gateway(self.program, self.folder, self.net, index, link))
+        for _ in range(self.gateway_count):
+            await self.add_gateway()
+
+    async def add_gateway(self):
+        index = len(self.gateways)
+        link = Link(f"{self.net}.{100 + index}", 8000, self.store_address)
+        await link.start()
+        self.store_links.append(link)
+        self.gateways.append(
+            Gateway(self.program, self.folder, self.net, index, link))
+        return self.gateways[-1]
 
     @staticmethod
     async def wait_until_listening(address, timeout_s=10):
@@ -260,6 +267,26 @@
         await call(self.store_address, "POST", "/fault",
                    json.dumps(fault).encode())
 
+    async def restore_store(self, back_s, next_service=None):
+        """Replaces the store's contents by a copy that is `back_s` old. The
+        newest version is written again at once, and a version that moves the
+        route to `next_service`, if given."""
+        async with self.publish_lock:
+            configurations = [self.make_configuration(
+                len(self.route_moves), self.route_moves[-1][1])]
+            if next_service is not None:
+                configurations.append(self.make_configuration(
+                    len(self.route_moves) + 1, next_service))
+            records = [
+                [platform_messages.CONFIGURATION_TOPIC,
+                 base64.b64encode(platform_messages.keyed_content(
+                     platform_messages.CONFIGURATION_KEY, value)).decode()]
+                for value in configurations]
+            await call(self.store_address, "POST", "/restore", json.dumps(
+                {"back_s": back_s, "records": records}).encode())
+            if next_service is not None:
+                self.route_moves.append([time.time(), next_service])
+
     def make_configuration(self, version, page_service):
         routes = [
             platform_messages.route(
