Read the store anew when it was restored from an older copy

Callers got answers by an outdated configuration, up to 5.98 s after a newer one had been acknowledged. Cause: after a restore the store gives offsets out again. A gateway read on from its old offset, although other records had been written below it meanwhile; 410 comes only while the topic ends before the offset. Class: a position in a log is used after the log was replaced.

The store counts its restores in each answer.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -269,6 +269,8 @@
   CPPUNIT_TEST_SUITE(RecordFollowerTest);
   CPPUNIT_TEST(Follow_FirstPageThenChanges_ContinuesFromItsEnd);
   CPPUNIT_TEST(Follow_HistoryLost_ReadsTheNewestAgain);
+  CPPUNIT_TEST(Follow_TopicRestored_ReadsTheNewestAgain);
+  CPPUNIT_TEST(Follow_TopicRestoredAndOffsetGone_ReportsTheRestoreOnce);
   CPPUNIT_TEST(Follow_CallsFail_ReportsOnceAndPollsWithoutWaiting);
   CPPUNIT_TEST(PollNow_DuringALongRead_LetsItComplete);
   CPPUNIT_TEST(PollNow_ManyFollowersAtOnce_ContinueAtDifferentTimes);
@@ -294,6 +296,30 @@
                                              "newest", "from 9 waiting"}));
     CPPUNIT_ASSERT_EQUAL(2, m_full_reads);
   }
+  // Guards against records that are written below a follower's offset after the
+  // topic was restored from an older copy.
+  void Follow_TopicRestored_ReadsTheNewestAgain() {
+    Run({MakePage(5, 1), MakePage(6, 1), MakePage(6, 2), MakePage(4, 2),
+         MakePage(5, 2)},
+        6);
+    CPPUNIT_ASSERT(Calls() ==
+                   (std::vector<std::string>{
+                       "newest", "from 5 waiting", "from 6 waiting", "newest",
+                       "from 4 waiting", "from 5 waiting"}));
+    CPPUNIT_ASSERT_EQUAL(2, m_full_reads);
+    CPPUNIT_ASSERT_EQUAL(2, m_changes);
+    CPPUNIT_ASSERT(m_restores == std::vector<int64_t>{2});
+  }
+  void Follow_TopicRestoredAndOffsetGone_ReportsTheRestoreOnce() {
+    RecordPage lost;
+    lost.history_lost = true;
+    lost.epoch = 2;
+    Run({MakePage(5, 1), lost, MakePage(3, 2)}, 4);
+    CPPUNIT_ASSERT(Calls() ==
+                   (std::vector<std::string>{"newest", "from 5 waiting",
+                                             "newest", "from 3 waiting"}));
+    CPPUNIT_ASSERT(m_restores == std::vector<int64_t>{2});
+  }
   void Follow_CallsFail_ReportsOnceAndPollsWithoutWaiting() {
     const Result<RecordPage> failed = Fail(ErrorCode::kPlatformUnavailable);
     Run({MakePage(5), failed, failed, MakePage(5)}, 5);
@@ -398,9 +424,11 @@
     threads.Stop();
     return *calls;
   }
-  static RecordPage MakePage(int64_t next_offset) {
+  static RecordPage MakePage(int64_t next_offset,
+                             std::optional<int64_t> epoch = std::nullopt) {
     RecordPage page;
     page.next_offset = next_offset;
+    page.epoch = epoch;
     return page;
   }
   std::vector<std::string> Calls() {
@@ -418,6 +446,9 @@
     callbacks.on_changes = [this](const auto&) { ++m_changes; };
     callbacks.on_lost = [this](const Error&) { ++m_lost_count; };
     callbacks.on_recovered = [this] { ++m_recovered_count; };
+    callbacks.on_restored = [this](int64_t epoch) {
+      m_restores.push_back(epoch);
+    };
     io::IoThreads threads(1);
     RecordFollower<ScriptedTopic> follower(threads, ScriptedTopic{m_script},
                                            timing, callbacks);
@@ -434,6 +465,7 @@
   int m_changes = 0;
   int m_lost_count = 0;
   int m_recovered_count = 0;
+  std::vector<int64_t> m_restores;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordFollowerTest);
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -230,6 +230,11 @@
   return http::FindHeader(headers, name);
 }
 
+std::optional<std::string_view> ClientResponse::FindHeader(
+    std::string_view name) const {
+  return http::FindHeader(headers, name);
+}
+
 struct Client::Impl {
   CURLM* multi = nullptr;
   std::mutex mutex;
@@ -359,6 +364,7 @@
     response->status = head.status;
     response->content_type = head.content_type;
     response->etag = head.etag;
+    response->headers = head.headers;
   };
   callbacks.on_data = [response](std::string_view data) {
     response->body.append(data);
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -29,9 +29,13 @@
   std::vector<KeyedRecord> records;
   /// Offset of the next read.
   int64_t next_offset = 0;
-  /// The requested offset is no longer retained; the newest records must be
-  /// read instead.
+  /// The requested offset is not retained; the newest records must be read
+  /// instead.
   bool history_lost = false;
+  /// Changes when the topic is restored from an older copy. Offsets are given
+  /// out again then, so they are only comparable within one epoch. nullopt if
+  /// the topic does not state it.
+  std::optional<int64_t> epoch;
 };
 
 /// A topic that retains the newest record of each key indefinitely.
@@ -76,6 +80,7 @@
   ReadOutcome outcome = ReadOutcome::kCompleted;
   /// Offset that was read from; nullopt for a read of the newest records.
   std::optional<int64_t> from;
+  std::optional<int64_t> epoch;
   /// How long the call might wait at the topic.
   Duration wait{};
   /// Time from the call to its answer.
@@ -91,6 +96,9 @@
   std::function<void(const std::vector<KeyedRecord>&)> on_changes;
   std::function<void(const Error&)> on_lost;
   std::function<void()> on_recovered;
+  /// The topic was restored from an older copy and has the given epoch now.
+  /// `on_all` follows with what it contains.
+  std::function<void(int64_t)> on_restored = [](int64_t) {};
   /// Receives each call that was answered or failed, before its records.
   std::function<void(const ReadReport&)> on_read = [](const ReadReport&) {};
 };
@@ -132,6 +140,8 @@
   void SetTiming(const PollTiming& timing) { m_state->timing = timing; }
   /// Offset of the next record to read; 0 before the first response.
   int64_t next_offset() const { return m_state->next_offset.value_or(0); }
+  /// Epoch of the last response that stated one; 0 before.
+  int64_t epoch() const { return m_state->epoch.value_or(0); }
   /// Time of the last successful read; only valid after the first one.
   TimePoint last_read_at() const { return m_state->last_read_at; }
   uint64_t call_count() const { return m_state->calls; }
@@ -149,6 +159,8 @@
     PollTiming timing;
     FollowCallbacks callbacks;
     std::optional<int64_t> next_offset;
+    /// Epoch in which `next_offset` is valid.
+    std::optional<int64_t> epoch;
     Duration retry_pause{};
     bool lost = false;
     bool stopped = false;
@@ -202,7 +214,10 @@
         const bool is_replaced = call != state->calls;
         report.duration = SteadyClock().Now() - called_at;
         report.outcome = is_replaced ? ReadOutcome::kReplaced : Outcome(page);
-        if (page) report.record_count = page->records.size();
+        if (page) {
+          report.record_count = page->records.size();
+          report.epoch = page->epoch;
+        }
         state->callbacks.on_read(report);
         if (!is_replaced) HandlePage(state, page);
       });
@@ -242,6 +257,15 @@
       return;
     }
     const bool is_full_read = !state->next_offset.has_value();
+    if (NoteEpoch(state, page->epoch)) {
+      state->callbacks.on_restored(*page->epoch);
+      if (!is_full_read) {
+        // Other records may have been written below the offset meanwhile.
+        state->next_offset.reset();
+        Poll(state);
+        return;
+      }
+    }
     state->next_offset = page->next_offset;
     state->last_read_at = SteadyClock().Now();
     state->fresh_at = state->last_read_at;
@@ -254,6 +278,13 @@
     PollAfter(state, state->DrawPause());
   }
 
+  /// Returns whether the topic was restored since the last response.
+  static bool NoteEpoch(const StatePtr& state, std::optional<int64_t> epoch) {
+    if (!epoch) return false;
+    const auto previous = std::exchange(state->epoch, epoch);
+    return previous && *previous != *epoch;
+  }
+
   static void ScheduleAgeCheck(const StatePtr& state) {
     if (state->timing.max_age <= Duration::zero() ||
         std::exchange(state->is_age_check_scheduled, true)) {
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -53,6 +53,7 @@
   kReadinessChanged = 607,
   kEngineKept = 608,
   kStoreRead = 609,
+  kStoreRestored = 610,
   kBackendCallFailed = 700,
   kPeerConnected = 800,
   kPeerLost = 801,
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -80,7 +80,11 @@
   int status = 0;
   std::string content_type;
   std::string etag;
+  std::vector<Header> headers;
   std::string body;
+
+  /// Returns the first header with that name, compared case-insensitively.
+  std::optional<std::string_view> FindHeader(std::string_view name) const;
 };
 
 /// Makes any number of concurrent calls on a dedicated thread.
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -47,7 +47,12 @@
                {"from", read.from.value_or(-1)},
                {"wait_ms", ToMilliseconds(read.wait)},
                {"took_ms", ToMilliseconds(read.duration)},
-               {"records", static_cast<int64_t>(read.record_count)}});
+               {"records", static_cast<int64_t>(read.record_count)},
+               {"epoch", read.epoch.value_or(0)}});
+}
+
+void LogRestore(const char* topic, int64_t epoch) {
+  events::Log(EventId::kStoreRestored, {{"topic", topic}, {"epoch", epoch}});
 }
 
 }  // namespace
@@ -108,6 +113,9 @@
   callbacks.on_read = [](const discovery::ReadReport& read) {
     LogRead(deployment::kOperatorTopic, read);
   };
+  callbacks.on_restored = [](int64_t epoch) {
+    LogRestore(deployment::kOperatorTopic, epoch);
+  };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
                                          {"reason", error.detail}});
@@ -159,6 +167,9 @@
   callbacks.on_read = [](const discovery::ReadReport& read) {
     LogRead(deployment::kEngineTopic, read);
   };
+  callbacks.on_restored = [](int64_t epoch) {
+    LogRestore(deployment::kEngineTopic, epoch);
+  };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
                                          {"reason", error.detail}});
