Do not use engines that left because a restored store still has them

Callers' requests reached engines up to 4.0 s after these had left, and were refused although engines ran. Cause: the copy that the store is restored from has engines as ready that have left since, and lacks engines that registered since. The directory replaced what it knew by what the copy says. Class: older facts override newer ones because they were read later.

The directory now remembers for a minute which engines left. If the read of a copy has one of them as ready, a leaving engine stays leaving, and one that was removed is withheld (engine_outdated, 611) until it registers anew, or until its entry has outlasted the silence limit, after which the store would have removed it. Engines missing from a copy are kept for the grace, as after an outage.

EngineDirectoryTest::Update_Copy*, Remove_EngineMissingFromCopy_*, AddRunning_*.

The test had three faults of its own and is stricter now: the copy was younger than stated, so that it sometimes had the changes that it should lack; gateways had not always read a change before the restore; and the engine that left was not always the one that was used.

--- a/src/discovery/discovery_test.cc
+++ b/src/discovery/discovery_test.cc
@@ -30,6 +30,12 @@
   CPPUNIT_TEST(Remove_LeavingEngineAfterOutage_RemovesItAtOnce);
   CPPUNIT_TEST(NotePeerReads_PeerHasSameEngines_LowersTheAge);
   CPPUNIT_TEST(NotePeerReads_PeerHasOtherEngines_LeavesTheAge);
+  CPPUNIT_TEST(Update_CopyHasLeavingEngineAsReady_KeepsItLeaving);
+  CPPUNIT_TEST(Update_CopyHasEngineThatLeft_WithholdsIt);
+  CPPUNIT_TEST(Update_EngineThatLeftRegistersAnew_AddsIt);
+  CPPUNIT_TEST(Remove_EngineMissingFromCopy_KeepsItUntilTheGraceEnds);
+  CPPUNIT_TEST(AddRunning_EntryOutlastsSilenceLimit_AddsIt);
+  CPPUNIT_TEST(AddRunning_EntryRemovedMeanwhile_AddsNothing);
   CPPUNIT_TEST(ComputeDigest_AfterEachChange_Differs);
   CPPUNIT_TEST(KeepOnly_SomeIds_RemovesTheOthers);
   CPPUNIT_TEST(Update_RestartWithSameId_ReplacesTheEngine);
@@ -142,6 +148,56 @@
         !m_directory.NotePeerReads({kNow, kNow + seconds(3)}, kOtherDigest));
     CPPUNIT_ASSERT(m_directory.ComputeAge(kNow + seconds(4)) == seconds(4));
   }
+  // Guards against requests to engines that left, after the registry was
+  // restored from an older copy.
+  void Update_CopyHasLeavingEngineAsReady_KeepsItLeaving() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a", EngineState::kLeaving));
+    BeginReadOfCopy();
+    CPPUNIT_ASSERT(!m_directory.Update(MakeEngine("a")));
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+    m_directory.AddRunning(kRecovered + std::chrono::hours(1));
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+  }
+  void Update_CopyHasEngineThatLeft_WithholdsIt() {
+    LeaveThenReadCopy();
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+    CPPUNIT_ASSERT(m_directory
+                       .AddRunning(kRecovered + kSilenceLimit + seconds(2) -
+                                   milliseconds(1))
+                       .empty());
+  }
+  void Update_EngineThatLeftRegistersAnew_AddsIt() {
+    LeaveThenReadCopy();
+    m_directory.BeginRead(kRecovered + seconds(1));
+    CPPUNIT_ASSERT(m_directory.Update(MakeEngine("a")));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
+  }
+  // Guards against refusals while engines run that the copy lacks.
+  void Remove_EngineMissingFromCopy_KeepsItUntilTheGraceEnds() {
+    m_directory.BeginRead(kRecovered - milliseconds(100));
+    m_directory.Update(MakeEngine("a"));
+    BeginReadOfCopy();
+    const auto missing = m_directory.KeepOnly({}, kRecovered);
+    CPPUNIT_ASSERT(missing.size() == 1 && missing[0].is_kept);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         m_directory.Expire(kRecovered + seconds(2)).size());
+  }
+  void AddRunning_EntryOutlastsSilenceLimit_AddsIt() {
+    LeaveThenReadCopy();
+    const auto added =
+        m_directory.AddRunning(kRecovered + kSilenceLimit + seconds(2));
+    CPPUNIT_ASSERT(added == std::vector<std::string>{"a@0"});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
+  }
+  void AddRunning_EntryRemovedMeanwhile_AddsNothing() {
+    LeaveThenReadCopy();
+    m_directory.BeginRead(kRecovered + kSilenceLimit);
+    m_directory.Remove("a", kRecovered + kSilenceLimit);
+    CPPUNIT_ASSERT(
+        m_directory.AddRunning(kRecovered + std::chrono::hours(1)).empty());
+  }
   void ComputeDigest_AfterEachChange_Differs() {
     const int64_t none = m_directory.ComputeDigest();
     m_directory.Update(MakeEngine("a"));
@@ -186,12 +242,28 @@
     m_directory.BeginRead(kRecovered);
   }
 
+  /// Begins a read of a restored registry at kRecovered.
+  void BeginReadOfCopy() {
+    m_directory.NoteRestored();
+    m_directory.BeginRead(kRecovered);
+  }
+  /// Engine "a" leaves; the copy of the registry still has it.
+  void LeaveThenReadCopy() {
+    m_directory.BeginRead(kRecovered - seconds(2));
+    m_directory.Update(MakeEngine("a"));
+    m_directory.BeginRead(kRecovered - seconds(1));
+    m_directory.Remove("a", kRecovered - seconds(1));
+    BeginReadOfCopy();
+    CPPUNIT_ASSERT(!m_directory.Update(MakeEngine("a")));
+  }
+
   static constexpr int64_t kOtherDigest = 1;
   static constexpr Duration kOutage = seconds(8);
   static constexpr Duration kShortestLapse = milliseconds(2400);
+  static constexpr Duration kSilenceLimit = milliseconds(3600);
   static constexpr TimePoint kRecovered = kNow + kOutage;
 
-  EngineDirectory m_directory{{kShortestLapse, seconds(2)}};
+  EngineDirectory m_directory{{kShortestLapse, seconds(2), kSilenceLimit}};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineDirectoryTest);
 
--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -6,24 +6,85 @@
 #include <utility>
 
 namespace peridotshelf::discovery {
+namespace {
 
-void EngineDirectory::Update(const EngineRecord& record) {
+/// Copies are some seconds old.
+constexpr Duration kMaxCopyAge = std::chrono::seconds(60);
+
+}  // namespace
+
+void EngineDirectory::NoteRestored() {
+  m_is_restored = true;
+  m_read_before_outage.reset();
+}
+
+bool EngineDirectory::IsOutdated(const EngineRecord& record) const {
+  if (!m_is_reading_copy) return false;
+  if (m_departed.contains(record.Key())) return true;
+  const EngineRecord* known = Find(record.id);
+  return known != nullptr && known->Key() == record.Key() &&
+         known->state == EngineState::kLeaving &&
+         record.state == EngineState::kReady;
+}
+
+bool EngineDirectory::Update(const EngineRecord& record) {
+  if (IsOutdated(record)) {
+    // A leaving engine says so again as long as it runs.
+    if (Find(record.id) == nullptr) {
+      m_outdated[record.id] = {record, m_reads.last + ReturnAfterRestore()};
+    }
+    return false;
+  }
+  m_departed.erase(record.Key());
+  m_outdated.erase(record.id);
   Entry& entry = m_entries[record.id];
-  if (entry.record == record && !entry.remove_at) return;
+  if (entry.record == record && !entry.remove_at) return true;
   entry = Entry{record, std::nullopt};
   m_digest.reset();
+  return true;
+}
+
+Duration EngineDirectory::ReturnAfterRestore() const {
+  return m_timing.silence_limit + m_timing.return_grace;
+}
+
+std::vector<std::string> EngineDirectory::AddRunning(TimePoint now) {
+  std::vector<EngineRecord> running;
+  for (const auto& [id, outdated] : m_outdated) {
+    if (now >= outdated.add_at) running.push_back(outdated.record);
+  }
+  m_is_reading_copy = false;
+  std::vector<std::string> added;
+  for (const EngineRecord& record : running) {
+    Update(record);
+    added.push_back(record.Key());
+  }
+  return added;
+}
+
+void EngineDirectory::Erase(const std::string& id) {
+  const auto found = m_entries.find(id);
+  m_departed[found->second.record.Key()] = m_reads.last;
+  m_entries.erase(found);
+}
+
+void EngineDirectory::ForgetDeparted(TimePoint now) {
+  std::erase_if(m_departed, [now](const auto& item) {
+    return now - item.second > kMaxCopyAge;
+  });
 }
 
 std::optional<MissingEngine> EngineDirectory::Remove(const std::string& id,
                                                      TimePoint now) {
+  m_outdated.erase(id);
   const auto found = m_entries.find(id);
   if (found == m_entries.end()) return std::nullopt;
   m_digest.reset();
   MissingEngine missing{found->second.record.Key()};
   // A leaving engine does not register again, so it gets no grace period.
-  if (!m_is_after_outage ||
+  if (!(m_is_after_outage || m_is_reading_copy) ||
       found->second.record.state == EngineState::kLeaving) {
-    m_entries.erase(found);
+    Erase(id);
     return missing;
   }
   if (found->second.remove_at) return std::nullopt;
@@ -41,6 +102,9 @@
       missing.push_back(id);
     }
   }
+  std::erase_if(m_outdated, [&ids](const auto& item) {
+    return std::find(ids.begin(), ids.end(), item.first) == ids.end();
+  });
   std::vector<MissingEngine> removed;
   for (const std::string& id : missing) {
     if (auto engine = Remove(id, now)) removed.push_back(std::move(*engine));
@@ -54,6 +118,8 @@
     m_reads.available_since = now;
     m_read_before_outage = m_registry_read_at;
   }
+  m_is_reading_copy = std::exchange(m_is_restored, false);
+  ForgetDeparted(now);
   m_reads.last = now;
   m_fresh_at = now;
   m_registry_read_at = now;
@@ -88,16 +154,17 @@
 std::vector<MissingEngine> EngineDirectory::Expire(TimePoint now) {
   std::vector<MissingEngine> expired;
   if (!std::exchange(m_may_keep_engines, false)) return expired;
-  std::erase_if(m_entries, [&](const auto& item) {
-    const auto& remove_at = item.second.remove_at;
-    if (!remove_at) return false;
-    if (now < *remove_at) {
+  std::vector<std::string> due;
+  for (const auto& [id, entry] : m_entries) {
+    if (!entry.remove_at) continue;
+    if (now < *entry.remove_at) {
       m_may_keep_engines = true;
-      return false;
+      continue;
     }
-    expired.push_back({item.second.record.Key()});
-    return true;
-  });
+    expired.push_back({entry.record.Key()});
+    due.push_back(id);
+  }
+  for (const std::string& id : due) Erase(id);
   return expired;
 }
 
--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -54,6 +54,7 @@
     EventInfo{EventId::kEngineKept, "engine_kept", Level::kInfo},
     EventInfo{EventId::kStoreRead, "store_read", Level::kInfo},
     EventInfo{EventId::kStoreRestored, "store_restored", Level::kWarning},
+    EventInfo{EventId::kEngineOutdated, "engine_outdated", Level::kInfo},
     EventInfo{EventId::kBackendCallFailed, "backend_call_failed",
               Level::kWarning},
     EventInfo{EventId::kPeerConnected, "peer_connected", Level::kInfo},
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -51,6 +51,8 @@
   Duration shortest_lapse{};
   /// Time after an outage within which running engines register again.
   Duration return_grace{};
+  /// The registry removes an engine after this long without a heartbeat.
+  Duration silence_limit{};
 
   friend bool operator==(const RegistrationTiming&,
                          const RegistrationTiming&) = default;
@@ -70,12 +72,20 @@
 /// `return_grace` has passed. A removal found by any other read is final, since
 /// the registry was available to the engine. The registry was available while
 /// any entry read it; an entry that alone lost its connection has not seen an
-/// outage. Not thread-safe.
+/// outage.
+///
+/// A registry that is restored from an older copy lacks engines that registered
+/// since, and has engines as ready that left since. After a restore, missing
+/// engines are kept as after an outage. Engines that are known to have left get
+/// no requests until they register anew; one whose registration in the copy
+/// outlasts the silence limit is running. Not thread-safe.
 class EngineDirectory {
  public:
   explicit EngineDirectory(const RegistrationTiming& timing)
       : m_timing(timing) {}
 
+  /// The next read finds the contents of an older copy.
+  void NoteRestored();
   /// Starts the changes of one read of the registrations, made at `now`.
   void BeginRead(TimePoint now);
   /// Records the reads of another entry, whose engines have the digest
@@ -86,8 +96,9 @@
   /// Reads of this entry; only valid after the first one.
   const RegistryReads& reads() const { return m_reads; }
 
-  /// Adds or replaces a registration.
-  void Update(const EngineRecord& record);
+  /// Adds or replaces a registration. Returns false if it is outdated: a copy
+  /// has the engine although it has left.
+  bool Update(const EngineRecord& record);
   /// Handles a registration of `id` that is gone or no longer valid. Returns
   /// the engine unless it was unknown or already missing.
   std::optional<MissingEngine> Remove(const std::string& id, TimePoint now);
@@ -97,6 +108,11 @@
                                       TimePoint now);
   /// Removes and returns the missing engines that are due at `now`.
   std::vector<MissingEngine> Expire(TimePoint now);
+  /// Adds the engines whose outdated registrations have outlasted the silence
+  /// limit at `now`, and returns their keys.
+  std::vector<std::string> AddRunning(TimePoint now);
+  /// Time after a restore at which `AddRunning` may add engines.
+  Duration ReturnAfterRestore() const;
   /// Time since the engines of this directory were last read from the registry,
   /// by this entry or by another one that has the same engines.
   Duration ComputeAge(TimePoint now) const { return now - m_fresh_at; }
@@ -117,6 +133,18 @@
   /// outage after which engines are kept.
   bool CoversOutage(const RegistryReads& reads) const;
 
+  /// Removes the entry and remembers that the engine has left.
+  void Erase(const std::string& id);
+  void ForgetDeparted(TimePoint now);
+  /// Returns whether `record` is outdated in the copy that is being read.
+  bool IsOutdated(const EngineRecord& record) const;
+
+  /// The registration in a copy of an engine that has left.
+  struct OutdatedEntry {
+    EngineRecord record;
+    TimePoint add_at{};
+  };
+
   struct Entry {
     EngineRecord record;
     /// Set while the registration is missing: when the engine is removed unless
@@ -135,6 +163,13 @@
   /// The current read ends an outage that was long enough for registrations to
   /// lapse.
   bool m_is_after_outage = false;
+  /// The next read, and the current one, find an older copy.
+  bool m_is_restored = false;
+  bool m_is_reading_copy = false;
+  /// When engines left that a copy may still have, by key.
+  std::unordered_map<std::string, TimePoint> m_departed;
+  /// By id.
+  std::unordered_map<std::string, OutdatedEntry> m_outdated;
   /// Engines may be kept; spares looking through all of them.
   bool m_may_keep_engines = false;
   std::unordered_map<std::string, Entry> m_entries;
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -54,6 +54,7 @@
   kEngineKept = 608,
   kStoreRead = 609,
   kStoreRestored = 610,
+  kEngineOutdated = 611,
   kBackendCallFailed = 700,
   kPeerConnected = 800,
   kPeerLost = 801,
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -167,8 +167,11 @@
   callbacks.on_read = [](const discovery::ReadReport& read) {
     LogRead(deployment::kEngineTopic, read);
   };
-  callbacks.on_restored = [](int64_t epoch) {
+  callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kEngineTopic, epoch);
+    m_engines.NoteRestored();
+    m_threads.RunAfter(m_engines.ReturnAfterRestore(),
+                       [this] { AddRunningEngines(); });
   };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
@@ -223,6 +226,16 @@
   }
 }
 
+void StoreFollower::AddRunningEngines() {
+  const auto added = m_engines.AddRunning(SteadyClock().Now());
+  if (added.empty()) return;
+  for (const std::string& engine : added) {
+    events::Log(EventId::kEngineRegistered, {{"engine", engine}});
+  }
+  ShareProgress();
+  m_callbacks.on_engines();
+}
+
 void StoreFollower::ApplyEngine(const KeyedRecord& record) {
   if (!record.value) {
     RemoveEngine(record.key, "removed");
@@ -243,6 +256,10 @@
   const bool is_new = current == nullptr || current->Key() != parsed->Key();
   const bool is_leaving = parsed->state == EngineState::kLeaving &&
                           (is_new || current->state != EngineState::kLeaving);
+  if (!m_engines.Update(*parsed)) {
+    events::Log(EventId::kEngineOutdated, {{"engine", parsed->Key()}});
+    return;
+  }
   if (is_new || is_leaving) {
     events::Log(
         is_leaving ? EventId::kEngineLeaving : EventId::kEngineRegistered,
@@ -250,7 +267,6 @@
          {"address", parsed->address},
          {"service", parsed->service}});
   }
-  m_engines.Update(*parsed);
 }
 
 void StoreFollower::ShareProgress() {
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -68,6 +68,8 @@
   void NoteMissingEngine(const discovery::MissingEngine& engine,
                          const char* reason);
   void ExpireEngines();
+  /// Adds engines that a restored store has and that turned out to run.
+  void AddRunningEngines();
   int64_t Version() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -17,9 +17,11 @@
 
 SEED = 29
 GATEWAYS = 3
-COPY_AGE_S = 1.0
 PROBE_S = 4.0
 SETTLE_S = 0.5
+COPY_S = 0.1
+# All gateways have read the registrations by then.
+POLL_S = 1.6
 # Engines write their registrations again within this time of a restore.
 ENGINES_RETURN_S = 1.5
 LEAVE_PROBE_S = 4.0
@@ -34,15 +36,22 @@
             if event["step"] == "run" and event["engine"] in engines]
 
 
+async def note_copy():
+    """Returns the time of a copy of the store, before any later change."""
+    copied_at = time.time()
+    await asyncio.sleep(COPY_S)
+    return copied_at
+
+
 async def check_configuration(fleet):
     """Two versions are lost; the newest is written again and another one follows
     at once, so that the topic ends again where the gateways' next read begins."""
-    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+    copied_at = await note_copy()
     await fleet.move_route()
     await fleet.move_route()
     await asyncio.sleep(SETTLE_S)
     other_service = fleet.route_moves[-2][1]
-    await fleet.restore_store(COPY_AGE_S, other_service)
+    await fleet.restore_store(time.time() - copied_at, other_service)
     slowest_s = await gateway_fleet.measure_adoptions(fleet, PROBE_S)
     print("the last request under an outdated configuration was sent "
           f"{slowest_s:.2f} s after the change, allowed "
@@ -61,37 +70,42 @@
     return failed
 
 
-async def check_leaving_engine(fleet, host, is_announced):
-    """An engine leaves, and the copy has it as ready. It never writes again."""
-    await host.register()
-    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+async def check_leaving_engine(fleet, service, is_announced):
+    """The most used engine of a service leaves, and the copy has it as ready. It
+    never writes again."""
+    await send_page_requests(fleet, time.time() + POLL_S)
+    hosts = [host for host in fleet.engines if host.service == service]
+    host = max(hosts, key=lambda candidate: len(
+        read_runs(fleet, [candidate.id])))
+    copied_at = await note_copy()
     if is_announced:
         await host.register(is_leaving=True)
     else:
         await fleet.put_engine(host.id, b"")
     left_at = time.time()
-    await asyncio.sleep(SETTLE_S)
-    await fleet.restore_store(COPY_AGE_S)
+    await asyncio.sleep(POLL_S)
+    await fleet.restore_store(time.time() - copied_at)
     await send_page_requests(fleet, left_at + LEAVE_PROBE_S)
     run_times = [run["at"] - left_at for run in read_runs(fleet, [host.id])]
     last_run_s = max(run_times, default=0.0)
     kind = "announced" if is_announced else "silent"
     print(f"the last request at an engine that left ({kind}) ran "
           f"{last_run_s:.2f} s after it, allowed {fleets.DRAIN_PROPAGATION_S} s")
-    await fleet.put_engine(host.id, b"")
+    await host.register()
     return last_run_s <= fleets.DRAIN_PROPAGATION_S
 
 
 async def check_new_engines(fleet, service):
     """Engines that the copy does not have serve on until they write again."""
     hosts = [host for host in fleet.engines if host.service == service]
+    await asyncio.sleep(POLL_S)
     for host in hosts:
         await fleet.put_engine(host.id, b"")
-    await asyncio.sleep(COPY_AGE_S + SETTLE_S)
+    copied_at = await note_copy()
     for host in hosts:
         await host.register()
-    await asyncio.sleep(SETTLE_S)
-    await fleet.restore_store(COPY_AGE_S)
+    await asyncio.sleep(POLL_S)
+    await fleet.restore_store(time.time() - copied_at)
     failed = await send_page_requests(fleet, time.time() + ENGINES_RETURN_S)
     for host in hosts:
         await host.register()
@@ -131,12 +145,9 @@
         results = [await check_peers(fleet),
                    await check_configuration(fleet)]
         service = fleet.route_moves[-1][1]
-        hosts = [host for host in fleet.engines if host.service == service]
-        results.append(await check_leaving_engine(fleet, hosts[0], True))
-        await hosts[0].register()
-        results.append(await check_leaving_engine(fleet, hosts[1], False))
-        await hosts[1].register()
-        await asyncio.sleep(SETTLE_S)
+        for is_announced in (True, False):
+            results.append(await check_leaving_engine(fleet, service,
+                                                      is_announced))
         results.append(await check_new_engines(fleet, service))
     return all(results)
 
