Announce a gateway again in a store that was restored

A gateway that started after a restore of the store found none of the others, so they neither exchanged their requests nor the newest version. Cause: each gateway writes its announcement once, at its start, and the copy may lack it. Class: a record that must last is written once and never compared with the store.

A gateway announces itself again in each epoch of the store, at a random moment within 1 s, and looks for its peers after each announcement: a gateway that reads too early to find another one is found by it.

--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -22,6 +22,7 @@
 
 constexpr Duration kTimingUpdateInterval = std::chrono::seconds(1);
 constexpr Duration kRetryDelay = std::chrono::seconds(1);
+constexpr Duration kAnnounceSpread = std::chrono::seconds(1);
 /// The registrations are read once more this long before kept engines are
 /// removed.
 constexpr Duration kFinalReadLead = std::chrono::milliseconds(200);
@@ -88,8 +89,8 @@
   AdjustTiming();
   m_configuration_follower.Start();
   m_engine_follower.Start();
-  AnnounceSelf();
   FindPeers();
+  AnnounceSelf();
 }
 
 int64_t StoreFollower::Version() const {
@@ -113,8 +114,9 @@
   callbacks.on_read = [](const discovery::ReadReport& read) {
     LogRead(deployment::kOperatorTopic, read);
   };
-  callbacks.on_restored = [](int64_t epoch) {
+  callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kOperatorTopic, epoch);
+    AnnounceAgain(epoch);
   };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
@@ -169,6 +171,7 @@
   };
   callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kEngineTopic, epoch);
+    AnnounceAgain(epoch);
     m_engines.NoteRestored();
     m_threads.RunAfter(m_engines.ReturnAfterRestore(),
                        [this] { AddRunningEngines(); });
@@ -306,14 +309,27 @@
   // destroyed.
   m_entry_topic.Put(m_host.value(), value.dump(),
                     [this, threads = &m_threads](const Result<void>& done) {
-                      if (!done)
-                        threads->Post([this, error = done.error()] {
-                          RetryLater("announce", error,
+                      threads->Post([this, done] {
+                        if (done) {
+                          // Entries whose reads were too early to find this one
+                          // have announced themselves by now.
+                          FindPeers();
+                        } else {
+                          RetryLater("announce", done.error(),
                                      [this] { AnnounceSelf(); });
-                        });
+                        }
+                      });
                     });
 }
 
+void StoreFollower::AnnounceAgain(int64_t epoch) {
+  if (std::exchange(m_announced_epoch, epoch) == epoch) return;
+  // Spreads the calls of a large fleet.
+  std::uniform_int_distribution<Duration::rep> delay(
+      0, Duration(kAnnounceSpread).count());
+  m_threads.RunAfter(Duration(delay(m_random)), [this] { AnnounceSelf(); });
+}
+
 void StoreFollower::FindPeers() {
   m_entry_topic.ReadNewest(
       [this, threads = &m_threads](Result<discovery::RecordPage> page) {
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,7 +77,10 @@
   /// Polls at once if a peer has read newer records.
   void CatchUp(const gateway::RecordsProgress& peer);
   void AdjustTiming();
+  /// Announces this entry in the store, then looks for its peers.
   void AnnounceSelf();
+  /// Announces this entry in a store that was restored and has `epoch` now.
+  void AnnounceAgain(int64_t epoch);
   void FindPeers();
   void AddPeers(const std::vector<KeyedRecord>& records);
   void RetryLater(const char* call, const Error& error,
@@ -95,6 +99,8 @@
   Follower m_engine_follower;
   std::shared_ptr<const routing::Configuration> m_configuration;
   bool m_has_all_engines = false;
+  int64_t m_announced_epoch = 0;
+  std::mt19937_64 m_random{std::random_device()()};
   /// Keys of the engine entries that are invalid and whose rejection is logged.
   std::set<std::string> m_rejected_entries;
 };
