Compare the positions of two gateways only within an epoch of the store

Found while looking for the cause of the restored store elsewhere: gateways tell each other the offset up to which they have read the registrations, and one that is behind reads at once. Across a restore the offsets of two epochs were compared: a gateway that had read the restored store looked behind, so that nobody followed it, and one that had not made others read in vain. The position now has the epoch.

PeerExchangeTest::SetRecordsProgress_WithPosition_ReachesPeer and TopicPosition_LaterEpoch_IsFurtherThanAnyOffset do not compile without the change.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -94,7 +94,7 @@
   RecordsProgress progress;
   progress.configuration_version = load.config_version;
   progress.engines_digest = load.engines_digest;
-  progress.engines_offset = load.engines_offset;
+  progress.engines_position = {load.engines_epoch, load.engines_offset};
   if (load.__isset.engines_age_ms && load.__isset.engines_available_ms) {
     const auto before_now = [now](int64_t millis) {
       return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
@@ -165,7 +165,8 @@
   load.sequence = ++sequence;
   load.config_version = progress.configuration_version;
   load.engines_digest = progress.engines_digest;
-  load.engines_offset = progress.engines_offset;
+  load.engines_epoch = progress.engines_position.epoch;
+  load.engines_offset = progress.engines_position.offset;
   if (progress.registry_reads) {
     const TimePoint now = SteadyClock().Now();
     load.__set_engines_age_ms(
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -15,6 +15,8 @@
 class PeerExchangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerExchangeTest);
   CPPUNIT_TEST(SetRecordsProgress_WithReads_ReachesPeer);
+  CPPUNIT_TEST(SetRecordsProgress_WithPosition_ReachesPeer);
+  CPPUNIT_TEST(TopicPosition_LaterEpoch_IsFurtherThanAnyOffset);
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -31,6 +33,18 @@
                              received->available_since));
     CPPUNIT_ASSERT(IsDelayed(progress.registry_reads->last, received->last));
   }
+  void SetRecordsProgress_WithPosition_ReachesPeer() {
+    RecordsProgress progress;
+    progress.engines_digest = kDigest;
+    progress.engines_position = {3, 7};
+    CPPUNIT_ASSERT(Exchange(progress).engines_position ==
+                   progress.engines_position);
+  }
+  // Guards against offsets that are compared across a restore of the store.
+  void TopicPosition_LaterEpoch_IsFurtherThanAnyOffset() {
+    CPPUNIT_ASSERT((TopicPosition{2, 1} > TopicPosition{1, 9}));
+    CPPUNIT_ASSERT((TopicPosition{2, 2} > TopicPosition{2, 1}));
+  }
   void SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads() {
     RecordsProgress progress;
     progress.engines_digest = kDigest;
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -4,6 +4,7 @@
 /// that it names, so the next datagram makes up for a lost one.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,6 +27,16 @@
   std::string ToString() const { return ip + ":" + std::to_string(port); }
 };
 
+/// A position in a topic that may be restored from an older copy.
+struct TopicPosition {
+  /// Rises with each restore.
+  int64_t epoch = 0;
+  /// Offset of the next record to read; only comparable within an epoch.
+  int64_t offset = 0;
+
+  friend auto operator<=>(const TopicPosition&, const TopicPosition&) = default;
+};
+
 /// How far an entry has read the platform's records.
 struct RecordsProgress {
   /// Version of the configuration; 0 if there is none.
@@ -33,8 +44,8 @@
   /// Digest that changes when an engine is added, starts to leave or is
   /// removed.
   int64_t engines_digest = 0;
-  /// Offset of the next registration to read.
-  int64_t engines_offset = 0;
+  /// How far the registrations are read.
+  TopicPosition engines_position;
   /// When the entry read the registrations; none before the first read.
   std::optional<discovery::RegistryReads> registry_reads;
 };
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -272,11 +272,15 @@
   }
 }
 
+gateway::TopicPosition StoreFollower::EnginesPosition() const {
+  return {m_engine_follower.epoch(), m_engine_follower.next_offset()};
+}
+
 void StoreFollower::ShareProgress() {
   gateway::RecordsProgress progress;
   progress.configuration_version = Version();
   progress.engines_digest = m_engines.ComputeDigest();
-  progress.engines_offset = m_engine_follower.next_offset();
+  progress.engines_position = EnginesPosition();
   if (m_has_all_engines) progress.registry_reads = m_engines.reads();
   m_peers.SetRecordsProgress(progress);
 }
@@ -290,7 +294,7 @@
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
   }
-  if (peer.engines_offset > m_engine_follower.next_offset() &&
+  if (peer.engines_position > EnginesPosition() &&
       peer.engines_digest != m_engines.ComputeDigest()) {
     m_engine_follower.PollNow();
   }
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -72,6 +72,7 @@
   /// Adds engines that a restored store has and that turned out to run.
   void AddRunningEngines();
   int64_t Version() const;
+  gateway::TopicPosition EnginesPosition() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
   /// Polls at once if a peer has read newer records.
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4498,6 +4498,10 @@
   this->engines_available_ms = val;
 __isset.engines_available_ms = true;
 }
+
+void EntryLoad::__set_engines_epoch(const int64_t val) {
+  this->engines_epoch = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -4618,6 +4622,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engines_epoch);
+          this->__isset.engines_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4685,6 +4697,10 @@
     xfer += oprot->writeI64(this->engines_available_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("engines_epoch", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->engines_epoch);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4702,6 +4718,7 @@
   swap(a.engines_offset, b.engines_offset);
   swap(a.engines_age_ms, b.engines_age_ms);
   swap(a.engines_available_ms, b.engines_available_ms);
+  swap(a.engines_epoch, b.engines_epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -4716,6 +4733,7 @@
   engines_offset = other104.engines_offset;
   engines_age_ms = other104.engines_age_ms;
   engines_available_ms = other104.engines_available_ms;
+  engines_epoch = other104.engines_epoch;
   __isset = other104.__isset;
 }
 EntryLoad::EntryLoad(EntryLoad&& other105) noexcept {
@@ -4729,6 +4747,7 @@
   engines_offset = other105.engines_offset;
   engines_age_ms = other105.engines_age_ms;
   engines_available_ms = other105.engines_available_ms;
+  engines_epoch = other105.engines_epoch;
   __isset = other105.__isset;
 }
 EntryLoad& EntryLoad::operator=(const EntryLoad& other106) {
@@ -4742,6 +4761,7 @@
   engines_offset = other106.engines_offset;
   engines_age_ms = other106.engines_age_ms;
   engines_available_ms = other106.engines_available_ms;
+  engines_epoch = other106.engines_epoch;
   __isset = other106.__isset;
   return *this;
 }
@@ -4756,6 +4776,7 @@
   engines_offset = other107.engines_offset;
   engines_age_ms = other107.engines_age_ms;
   engines_available_ms = other107.engines_available_ms;
+  engines_epoch = other107.engines_epoch;
   __isset = other107.__isset;
   return *this;
 }
@@ -4772,6 +4793,7 @@
   out << ", " << "engines_offset=" << to_string(engines_offset);
   out << ", " << "engines_age_ms="; (__isset.engines_age_ms ? (out << to_string(engines_age_ms)) : (out << "<null>"));
   out << ", " << "engines_available_ms="; (__isset.engines_available_ms ? (out << to_string(engines_available_ms)) : (out << "<null>"));
+  out << ", " << "engines_epoch=" << to_string(engines_epoch);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1740,7 +1740,7 @@
 std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
 
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
@@ -1751,6 +1751,7 @@
   bool engines_offset :1;
   bool engines_age_ms :1;
   bool engines_available_ms :1;
+  bool engines_epoch :1;
 } _EntryLoad__isset;
 
 class EntryLoad : public virtual ::apache::thrift::TBase {
@@ -1769,7 +1770,8 @@
               engines_digest(0),
               engines_offset(0),
               engines_age_ms(0),
-              engines_available_ms(0) {
+              engines_available_ms(0),
+              engines_epoch(0) {
   }
 
   virtual ~EntryLoad() noexcept;
@@ -1783,6 +1785,7 @@
   int64_t engines_offset;
   int64_t engines_age_ms;
   int64_t engines_available_ms;
+  int64_t engines_epoch;
 
   _EntryLoad__isset __isset;
 
@@ -1806,6 +1809,8 @@
 
   void __set_engines_available_ms(const int64_t val);
 
+  void __set_engines_epoch(const int64_t val);
+
   bool operator == (const EntryLoad & rhs) const
   {
     if (!(process_id == rhs.process_id))
@@ -1832,6 +1837,8 @@
       return false;
     else if (__isset.engines_available_ms && !(engines_available_ms == rhs.engines_available_ms))
       return false;
+    if (!(engines_epoch == rhs.engines_epoch))
+      return false;
     return true;
   }
   bool operator != (const EntryLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -228,4 +228,5 @@
  10: optional i64 engines_age_ms  // time since the sender read registrations
  11: optional i64 engines_available_ms  // time since entries read them again
                                         // after the last outage
+ 12: i64 engines_epoch        // epoch in which engines_offset is valid
 }
