--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -10,8 +10,10 @@
 class Faults:
     """Injects faults into a fleet and records the span of each."""
 
-    def __init__(self, fleet, random):
+    def __init__(self, fleet, random, restore_random):
         self.fleet, self.random = fleet, random
+        # Separate, so that older seeds keep their other faults.
+        self.restore_random = restore_random
         self.injected = []  # [kind, begin, end], in Unix seconds
         self.kinds = [
             self.gateway_kill, self.gateway_freeze, self.gateway_stop,
@@ -24,12 +26,18 @@
         ]
 
     async def run(self, until):
-        """Runs two concurrent series of faults of varying duration."""
+        """Runs two concurrent series of faults of varying duration, and restores
+        the store at times that do not depend on them."""
         async def series():
             while time.monotonic() < until:
                 await asyncio.sleep(self.random.uniform(0.1, 1.2))
                 await self.inject(self.random.choice(self.kinds))
-        await asyncio.gather(series(), series())
+        await asyncio.gather(series(), series(), self.run_restores(until))
+
+    async def run_restores(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(self.restore_random.uniform(2.0, 8.0))
+            await self.inject(self.store_restore)
 
     async def inject(self, fault):
         entry = [fault.__name__, time.time(), float("inf")]
@@ -190,6 +198,20 @@
         await asyncio.sleep(self.random.uniform(0.5, 4.0))
         await self.fleet.set_store_fault({"mode": "ok"})
 
+    async def store_restore(self):
+        """Restores the store from a copy some seconds old."""
+        try:
+            await self.fleet.restore_store(self.restore_random.uniform(0.2, 3.0))
+        except (OSError, asyncio.TimeoutError, ConnectionError):
+            return  # The store does not answer during another fault.
+        for host in self.fleet.engines:
+            await host.register(host.is_leaving)
+        # The store removes registrations without heartbeats.
+        await asyncio.sleep(fleets.REGISTRATION_SILENCE_S)
+        current = {host.id for host in self.fleet.engines}
+        for engine_id in set(self.fleet.service_of) - current:
+            await self.fleet.put_engine(engine_id, b"")
+
     async def link_delay(self):
         host = self.pick_engine()
 
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -20,6 +20,7 @@
 DRAIN_PROPAGATION_S = 2.0
 CONFIGURATION_PROPAGATION_S = 2.0
 STALE_ENTRY_S = 1.5
+REGISTRATION_SILENCE_S = 3.0
 HTTP_HOST = "soak.example"
 API_KEY = "soak-key"
 TEAM = "soak-team"
