--- a/testsuite/common/gateway_fleet.py
+++ b/testsuite/common/gateway_fleet.py
@@ -42,9 +42,8 @@
             await fleet.stop()
 
 
-async def send_page_request(fleet, gateway):
-    """Sends a request on the route that changes; returns the service that ran
-    it, or None if it was not served."""
+async def read_page(gateway):
+    """Sends a request on the route that changes; returns the answer's head."""
     reader, writer = await asyncio.wait_for(
         asyncio.open_connection(gateway.ip, fleets.PORTS.callers),
         PROBE_TIMEOUT_S)
@@ -54,13 +53,21 @@
             fleets.REQUEST_TIMEOUT_S, fleets.API_KEY, 0))
         answer = await asyncio.wait_for(http_messages.read_head(reader),
                                         PROBE_TIMEOUT_S)
-        engine = platform_messages.find_signing_engine(
-            answer.headers if answer else {})
-        return fleet.service_of.get(engine)
+        if answer is None:
+            raise ConnectionError("no answer")
+        return answer
     finally:
         writer.close()
 
 
+async def send_page_request(fleet, gateway):
+    """Sends a request on the route that changes; returns the service that ran
+    it, or None if it was not served."""
+    answer = await read_page(gateway)
+    engine = platform_messages.find_signing_engine(answer.headers)
+    return fleet.service_of.get(engine)
+
+
 async def measure_adoption(fleet, gateway, service, acknowledged_at, probe_s):
     """Sends requests until `probe_s` after the acknowledgement; returns how long
     after it the last one was sent that another service than `service` ran."""
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -182,6 +182,12 @@
         except (OSError, asyncio.TimeoutError, ConnectionError):
             pass  # The engine is down; its replacement has no fault.
 
+    async def set_limit(self, requests_per_s):
+        """Makes the engine name a limit; None ends it."""
+        await call(self.link.target, "POST", "/limit",
+                   b"" if requests_per_s is None else
+                   str(requests_per_s).encode())
+
 
 class Fleet:
     def __init__(self, program, folder, net, gateways, stream_objective_s):
