Keep requests within the limits that engines state, over all gateways

Engines that named a limit got as many requests as before: the header was read nowhere. Class: a load signal of the engine is passed on to the caller instead of being used where the load is decided.

The adapter decodes the limit into AnswerHead. scheduling/engine_rate_limits shares it over all gateways without a coordinator. Each gateway counts what it and its peers have sent to the engine within 4 s and sends nothing beyond the limit. Until peers know of each other's requests, each gateway sends with the probability at which all contenders together are expected to send what is left (the global random drop of Raghavan et al., SIGCOMM 2007); until they know of its demand, it assumes that theirs is as high. Peers report limits, what they sent and their demand, so that a gateway that the engine has not told knows them, too.

Requests go to engines without a limit first. Each send counts: first ones, repeats, resumed streams, prefill shards. What the limits do not let through in time is refused at once, with the time until this gateway's share allows it (5 s at most).

GatewayCallTest::*Limit*, PeerExchangeTest::ShareRateLimits_*, MessageCodecTest::ReadAnswer_RateLimit_*.

Not covered: in fleets of more than 33 gateways sparse calls that may not wait are mostly refused at a limited engine, since their gateways' demand is not yet known.

--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -199,6 +199,11 @@
   return *m_digest;
 }
 
+bool EngineDirectory::Contains(std::string_view key) const {
+  const EngineRecord* known = Find(std::string(key.substr(0, key.rfind('@'))));
+  return known != nullptr && known->Key() == key;
+}
+
 const EngineRecord* EngineDirectory::Find(const std::string& id) const {
   const auto found = m_entries.find(id);
   return found == m_entries.end() ? nullptr : &found->second.record;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,6 +21,8 @@
 /// Assumed if the prompt size is not stated.
 constexpr int64_t kUnknownPromptTokens = 1000;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+/// Another entry may serve the caller earlier than this one could.
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(500);
 /// Retry-After is increased by up to this fraction at random, so that callers
 /// refused together do not return together.
@@ -178,7 +180,7 @@
     GiveUp(live, reason);
     return;
   }
-  const Duration wait = AddJitter(retry_after);
+  const Duration wait = AddJitter(std::min(retry_after, kMaxRetryAfter));
   events::Log(EventId::kRequestRefused,
               {{"request", live->request.id.value()},
                {"status", http::kUnavailable},
@@ -277,6 +279,14 @@
                                     active_request_table, peers, registry,
                                     options)) {
   peers.OnPeerChange([impl = m_impl] { impl->ScheduleQueueDrain(); });
+  peers.ShareRateLimits(m_impl->rate_limits,
+                        [impl = m_impl](const std::string& engine) {
+                          if (impl->engines.Contains(engine)) {
+                            impl->LogLimit(engine, "peer");
+                          } else {
+                            impl->rate_limits->Forget(engine);
+                          }
+                        });
 }
 
 Gateway::~Gateway() = default;
@@ -297,7 +307,10 @@
   for (auto& [service, budget] : m_impl->budgets) budget.SetLimits(limits);
 }
 
-void Gateway::NoteEnginesChanged() { m_impl->ScheduleQueueDrain(); }
+void Gateway::NoteEnginesChanged() {
+  m_impl->ForgetGoneLimits();
+  m_impl->ScheduleQueueDrain();
+}
 
 void Gateway::Handle(const http::ServerRequest& request,
                      const http::ResponderPtr& responder) {
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -111,6 +111,7 @@
          "a different engine uses the address");
     return;
   }
+  NoteLimit(*live->attempt, head);
   if (head.is_not_run) {
     Fail(live, FailureCause::kNotRun, "status " + std::to_string(head.status));
     return;
--- a/src/gateway/gateway_call_test.cc
+++ b/src/gateway/gateway_call_test.cc
@@ -9,6 +9,9 @@
   CPPUNIT_TEST(Handle_UnknownRouteOrKey_Returns404Or401);
   CPPUNIT_TEST(Call_EngineResponds_CallerGetsResponseUnchanged);
   CPPUNIT_TEST(Call_EngineReportsNotRun_IsSentToAnotherEngine);
+  CPPUNIT_TEST(Call_OneEngineStatesALimit_OthersGetTheRequests);
+  CPPUNIT_TEST(Call_AllEnginesAtTheirLimits_IsRefusedAtOnce);
+  CPPUNIT_TEST(Call_RepeatAtEngineAtItsLimit_IsRefused);
   CPPUNIT_TEST(Call_AllEnginesReportNotRun_IsRefusedWithRetryAfter);
   CPPUNIT_TEST(Call_UnrepeatableConnectionLost_IsNotRetried);
   CPPUNIT_TEST(Call_IdempotentConnectionLost_IsRetried);
@@ -51,6 +54,39 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, EngineAt(1).Count());
   }
 
+  void Call_OneEngineStatesALimit_OthersGetTheRequests() {
+    AddEngine(&RespondWithLimit);
+    AddEngine(&RespondOk);
+    Configure();
+    for (int i = 0; i < 12; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, Call("/call/x").status);
+    }
+    CPPUNIT_ASSERT(EngineAt(0).Count() <= 1);
+  }
+
+  void Call_AllEnginesAtTheirLimits_IsRefusedAtOnce() {
+    AddEngine(&RespondWithLimit);
+    Configure();
+    // The first response states the limit; four requests are left in 4 s.
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, Call("/call/x").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(503, Call("/call/x").status);
+    CPPUNIT_ASSERT(!m_retry_after.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, EngineAt(0).Count());
+  }
+
+  // Guards against repeats that exceed an engine's limit.
+  void Call_RepeatAtEngineAtItsLimit_IsRefused() {
+    AddEngine(&RespondWithLimit);
+    Configure();
+    for (int i = 0; i < 5; ++i) Call("/call/x");
+    AddEngine(&RespondNotRun);
+    CPPUNIT_ASSERT_EQUAL(503, Call("/call/x").status);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, EngineAt(1).Count());
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, EngineAt(0).Count());
+  }
+
   void Call_AllEnginesReportNotRun_IsRefusedWithRetryAfter() {
     AddEngine(&RespondNotRun);
     AddEngine(&RespondNotRun);
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -67,6 +67,9 @@
     head.matches_request = from.FindHeader("Id") == request.id.value();
     head.is_signed = from.FindHeader("Signature").has_value();
     head.headers = {{"Signature", "s"}};
+    if (const auto limit = from.FindHeader("Limit")) {
+      head.max_requests_per_second = std::stod(std::string(*limit));
+    }
     return head;
   };
   codec.write_reserve = [](const std::string& address, const std::string& id,
@@ -114,6 +117,14 @@
   responder->Reply(200, SignedHeaders(request), "body of " + request.target);
 }
 
+/// Responds like `RespondOk` and states a limit of one request per second.
+inline void RespondWithLimit(const ServerRequest& request,
+                             const ResponderPtr& responder) {
+  auto headers = SignedHeaders(request);
+  headers.push_back({"Limit", "1"});
+  responder->Reply(200, std::move(headers), "limited");
+}
+
 inline void RespondNotRun(const ServerRequest& /*request*/,
                           const ResponderPtr& responder) {
   responder->Reply(503, {{"Not-Run", "1"}}, "");
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -17,6 +17,7 @@
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/scheduling/engine_health.h"
 #include "peridotshelf/scheduling/request_queue.h"
+#include "peridotshelf/scheduling/service_placement.h"
 #include "peridotshelf/scheduling/stream_placement.h"
 #include "reservations.h"
 
@@ -49,6 +50,8 @@
         active_request_table(request_table),
         peers(exchange),
         options(gateway_options),
+        rate_limits(std::make_shared<scheduling::EngineRateLimits>(
+            std::random_device()())),
         reservations(io, http_client, codec, gateway_options.reservation_ttl),
         finished(
             registry.AddCounter({"peridotshelf_requests_total",
@@ -87,6 +90,9 @@
   void PlaceOrQueue(const LiveRequestPtr& live);
   bool TryStartStream(const LiveRequestPtr& live,
                       const scheduling::EngineModel& model);
+  bool TryStartStreamOn(
+      const std::vector<const discovery::EngineRecord*>& records,
+      const LiveRequestPtr& live, const scheduling::EngineModel& model);
   /// Returns the plan to start the stream now on `candidates`; nullopt if it
   /// should wait.
   static std::optional<scheduling::StreamPlan> MakePlan(
@@ -96,6 +102,8 @@
   /// now.
   bool CanMoveToAnotherEngine(const LiveRequest& live);
   bool TryStartCall(const LiveRequestPtr& live);
+  std::vector<scheduling::ServiceCandidate> MakeServiceCandidates(
+      const std::vector<const discovery::EngineRecord*>& records);
   void QueueOrRefuse(const LiveRequestPtr& live,
                      const scheduling::EngineModel& model);
   std::vector<const discovery::EngineRecord*> FindUsableEngines(
@@ -109,6 +117,27 @@
   /// Schedules one drain of the queue for all changes until then.
   void ScheduleQueueDrain();
 
+  // Engines that limit their requests.
+  /// Returns the engines of `records` that state no limit.
+  std::vector<const discovery::EngineRecord*> RemoveLimited(
+      const std::vector<const discovery::EngineRecord*>& records) const;
+  /// Adds the engines of `usable` to `records` that state a limit and may
+  /// receive a request now. Returns whether there are any.
+  bool AddAdmitted(const std::vector<const discovery::EngineRecord*>& usable,
+                   std::vector<const discovery::EngineRecord*>& records);
+  /// Counts a request, or a part of one, that is sent to `engine`.
+  void CountAgainstLimit(const std::string& engine);
+  /// Applies the limit that an engine states in a response.
+  void NoteLimit(const Attempt& attempt, const AnswerHead& head);
+  void LogLimit(const std::string& engine, std::string_view source);
+  /// Returns the time until the limits of `records`, which all state one, allow
+  /// one request more than `ahead` of this entry.
+  Duration PredictLimitWait(
+      const std::vector<const discovery::EngineRecord*>& records,
+      size_t ahead) const;
+  /// Forgets the limits of engines that are gone.
+  void ForgetGoneLimits();
+
   // One attempt.
   void StartAttempt(const LiveRequestPtr& live,
                     const discovery::EngineRecord& engine);
@@ -162,6 +191,8 @@
   scheduling::ActiveRequestTable& active_request_table;
   PeerExchange& peers;
   GatewayOptions options;
+  /// Shared with the exchange.
+  std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
   Reservations reservations;
   metrics::Family<metrics::Counter>& finished;
   metrics::Family<metrics::Counter>& failed_attempts;
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -113,7 +113,10 @@
   }
   const scheduling::EngineModel* model = FindModel(*live);
   if (model == nullptr) {
-    if (!TryStartCall(live)) GiveUp(live, "no_engine");
+    if (!TryStartCall(live)) {
+      Refuse(live, PredictLimitWait(FindUsableEngines(*live), 0),
+             "engine_limit");
+    }
     return;
   }
   // Queued requests take precedence over new ones, but not over a stream that
@@ -153,16 +156,24 @@
 }
 
 bool Gateway::Impl::CanMoveToAnotherEngine(const LiveRequest& live) {
-  if (FindUntriedEngines(live).empty()) return false;
+  if (RemoveLimited(FindUntriedEngines(live)).empty()) return false;
   const scheduling::EngineModel* model = FindModel(live);
   if (model == nullptr) return true;
-  return MakePlan(live, MakeCandidates(FindUsableEngines(live), *model))
-      .has_value();
+  const auto records = RemoveLimited(FindUsableEngines(live));
+  return MakePlan(live, MakeCandidates(records, *model)).has_value();
 }
 
 bool Gateway::Impl::TryStartStream(const LiveRequestPtr& live,
                                    const scheduling::EngineModel& model) {
-  const auto records = FindUsableEngines(*live);
+  const auto usable = FindUsableEngines(*live);
+  auto records = RemoveLimited(usable);
+  if (TryStartStreamOn(records, live, model)) return true;
+  return AddAdmitted(usable, records) && TryStartStreamOn(records, live, model);
+}
+
+bool Gateway::Impl::TryStartStreamOn(
+    const std::vector<const discovery::EngineRecord*>& records,
+    const LiveRequestPtr& live, const scheduling::EngineModel& model) {
   const auto candidates = MakeCandidates(records, model);
   const auto plan = MakePlan(*live, candidates);
   if (!plan) return false;
@@ -284,15 +295,16 @@
             ? now + FromMillis(plan.first_event_ms)
             : now + FromMillis(plan.first_event_ms + plan.decode_ms);
     active_request_table.Put(engine.engine, active_request);
+    CountAgainstLimit(engine.engine);
     peers.NoteChange(engine.engine);
   };
   put(plan.primary, /*is_prefill_shard=*/false);
   for (const size_t index : plan.helpers) put(index, /*is_prefill_shard=*/true);
 }
 
-bool Gateway::Impl::TryStartCall(const LiveRequestPtr& live) {
+std::vector<scheduling::ServiceCandidate> Gateway::Impl::MakeServiceCandidates(
+    const std::vector<const discovery::EngineRecord*>& records) {
   const TimePoint now = SteadyClock().Now();
-  const auto records = FindUsableEngines(*live);
   std::vector<scheduling::ServiceCandidate> servers;
   servers.reserve(records.size());
   for (const discovery::EngineRecord* record : records) {
@@ -306,6 +318,20 @@
     server.is_same_domain = record->failure_domain == options.failure_domain;
     servers.push_back(server);
   }
+  return servers;
+}
+
+bool Gateway::Impl::TryStartCall(const LiveRequestPtr& live) {
+  const TimePoint now = SteadyClock().Now();
+  const auto usable = FindUsableEngines(*live);
+  auto records = RemoveLimited(usable);
+  auto servers = MakeServiceCandidates(records);
+  const bool has_free_slot = std::any_of(
+      servers.begin(), servers.end(),
+      [](const auto& server) { return server.running < server.slots; });
+  if (!has_free_slot && AddAdmitted(usable, records)) {
+    servers = MakeServiceCandidates(records);
+  }
   const auto chosen = scheduling::PlaceCall(servers);
   if (!chosen) return false;
   StartAttempt(live, *records[*chosen]);
@@ -315,6 +341,7 @@
   active_request.end =
       now + FromMillis(std::max(servers[*chosen].call_ms, 1.0) * 2);
   active_request_table.Put(live->attempt->engine_key, active_request);
+  CountAgainstLimit(live->attempt->engine_key);
   peers.NoteChange(live->attempt->engine_key);
   events::Log(EventId::kRequestPlaced,
               {{"request", live->request.id.value()},
@@ -330,7 +357,8 @@
 void Gateway::Impl::QueueOrRefuse(const LiveRequestPtr& live,
                                   const scheduling::EngineModel& model) {
   const TimePoint now = SteadyClock().Now();
-  const auto candidates = MakeCandidates(FindUsableEngines(*live), model);
+  const auto usable = FindUsableEngines(*live);
+  const auto unlimited = RemoveLimited(usable);
   const double optimistic_first_event_ms =
       model.PrefillDuration(live->prompt_tokens) / 2 +
       model.IterationDuration(1, 0);
@@ -340,11 +368,20 @@
                                    live->arrived + live->route->caller_timeout);
   }
   latest_useful_start -= FromMillis(optimistic_first_event_ms);
-  const auto decision =
-      scheduling::DecideQueueing(candidates, queue.CountAhead(live->priority),
-                                 latest_useful_start - now, now);
+  const size_t ahead = queue.CountAhead(live->priority);
+  scheduling::QueueDecision decision;
+  if (unlimited.empty()) {
+    decision.predicted_slot_wait = PredictLimitWait(usable, ahead);
+    decision.should_queue =
+        now + decision.predicted_slot_wait <= latest_useful_start;
+  } else {
+    decision =
+        scheduling::DecideQueueing(MakeCandidates(unlimited, model), ahead,
+                                   latest_useful_start - now, now);
+  }
   if (!decision.should_queue) {
-    Refuse(live, decision.predicted_slot_wait, "no_place");
+    Refuse(live, decision.predicted_slot_wait,
+           unlimited.empty() ? "engine_limit" : "no_place");
     return;
   }
   scheduling::QueuedRequest queued;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
+#include <cmath>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -90,6 +91,39 @@
   return request;
 }
 
+wire::EngineLimit ToWire(const std::string& engine,
+                         const scheduling::RateLimitReport& report,
+                         TimePoint now) {
+  wire::EngineLimit out;
+  out.engine = engine;
+  if (report.per_second) {
+    out.__set_per_second_thousandths(
+        std::llround(*report.per_second * kThousandthsPerUnit));
+  }
+  out.stated_age_ms = ToMilliseconds(now - report.stated_at);
+  out.sent = report.sent;
+  out.recently_sent = report.recently_sent;
+  out.demand_thousandths =
+      std::llround(report.demand_per_second * kThousandthsPerUnit);
+  return out;
+}
+
+scheduling::RateLimitReport FromWire(const wire::EngineLimit& in,
+                                     TimePoint now) {
+  scheduling::RateLimitReport report;
+  if (in.__isset.per_second_thousandths) {
+    report.per_second =
+        static_cast<double>(in.per_second_thousandths) / kThousandthsPerUnit;
+  }
+  report.stated_at =
+      now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
+  report.sent = in.sent;
+  report.recently_sent = std::max<int64_t>(in.recently_sent, 0);
+  report.demand_per_second =
+      static_cast<double>(in.demand_thousandths) / kThousandthsPerUnit;
+  return report;
+}
+
 RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now) {
   RecordsProgress progress;
   progress.configuration_version = load.config_version;
@@ -137,6 +171,9 @@
   std::set<std::string> changed_engines;
   std::unordered_map<std::string, Peer> peers;
   std::function<void()> on_peer_change = [] {};
+  std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
+  std::function<void(const std::string&)> on_limit_change =
+      [](const std::string&) {};
   std::function<void(const RecordsProgress&)> on_peer_progress =
       [](const RecordsProgress&) {};
   RecordsProgress progress;
@@ -157,6 +194,9 @@
   wire::EntryLoad MakeReport();
   void AddEngineRequests(wire::EntryLoad& load,
                          const std::string& engine) const;
+  void AddLimit(wire::EntryLoad& load, const std::string& engine) const;
+  void AddAllLimits(wire::EntryLoad& load) const;
+  void ApplyLimits(const std::string& peer, const wire::EntryLoad& load);
 };
 
 wire::EntryLoad PeerExchange::Impl::MakeReport() {
@@ -189,6 +229,35 @@
   load.engines.push_back(std::move(engine_requests));
 }
 
+void PeerExchange::Impl::AddLimit(wire::EntryLoad& load,
+                                  const std::string& engine) const {
+  if (!rate_limits) return;
+  const TimePoint now = SteadyClock().Now();
+  if (const auto report = rate_limits->MakeReport(engine, now)) {
+    load.limits.push_back(ToWire(engine, *report, now));
+  }
+}
+
+void PeerExchange::Impl::AddAllLimits(wire::EntryLoad& load) const {
+  if (!rate_limits) return;
+  for (const std::string& engine :
+       rate_limits->EnginesToReport(SteadyClock().Now())) {
+    AddLimit(load, engine);
+  }
+}
+
+void PeerExchange::Impl::ApplyLimits(const std::string& peer,
+                                     const wire::EntryLoad& load) {
+  if (!rate_limits) return;
+  const TimePoint now = SteadyClock().Now();
+  for (const wire::EngineLimit& limit : load.limits) {
+    if (rate_limits->ApplyReport(peer, limit.engine, FromWire(limit, now),
+                                 now)) {
+      on_limit_change(limit.engine);
+    }
+  }
+}
+
 void PeerExchange::Impl::SendTo(Peer& peer, const std::string& bytes) {
   asio::error_code ignored;
   // A datagram that cannot be sent is treated like a lost one.
@@ -229,7 +298,11 @@
     const size_t end = std::min(engines.size(), begin + kMaxEnginesPerDatagram);
     wire::EntryLoad load = MakeReport();
     load.complete = complete && engines.size() <= kMaxEnginesPerDatagram;
-    for (size_t i = begin; i < end; ++i) AddEngineRequests(load, engines[i]);
+    for (size_t i = begin; i < end; ++i) {
+      AddEngineRequests(load, engines[i]);
+      if (!complete) AddLimit(load, engines[i]);
+    }
+    if (complete && begin == 0) AddAllLimits(load);
     SendToLive(Encode(load), complete);
     begin = end;
   } while (begin < engines.size());
@@ -256,6 +329,7 @@
     if (peer.is_live && now - peer.last_received_at > options.peer_timeout) {
       peer.is_live = false;
       active_request_table.RemovePeer(address);
+      if (rate_limits) rate_limits->RemovePeer(address);
       events::Log(EventId::kPeerLost, {{"peer", address}});
     }
   }
@@ -305,6 +379,7 @@
   const bool has_restarted = peer.process_id != load->process_id;
   if (has_restarted) {
     active_request_table.RemovePeer(address);
+    if (rate_limits) rate_limits->RemovePeer(address);
     peer.process_id = load->process_id;
     peer.last_sequence = 0;
   }
@@ -314,7 +389,12 @@
   if (!std::exchange(peer.is_live, true)) {
     events::Log(EventId::kPeerConnected, {{"peer", address}});
   }
-  if (load->wants_reply) SendTo(peer, Encode(MakeReport()));
+  if (load->wants_reply) {
+    wire::EntryLoad reply = MakeReport();
+    AddAllLimits(reply);
+    SendTo(peer, Encode(reply));
+  }
+  ApplyLimits(address, *load);
   if (load->complete) active_request_table.RemovePeer(address);
   for (const wire::EngineWorks& engine_requests : load->engines) {
     std::vector<ActiveRequest> decoded;
@@ -384,6 +464,23 @@
   m_impl->on_peer_change = std::move(callback);
 }
 
+void PeerExchange::ShareRateLimits(
+    std::shared_ptr<scheduling::EngineRateLimits> limits,
+    std::function<void(const std::string&)> on_change) {
+  m_impl->rate_limits = std::move(limits);
+  m_impl->on_limit_change = std::move(on_change);
+}
+
+scheduling::LimitSharers PeerExchange::LimitSharers() const {
+  const size_t peers = m_impl->CountLivePeers();
+  const PeerExchangeOptions& options = m_impl->options;
+  // Changes that do not reach all peers reach the others with a full report.
+  const Duration send_delay = peers <= options.max_receivers
+                                  ? m_impl->BatchDelay()
+                                  : options.full_report_interval;
+  return {peers, send_delay + options.transit_time};
+}
+
 void PeerExchange::SetRecordsProgress(const RecordsProgress& progress) {
   const RecordsProgress previous = std::exchange(m_impl->progress, progress);
   if (previous.configuration_version == progress.configuration_version &&
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(SetRecordsProgress_WithPosition_ReachesPeer);
   CPPUNIT_TEST(TopicPosition_LaterEpoch_IsFurtherThanAnyOffset);
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
+  CPPUNIT_TEST(ShareRateLimits_PeerGreets_LearnsTheLimit);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,32 @@
     CPPUNIT_ASSERT(!Exchange(progress).registry_reads);
   }
 
+  // Guards against an entry that exceeds a limit which only others were told.
+  void ShareRateLimits_PeerGreets_LearnsTheLimit() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    auto informed = CreateExchange(threads, requests, address);
+    auto starting = CreateExchange(threads, peer_requests,
+                                   {"127.0.0.1", testing::FindFreePort()});
+    auto limits = std::make_shared<scheduling::EngineRateLimits>(1);
+    auto learned = std::make_shared<scheduling::EngineRateLimits>(2);
+    const TimePoint now = SteadyClock().Now();
+    limits->NoteAnswer("e@1", 1.7, now, now);
+    std::promise<std::string> changed;
+    threads.Post([&] {
+      informed->ShareRateLimits(limits, [](const std::string&) {});
+      starting->ShareRateLimits(learned, [&changed](const std::string& engine) {
+        changed.set_value(engine);
+      });
+      starting->AddPeer(address.ToString());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("e@1"), changed.get_future().get());
+    threads.Stop();
+    CPPUNIT_ASSERT(learned->FindLimit("e@1") == 1.7);
+  }
+
   void GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce() {
     io::IoThreads threads(1);
     scheduling::ActiveRequestTable requests;
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -125,6 +125,8 @@
   /// Returns a digest, equal in all processes that know the same engines in the
   /// same states.
   int64_t ComputeDigest() const;
+  /// Returns whether the engine with this key is known.
+  bool Contains(std::string_view key) const;
   /// Returns the registration of `id`, or null.
   const EngineRecord* Find(const std::string& id) const;
 
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -56,6 +56,8 @@
   kStoreRestored = 610,
   kEngineOutdated = 611,
   kBackendCallFailed = 700,
+  kEngineLimitChanged = 701,
+  kEngineLimitInvalid = 702,
   kPeerConnected = 800,
   kPeerLost = 801,
   kPeerFrameRejected = 802,
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -71,6 +71,11 @@
   bool is_not_run = false;
   /// A different engine now uses the address.
   bool is_other_engine = false;
+  /// Requests per second that the engine accepts from all entries together, if
+  /// it states a limit.
+  std::optional<double> max_requests_per_second;
+  /// The stated limit is malformed.
+  bool has_invalid_limit = false;
   /// The response carries the id of the request.
   bool matches_request = false;
   /// The response carries the engine's signature.
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -16,6 +16,7 @@
 #include "peridotshelf/discovery/engine_directory.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/scheduling/active_request_table.h"
+#include "peridotshelf/scheduling/engine_rate_limits.h"
 
 namespace peridotshelf::gateway {
 
@@ -62,6 +63,8 @@
   size_t max_receivers = 32;
   /// Interval at which all active requests are reported.
   Duration full_report_interval = std::chrono::seconds(1);
+  /// Time from sending a report until the peer has applied it.
+  Duration transit_time = std::chrono::milliseconds(50);
   /// A peer that sends nothing for this long is considered stopped.
   Duration peer_timeout = std::chrono::milliseconds(3500);
 };
@@ -87,6 +90,14 @@
   void NoteChange(const std::string& engine);
   /// Sets the callback for changes of a peer's requests.
   void OnPeerChange(std::function<void()> callback);
+  /// Exchanges the limits of engines: `limits` is reported to peers and
+  /// receives their reports, `on_change` the engines whose limits a peer
+  /// changed.
+  void ShareRateLimits(
+      std::shared_ptr<scheduling::EngineRateLimits> limits,
+      std::function<void(const std::string& engine)> on_change);
+  /// Returns the other entries and how late they learn of a request.
+  scheduling::LimitSharers LimitSharers() const;
   /// Sets how far this entry has read. If the configuration or the engines
   /// changed, peers are notified without waiting for the next full report, so
   /// that peers that are behind catch up.
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4453,6 +4453,219 @@
 }
 
 
+EngineLimit::~EngineLimit() noexcept {
+}
+
+
+void EngineLimit::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void EngineLimit::__set_per_second_thousandths(const int64_t val) {
+  this->per_second_thousandths = val;
+__isset.per_second_thousandths = true;
+}
+
+void EngineLimit::__set_stated_age_ms(const int64_t val) {
+  this->stated_age_ms = val;
+}
+
+void EngineLimit::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void EngineLimit::__set_recently_sent(const int64_t val) {
+  this->recently_sent = val;
+}
+
+void EngineLimit::__set_demand_thousandths(const int64_t val) {
+  this->demand_thousandths = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->per_second_thousandths);
+          this->__isset.per_second_thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stated_age_ms);
+          this->__isset.stated_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recently_sent);
+          this->__isset.recently_sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demand_thousandths);
+          this->__isset.demand_thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineLimit");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second_thousandths) {
+    xfer += oprot->writeFieldBegin("per_second_thousandths", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->per_second_thousandths);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("stated_age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->stated_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recently_sent", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->recently_sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand_thousandths", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->demand_thousandths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineLimit &a, EngineLimit &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.per_second_thousandths, b.per_second_thousandths);
+  swap(a.stated_age_ms, b.stated_age_ms);
+  swap(a.sent, b.sent);
+  swap(a.recently_sent, b.recently_sent);
+  swap(a.demand_thousandths, b.demand_thousandths);
+  swap(a.__isset, b.__isset);
+}
+
+EngineLimit::EngineLimit(const EngineLimit& other98) {
+  engine = other98.engine;
+  per_second_thousandths = other98.per_second_thousandths;
+  stated_age_ms = other98.stated_age_ms;
+  sent = other98.sent;
+  recently_sent = other98.recently_sent;
+  demand_thousandths = other98.demand_thousandths;
+  __isset = other98.__isset;
+}
+EngineLimit::EngineLimit(EngineLimit&& other99) noexcept {
+  engine = std::move(other99.engine);
+  per_second_thousandths = other99.per_second_thousandths;
+  stated_age_ms = other99.stated_age_ms;
+  sent = other99.sent;
+  recently_sent = other99.recently_sent;
+  demand_thousandths = other99.demand_thousandths;
+  __isset = other99.__isset;
+}
+EngineLimit& EngineLimit::operator=(const EngineLimit& other100) {
+  engine = other100.engine;
+  per_second_thousandths = other100.per_second_thousandths;
+  stated_age_ms = other100.stated_age_ms;
+  sent = other100.sent;
+  recently_sent = other100.recently_sent;
+  demand_thousandths = other100.demand_thousandths;
+  __isset = other100.__isset;
+  return *this;
+}
+EngineLimit& EngineLimit::operator=(EngineLimit&& other101) noexcept {
+  engine = std::move(other101.engine);
+  per_second_thousandths = other101.per_second_thousandths;
+  stated_age_ms = other101.stated_age_ms;
+  sent = other101.sent;
+  recently_sent = other101.recently_sent;
+  demand_thousandths = other101.demand_thousandths;
+  __isset = other101.__isset;
+  return *this;
+}
+void EngineLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineLimit(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "per_second_thousandths="; (__isset.per_second_thousandths ? (out << to_string(per_second_thousandths)) : (out << "<null>"));
+  out << ", " << "stated_age_ms=" << to_string(stated_age_ms);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "recently_sent=" << to_string(recently_sent);
+  out << ", " << "demand_thousandths=" << to_string(demand_thousandths);
+  out << ")";
+}
+
+
 EntryLoad::~EntryLoad() noexcept {
 }
 
@@ -4502,6 +4715,10 @@
 void EntryLoad::__set_engines_epoch(const int64_t val) {
   this->engines_epoch = val;
 }
+
+void EntryLoad::__set_limits(const std::vector<EngineLimit> & val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -4558,14 +4775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->engines.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->engines.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->engines[_i102].read(iprot);
+              xfer += this->engines[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4630,6 +4847,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->limits.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += this->limits[_i111].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4662,10 +4899,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineWorks> ::const_iterator _iter103;
-    for (_iter103 = this->engines.begin(); _iter103 != this->engines.end(); ++_iter103)
+    std::vector<EngineWorks> ::const_iterator _iter112;
+    for (_iter112 = this->engines.begin(); _iter112 != this->engines.end(); ++_iter112)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4701,6 +4938,18 @@
   xfer += oprot->writeI64(this->engines_epoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<EngineLimit> ::const_iterator _iter113;
+    for (_iter113 = this->limits.begin(); _iter113 != this->limits.end(); ++_iter113)
+    {
+      xfer += (*_iter113).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4719,65 +4968,70 @@
   swap(a.engines_age_ms, b.engines_age_ms);
   swap(a.engines_available_ms, b.engines_available_ms);
   swap(a.engines_epoch, b.engines_epoch);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-EntryLoad::EntryLoad(const EntryLoad& other104) {
-  process_id = other104.process_id;
-  sequence = other104.sequence;
-  complete = other104.complete;
-  engines = other104.engines;
-  config_version = other104.config_version;
-  wants_reply = other104.wants_reply;
-  engines_digest = other104.engines_digest;
-  engines_offset = other104.engines_offset;
-  engines_age_ms = other104.engines_age_ms;
-  engines_available_ms = other104.engines_available_ms;
-  engines_epoch = other104.engines_epoch;
-  __isset = other104.__isset;
-}
-EntryLoad::EntryLoad(EntryLoad&& other105) noexcept {
-  process_id = std::move(other105.process_id);
-  sequence = other105.sequence;
-  complete = other105.complete;
-  engines = std::move(other105.engines);
-  config_version = other105.config_version;
-  wants_reply = other105.wants_reply;
-  engines_digest = other105.engines_digest;
-  engines_offset = other105.engines_offset;
-  engines_age_ms = other105.engines_age_ms;
-  engines_available_ms = other105.engines_available_ms;
-  engines_epoch = other105.engines_epoch;
-  __isset = other105.__isset;
-}
-EntryLoad& EntryLoad::operator=(const EntryLoad& other106) {
-  process_id = other106.process_id;
-  sequence = other106.sequence;
-  complete = other106.complete;
-  engines = other106.engines;
-  config_version = other106.config_version;
-  wants_reply = other106.wants_reply;
-  engines_digest = other106.engines_digest;
-  engines_offset = other106.engines_offset;
-  engines_age_ms = other106.engines_age_ms;
-  engines_available_ms = other106.engines_available_ms;
-  engines_epoch = other106.engines_epoch;
-  __isset = other106.__isset;
+EntryLoad::EntryLoad(const EntryLoad& other114) {
+  process_id = other114.process_id;
+  sequence = other114.sequence;
+  complete = other114.complete;
+  engines = other114.engines;
+  config_version = other114.config_version;
+  wants_reply = other114.wants_reply;
+  engines_digest = other114.engines_digest;
+  engines_offset = other114.engines_offset;
+  engines_age_ms = other114.engines_age_ms;
+  engines_available_ms = other114.engines_available_ms;
+  engines_epoch = other114.engines_epoch;
+  limits = other114.limits;
+  __isset = other114.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other115) noexcept {
+  process_id = std::move(other115.process_id);
+  sequence = other115.sequence;
+  complete = other115.complete;
+  engines = std::move(other115.engines);
+  config_version = other115.config_version;
+  wants_reply = other115.wants_reply;
+  engines_digest = other115.engines_digest;
+  engines_offset = other115.engines_offset;
+  engines_age_ms = other115.engines_age_ms;
+  engines_available_ms = other115.engines_available_ms;
+  engines_epoch = other115.engines_epoch;
+  limits = std::move(other115.limits);
+  __isset = other115.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other116) {
+  process_id = other116.process_id;
+  sequence = other116.sequence;
+  complete = other116.complete;
+  engines = other116.engines;
+  config_version = other116.config_version;
+  wants_reply = other116.wants_reply;
+  engines_digest = other116.engines_digest;
+  engines_offset = other116.engines_offset;
+  engines_age_ms = other116.engines_age_ms;
+  engines_available_ms = other116.engines_available_ms;
+  engines_epoch = other116.engines_epoch;
+  limits = other116.limits;
+  __isset = other116.__isset;
   return *this;
 }
-EntryLoad& EntryLoad::operator=(EntryLoad&& other107) noexcept {
-  process_id = std::move(other107.process_id);
-  sequence = other107.sequence;
-  complete = other107.complete;
-  engines = std::move(other107.engines);
-  config_version = other107.config_version;
-  wants_reply = other107.wants_reply;
-  engines_digest = other107.engines_digest;
-  engines_offset = other107.engines_offset;
-  engines_age_ms = other107.engines_age_ms;
-  engines_available_ms = other107.engines_available_ms;
-  engines_epoch = other107.engines_epoch;
-  __isset = other107.__isset;
+EntryLoad& EntryLoad::operator=(EntryLoad&& other117) noexcept {
+  process_id = std::move(other117.process_id);
+  sequence = other117.sequence;
+  complete = other117.complete;
+  engines = std::move(other117.engines);
+  config_version = other117.config_version;
+  wants_reply = other117.wants_reply;
+  engines_digest = other117.engines_digest;
+  engines_offset = other117.engines_offset;
+  engines_age_ms = other117.engines_age_ms;
+  engines_available_ms = other117.engines_available_ms;
+  engines_epoch = other117.engines_epoch;
+  limits = std::move(other117.limits);
+  __isset = other117.__isset;
   return *this;
 }
 void EntryLoad::printTo(std::ostream& out) const {
@@ -4794,6 +5048,7 @@
   out << ", " << "engines_age_ms="; (__isset.engines_age_ms ? (out << to_string(engines_age_ms)) : (out << "<null>"));
   out << ", " << "engines_available_ms="; (__isset.engines_available_ms ? (out << to_string(engines_available_ms)) : (out << "<null>"));
   out << ", " << "engines_epoch=" << to_string(engines_epoch);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -92,6 +92,8 @@
 
 class EngineWorks;
 
+class EngineLimit;
+
 class EntryLoad;
 
 typedef struct _Hello__isset {
@@ -1739,8 +1741,90 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
 
+typedef struct _EngineLimit__isset {
+  _EngineLimit__isset() : engine(false), per_second_thousandths(false), stated_age_ms(false), sent(false), recently_sent(false), demand_thousandths(false) {}
+  bool engine :1;
+  bool per_second_thousandths :1;
+  bool stated_age_ms :1;
+  bool sent :1;
+  bool recently_sent :1;
+  bool demand_thousandths :1;
+} _EngineLimit__isset;
+
+class EngineLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineLimit(const EngineLimit&);
+  EngineLimit(EngineLimit&&) noexcept;
+  EngineLimit& operator=(const EngineLimit&);
+  EngineLimit& operator=(EngineLimit&&) noexcept;
+  EngineLimit() noexcept
+              : engine(),
+                per_second_thousandths(0),
+                stated_age_ms(0),
+                sent(0),
+                recently_sent(0),
+                demand_thousandths(0) {
+  }
+
+  virtual ~EngineLimit() noexcept;
+  std::string engine;
+  int64_t per_second_thousandths;
+  int64_t stated_age_ms;
+  int64_t sent;
+  int64_t recently_sent;
+  int64_t demand_thousandths;
+
+  _EngineLimit__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_per_second_thousandths(const int64_t val);
+
+  void __set_stated_age_ms(const int64_t val);
+
+  void __set_sent(const int64_t val);
+
+  void __set_recently_sent(const int64_t val);
+
+  void __set_demand_thousandths(const int64_t val);
+
+  bool operator == (const EngineLimit & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (__isset.per_second_thousandths != rhs.__isset.per_second_thousandths)
+      return false;
+    else if (__isset.per_second_thousandths && !(per_second_thousandths == rhs.per_second_thousandths))
+      return false;
+    if (!(stated_age_ms == rhs.stated_age_ms))
+      return false;
+    if (!(sent == rhs.sent))
+      return false;
+    if (!(recently_sent == rhs.recently_sent))
+      return false;
+    if (!(demand_thousandths == rhs.demand_thousandths))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineLimit &a, EngineLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineLimit& obj);
+
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false), limits(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
@@ -1752,6 +1836,7 @@
   bool engines_age_ms :1;
   bool engines_available_ms :1;
   bool engines_epoch :1;
+  bool limits :1;
 } _EntryLoad__isset;
 
 class EntryLoad : public virtual ::apache::thrift::TBase {
@@ -1786,6 +1871,7 @@
   int64_t engines_age_ms;
   int64_t engines_available_ms;
   int64_t engines_epoch;
+  std::vector<EngineLimit>  limits;
 
   _EntryLoad__isset __isset;
 
@@ -1811,6 +1897,8 @@
 
   void __set_engines_epoch(const int64_t val);
 
+  void __set_limits(const std::vector<EngineLimit> & val);
+
   bool operator == (const EntryLoad & rhs) const
   {
     if (!(process_id == rhs.process_id))
@@ -1839,6 +1927,8 @@
       return false;
     if (!(engines_epoch == rhs.engines_epoch))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const EntryLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -215,6 +215,16 @@
   2: list<EngineWork> works
 }
 
+// What an entry knows of the limit that an engine states, and its part in it.
+struct EngineLimit {
+  1: string engine
+  2: optional i64 per_second_thousandths  // not set: the limit has ended
+  3: i64 stated_age_ms        // time since the engine stated it
+  4: i64 sent                 // requests sent since the sender knows a limit
+  5: i64 recently_sent        // of these, the ones that still count
+  6: i64 demand_thousandths   // wanted requests per 1,000 s
+}
+
 // A datagram between entries: the active requests of the sender.
 struct EntryLoad {
   1: string process_id        // new at each start of a process
@@ -229,4 +239,5 @@
  11: optional i64 engines_available_ms  // time since entries read them again
                                         // after the last outage
  12: i64 engines_epoch        // epoch in which engines_offset is valid
+ 13: list<EngineLimit> limits // of the listed engines; all if complete
 }
