--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,6 +1,7 @@
-/// State and operations of the gateway, implemented in three files: arrival and
-/// end of a request (gateway.cc), its placement (gateway_placement.cc) and one
-/// attempt at an engine (gateway_attempt.cc).
+/// State and operations of the gateway, implemented in five files: arrival and
+/// end of a request (gateway.cc), placement of streams (gateway_placement.cc)
+/// and of calls (gateway_calls.cc), engines that limit their requests
+/// (gateway_limits.cc) and one attempt at an engine (gateway_attempt.cc).
 #pragma once
 
 #include <memory>
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -1,143 +1,28 @@
 #include "peridotshelf/gateway/peer_exchange.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
-#include <cmath>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
+#include "peer_messages.h"
 #include "peridotshelf/events/log.h"
-#include "wire/gen-cpp/peridotshelf_types.h"
 
 namespace peridotshelf::gateway {
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
 using asio::ip::udp;
 using events::EventId;
 using scheduling::ActiveRequest;
 
-constexpr size_t kMaxDatagramBytes = 60000;
 /// Engines per datagram; further engines are sent in additional datagrams.
 constexpr size_t kMaxEnginesPerDatagram = 60;
 /// Full reports between two greetings to a peer that does not respond.
 constexpr int64_t kFullReportsPerGreeting = 4;
-constexpr double kThousandthsPerUnit = 1000.0;
-
-std::string Encode(const wire::EntryLoad& load) {
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-  load.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
-Result<wire::EntryLoad> Decode(std::string_view bytes) {
-  try {
-    std::string copy(bytes);
-    auto buffer =
-        std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(copy.data()),
-                                        static_cast<uint32_t>(copy.size()));
-    TCompactProtocolT<TMemoryBuffer> protocol(
-        buffer, static_cast<int32_t>(kMaxDatagramBytes),
-        static_cast<int32_t>(kMaxDatagramBytes));
-    wire::EntryLoad load;
-    load.read(&protocol);
-    return load;
-  } catch (const std::exception& error) {
-    return Fail(ErrorCode::kProtocol, error.what());
-  }
-}
-
-int32_t MillisUntil(TimePoint now, TimePoint at) {
-  return static_cast<int32_t>(std::max<int64_t>(0, ToMilliseconds(at - now)));
-}
-
-wire::EngineWork ToWire(const ActiveRequest& request, TimePoint now) {
-  wire::EngineWork out;
-  out.id = static_cast<int64_t>(request.id);
-  out.reading = request.is_prefilling;
-  out.is_part = request.is_prefill_shard;
-  out.is_late = request.missed_objective;
-  out.memory_tokens = request.memory_tokens;
-  out.read_left_ms = MillisUntil(now, request.prefill_end);
-  out.end_left_ms = MillisUntil(now, request.end);
-  out.max_pause_ms = static_cast<int32_t>(request.max_pause_ms);
-  out.patience_ms = static_cast<int32_t>(request.caller_timeout_ms);
-  out.value_thousandths =
-      static_cast<int32_t>(request.value * kThousandthsPerUnit);
-  return out;
-}
-
-ActiveRequest FromWire(const wire::EngineWork& in, TimePoint now) {
-  ActiveRequest request;
-  request.id = static_cast<uint64_t>(in.id);
-  request.is_prefilling = in.reading;
-  request.is_prefill_shard = in.is_part;
-  request.missed_objective = in.is_late;
-  request.memory_tokens = std::max<int64_t>(in.memory_tokens, 0);
-  request.prefill_end = now + std::chrono::milliseconds(in.read_left_ms);
-  request.end = now + std::chrono::milliseconds(in.end_left_ms);
-  request.max_pause_ms = in.max_pause_ms;
-  request.caller_timeout_ms = in.patience_ms;
-  request.value = in.value_thousandths / kThousandthsPerUnit;
-  return request;
-}
-
-wire::EngineLimit ToWire(const std::string& engine,
-                         const scheduling::RateLimitReport& report,
-                         TimePoint now) {
-  wire::EngineLimit out;
-  out.engine = engine;
-  if (report.per_second) {
-    out.__set_per_second_thousandths(
-        std::llround(*report.per_second * kThousandthsPerUnit));
-  }
-  out.stated_age_ms = ToMilliseconds(now - report.stated_at);
-  out.sent = report.sent;
-  out.recently_sent = report.recently_sent;
-  out.demand_thousandths =
-      std::llround(report.demand_per_second * kThousandthsPerUnit);
-  return out;
-}
-
-scheduling::RateLimitReport FromWire(const wire::EngineLimit& in,
-                                     TimePoint now) {
-  scheduling::RateLimitReport report;
-  if (in.__isset.per_second_thousandths) {
-    report.per_second =
-        static_cast<double>(in.per_second_thousandths) / kThousandthsPerUnit;
-  }
-  report.stated_at =
-      now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
-  report.sent = in.sent;
-  report.recently_sent = std::max<int64_t>(in.recently_sent, 0);
-  report.demand_per_second =
-      static_cast<double>(in.demand_thousandths) / kThousandthsPerUnit;
-  return report;
-}
-
-RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now) {
-  RecordsProgress progress;
-  progress.configuration_version = load.config_version;
-  progress.engines_digest = load.engines_digest;
-  progress.engines_position = {load.engines_epoch, load.engines_offset};
-  if (load.__isset.engines_age_ms && load.__isset.engines_available_ms) {
-    const auto before_now = [now](int64_t millis) {
-      return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
-    };
-    progress.registry_reads = {before_now(load.engines_available_ms),
-                               before_now(load.engines_age_ms)};
-  }
-  return progress;
-}
 
 struct Peer {
   udp::endpoint endpoint;
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -43,8 +43,10 @@
   }
   // Guards against offsets that are compared across a restore of the store.
   void TopicPosition_LaterEpoch_IsFurtherThanAnyOffset() {
-    CPPUNIT_ASSERT((TopicPosition{2, 1} > TopicPosition{1, 9}));
-    CPPUNIT_ASSERT((TopicPosition{2, 2} > TopicPosition{2, 1}));
+    CPPUNIT_ASSERT(TopicPosition({1, 9}).IsBehind({2, 1}));
+    CPPUNIT_ASSERT(!TopicPosition({2, 1}).IsBehind({1, 9}));
+    CPPUNIT_ASSERT(TopicPosition({2, 1}).IsBehind({2, 2}));
+    CPPUNIT_ASSERT(!TopicPosition({2, 2}).IsBehind({2, 2}));
   }
   void SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads() {
     RecordsProgress progress;
--- /dev/null
+++ b/src/gateway/peer_messages.h
@@ -0,0 +1,34 @@
+/// Encoding of the datagrams that entries exchange.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "peridotshelf/base/clock.h"
+#include "peridotshelf/base/error.h"
+#include "peridotshelf/gateway/peer_exchange.h"
+#include "peridotshelf/scheduling/active_request_table.h"
+#include "peridotshelf/scheduling/engine_rate_limits.h"
+#include "wire/gen-cpp/peridotshelf_types.h"
+
+namespace peridotshelf::gateway {
+
+inline constexpr size_t kMaxDatagramBytes = 60000;
+
+std::string Encode(const wire::EntryLoad& load);
+/// Returns kProtocol if `bytes` are no datagram of an entry.
+Result<wire::EntryLoad> Decode(std::string_view bytes);
+
+/// Times are sent as durations from `now`, since entries' clocks differ.
+wire::EngineWork ToWire(const scheduling::ActiveRequest& request,
+                        TimePoint now);
+scheduling::ActiveRequest FromWire(const wire::EngineWork& in, TimePoint now);
+wire::EngineLimit ToWire(const std::string& engine,
+                         const scheduling::RateLimitReport& report,
+                         TimePoint now);
+scheduling::RateLimitReport FromWire(const wire::EngineLimit& in,
+                                     TimePoint now);
+RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now);
+
+}  // namespace peridotshelf::gateway
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -4,7 +4,6 @@
 /// that it names, so the next datagram makes up for a lost one.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,7 +34,10 @@
   /// Offset of the next record to read; only comparable within an epoch.
   int64_t offset = 0;
 
-  friend auto operator<=>(const TopicPosition&, const TopicPosition&) = default;
+  bool IsBehind(const TopicPosition& other) const {
+    return epoch == other.epoch ? offset < other.offset : epoch < other.epoch;
+  }
+  friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
 };
 
 /// How far an entry has read the platform's records.
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -294,7 +294,7 @@
   if (peer.configuration_version > Version()) {
     m_configuration_follower.PollNow();
   }
-  if (peer.engines_position > EnginesPosition() &&
+  if (EnginesPosition().IsBehind(peer.engines_position) &&
       peer.engines_digest != m_engines.ComputeDigest()) {
     m_engine_follower.PollNow();
   }
