--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -17,6 +17,7 @@
 
 std::vector<const EngineRecord*> Gateway::Impl::RemoveLimited(
     const std::vector<const EngineRecord*>& records) const {
+  if (rate_limits->empty()) return records;
   std::vector<const EngineRecord*> unlimited;
   for (const EngineRecord* record : records) {
     if (!rate_limits->FindLimit(record->Key())) unlimited.push_back(record);
--- a/src/include/peridotshelf/scheduling/engine_rate_limits.h
+++ b/src/include/peridotshelf/scheduling/engine_rate_limits.h
@@ -58,6 +58,8 @@
   /// limit, or with none. Returns whether the limit changed.
   bool NoteAnswer(const std::string& engine, std::optional<double> per_second,
                   TimePoint sent_at, TimePoint now);
+  /// Returns whether no engine is known to have, or to have had, a limit.
+  bool empty() const { return m_engines.empty(); }
   /// Returns the limit of `engine`, if it has one.
   std::optional<double> FindLimit(std::string_view engine) const;
   /// Returns whether a request may be sent to `engine` now; true if it has no
