Name a limit at an engine in the soak, and check it

A fourth series of faults, with its own random source, makes one engine name a limit of 0.5 to 5 requests a second for 9 s. The check counts the requests of gateways that were neither restarted nor frozen meanwhile; no other fault excuses them.

--- a/testsuite/engine_limit/run.py
+++ b/testsuite/engine_limit/run.py
@@ -14,14 +14,12 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 
 import gateway_fleet  # noqa: E402
+import fleet as fleets  # noqa: E402
 
 SEED = 31
 GATEWAYS = 5
 REQUESTS_PER_S = 60
 LIMITS = (1.0, 5.0)
-# A limit binds from this time after it was first named.
-GRACE_S = 3.0
-WINDOW_S = 4.0
 LOAD_S = 12.0
 MIN_USED_FRACTION = 0.5
 # A request that cannot be placed is refused at once.
@@ -31,10 +29,6 @@
 MIN_SERVED_FRACTION = 0.9
 
 
-def allowed_requests(limit):
-    return int(1.5 * limit * WINDOW_S + 5)
-
-
 class Load:
     """Sends requests at a constant rate to random gateways."""
 
@@ -81,20 +75,23 @@
 
 
 def count_in_busiest_window(arrivals):
-    return max((sum(begin <= at < begin + WINDOW_S for at in arrivals)
+    return max((sum(begin <= at < begin + fleets.LIMIT_WINDOW_S
+                    for at in arrivals)
                 for begin in arrivals), default=0)
 
 
 def check_limits(fleet, hosts, named_at, end):
     ok = True
     for host, limit in zip(hosts, LIMITS):
-        arrivals = read_arrivals(fleet, host.id, named_at + GRACE_S, end)
+        bound_from = named_at + fleets.LIMIT_GRACE_S
+        arrivals = read_arrivals(fleet, host.id, bound_from, end)
         busiest = count_in_busiest_window(arrivals)
-        used = len(arrivals) / (end - named_at - GRACE_S) / limit
+        used = len(arrivals) / (end - bound_from) / limit
+        allowed = fleets.allowed_requests(limit)
         print(f"an engine that named {limit} a second got {busiest} requests in "
-              f"{WINDOW_S:.0f} s, allowed {allowed_requests(limit)}; "
-              f"{used:.2f} of the limit was used")
-        ok &= busiest <= allowed_requests(limit) and used >= MIN_USED_FRACTION
+              f"{fleets.LIMIT_WINDOW_S:.0f} s, allowed {allowed}; {used:.2f} of "
+              "the limit was used")
+        ok &= busiest <= allowed and used >= MIN_USED_FRACTION
     return ok
 
 
--- a/testsuite/soak/checks.py
+++ b/testsuite/soak/checks.py
@@ -35,6 +35,7 @@
                       self.check_request_timeouts, self.check_leaving_engines,
                       self.check_configuration, self.check_retry_budget,
                       self.check_planned_stops, self.check_routes,
+                      self.check_limits,
                       self.check_processes):
             check()
         return self.violations
@@ -164,6 +165,27 @@
                     not self.is_engine_disturbed(record)):
                 self.fail("LOST", f"{record.request} was cut off by a stop")
 
+    def check_limits(self):
+        """Checks the requests of gateways that were neither restarted nor frozen
+        while an engine named a limit."""
+        gateway_of = {record.request: self.fleet.gateways[record.gateway_number]
+                      for record in self.records}
+        for engine, limit, begin, end in self.fleet.limits:
+            bound_from = begin + fleets.LIMIT_GRACE_S
+            arrivals = [
+                event["at"] for event in self.engine_events
+                if event["step"] == "arrived" and event["engine"] == engine and
+                bound_from <= event["at"] < end and
+                not overlaps_any(gateway_of[event["request"]].disturbances +
+                                 gateway_of[event["request"]].stops, begin, end)]
+            for first in arrivals:
+                count = sum(first <= at < first + fleets.LIMIT_WINDOW_S
+                            for at in arrivals)
+                if count > fleets.allowed_requests(limit):
+                    self.fail("LIMIT", f"{engine} named {limit} a second and got "
+                                       f"{count} requests")
+                    break
+
     def check_routes(self):
         """Checks each request's service against all configurations."""
         for record in self.records:
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -10,10 +10,10 @@
 class Faults:
     """Injects faults into a fleet and records the span of each."""
 
-    def __init__(self, fleet, random, restore_random):
+    def __init__(self, fleet, random, restore_random, limit_random):
         self.fleet, self.random = fleet, random
         # Separate, so that older seeds keep their other faults.
-        self.restore_random = restore_random
+        self.restore_random, self.limit_random = restore_random, limit_random
         self.injected = []  # [kind, begin, end], in Unix seconds
         self.kinds = [
             self.gateway_kill, self.gateway_freeze, self.gateway_stop,
@@ -26,13 +26,30 @@
         ]
 
     async def run(self, until):
-        """Runs two concurrent series of faults of varying duration, and restores
-        the store at times that do not depend on them."""
+        """Runs two concurrent series of faults of varying duration; restores of the
+        store and an engine's limit come at times that do not depend on them."""
         async def series():
             while time.monotonic() < until:
                 await asyncio.sleep(self.random.uniform(0.1, 1.2))
                 await self.inject(self.random.choice(self.kinds))
-        await asyncio.gather(series(), series(), self.run_restores(until))
+        await asyncio.gather(series(), series(), self.run_restores(until),
+                             self.run_limit())
+
+    async def run_limit(self):
+        await asyncio.sleep(self.limit_random.uniform(0.2, 2.0))
+        await self.inject(self.engine_limit)
+
+    async def engine_limit(self):
+        """An engine names a limit for long enough to check it."""
+        host = self.limit_random.choice(self.fleet.engines)
+        limit = self.limit_random.choice((0.5, 1.0, 1.7, 5.0))
+        engine_id = host.id
+        await host.set_limit(limit)
+        span = [engine_id, limit, time.time(), float("inf")]
+        self.fleet.limits.append(span)
+        await asyncio.sleep(fleets.LIMIT_GRACE_S + 1.5 * fleets.LIMIT_WINDOW_S)
+        span[3] = time.time()
+        await host.set_limit(None)
 
     async def run_restores(self, until):
         while time.monotonic() < until:
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -21,6 +21,9 @@
 CONFIGURATION_PROPAGATION_S = 2.0
 STALE_ENTRY_S = 1.5
 REGISTRATION_SILENCE_S = 3.0
+# A limit that an engine names binds from this time after it was first named.
+LIMIT_GRACE_S = 3.0
+LIMIT_WINDOW_S = 4.0
 HTTP_HOST = "soak.example"
 API_KEY = "soak-key"
 TEAM = "soak-team"
@@ -53,6 +56,11 @@
     retry_window_s: int = 10
 
 
+def allowed_requests(limit):
+    """Returns how many requests an engine with this limit may get in a window."""
+    return int(1.5 * limit * LIMIT_WINDOW_S + 5)
+
+
 PORTS = Ports()
 BOUNDS = Bounds()
 
@@ -184,9 +192,12 @@
 
     async def set_limit(self, requests_per_s):
         """Makes the engine name a limit; None ends it."""
-        await call(self.link.target, "POST", "/limit",
-                   b"" if requests_per_s is None else
-                   str(requests_per_s).encode())
+        try:
+            await call(self.link.target, "POST", "/limit",
+                       b"" if requests_per_s is None else
+                       str(requests_per_s).encode())
+        except (OSError, asyncio.TimeoutError, ConnectionError):
+            pass  # The engine is down; its replacement has no limit.
 
 
 class Fleet:
@@ -199,6 +210,7 @@
         # [acknowledgement time, service of /page/] of each version
         self.route_moves = []
         self.publish_lock = asyncio.Lock()
+        self.limits = []  # [engine, requests per second, begin, end]
         self.leave_times = []  # [engine, acknowledgement time]
         self.store = None
         self.program = program
