Add running engines of a restored store after the silence limit in all cases

Found by reading: the timer that adds an engine whose registration outlasts the silence limit was set when a restore was noticed, which may be one read before the registration is read. It could fire too early, and the engine was then not used until it changed its registration. The timer is now set with the registration.

--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -173,8 +173,6 @@
     LogRestore(deployment::kEngineTopic, epoch);
     AnnounceAgain(epoch);
     m_engines.NoteRestored();
-    m_threads.RunAfter(m_engines.ReturnAfterRestore(),
-                       [this] { AddRunningEngines(); });
   };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kEngineTopic},
@@ -261,6 +259,8 @@
                           (is_new || current->state != EngineState::kLeaving);
   if (!m_engines.Update(*parsed)) {
     events::Log(EventId::kEngineOutdated, {{"engine", parsed->Key()}});
+    m_threads.RunAfter(m_engines.ReturnAfterRestore(),
+                       [this] { AddRunningEngines(); });
     return;
   }
   if (is_new || is_leaving) {
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -25,6 +25,9 @@
 # Engines write their registrations again within this time of a restore.
 ENGINES_RETURN_S = 1.5
 LEAVE_PROBE_S = 4.0
+# The store removes an engine after three heartbeats of 1 s; running engines write
+# again within 2 s.
+SILENT_ENGINE_S = 5.0
 # Gateways have announced themselves again, and greeted each other, by then.
 ENTRIES_RETURN_S = 3.0
 
@@ -114,13 +117,34 @@
     return failed == 0
 
 
-async def read_live_entries(gateway):
+async def read_metric(gateway, name):
     answer = await fleets.call((gateway.ip, fleets.PORTS.operations), "GET",
                                "/metrics")
     for line in answer.body.decode().splitlines():
-        if line.startswith("peridotshelf_live_entries "):
+        if line.startswith(f"{name} "):
             return int(float(line.split()[1]))
-    raise ValueError("no metric peridotshelf_live_entries")
+    raise ValueError(f"no metric {name}")
+
+
+async def check_running_engine(fleet):
+    """An engine whose registration was removed runs, and has in the copy the
+    registration that it would write."""
+    host = fleet.engines[0]
+    copied_at = await note_copy()
+    await fleet.put_engine(host.id, b"")
+    await asyncio.sleep(POLL_S)
+    await fleet.restore_store(time.time() - copied_at)
+    await asyncio.sleep(POLL_S)
+    before = [await read_metric(gateway, "peridotshelf_engines_known")
+              for gateway in fleet.gateways]
+    await asyncio.sleep(SILENT_ENGINE_S)
+    after = [await read_metric(gateway, "peridotshelf_engines_known")
+             for gateway in fleet.gateways]
+    print(f"engines known before and after the registration outlasted the time "
+          f"of a silent engine: {before}, {after}")
+    all_engines = len(fleet.engines)
+    return (before == [all_engines - 1] * GATEWAYS and
+            after == [all_engines] * GATEWAYS)
 
 
 async def check_peers(fleet):
@@ -132,7 +156,7 @@
     await asyncio.sleep(ENTRIES_RETURN_S)
     new = await fleet.add_gateway()
     await asyncio.sleep(ENTRIES_RETURN_S)
-    live = await read_live_entries(new)
+    live = await read_metric(new, "peridotshelf_live_entries")
     print(f"a new gateway found {live} of {GATEWAYS + 1} live entries, itself "
           "included")
     new.kill()
@@ -149,6 +173,7 @@
             results.append(await check_leaving_engine(fleet, service,
                                                       is_announced))
         results.append(await check_new_engines(fleet, service))
+        results.append(await check_running_engine(fleet))
     return all(results)
 
 
