--- a/testsuite/leave_after_outage/run.py
+++ b/testsuite/leave_after_outage/run.py
@@ -8,17 +8,15 @@
 import os
 import random
 import sys
-import tempfile
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "..", "platform", "standin"))
-sys.path.insert(0, os.path.join(HERE, "..", "soak"))
+sys.path.insert(0, os.path.join(HERE, "..", "common"))
 
-import fleet as fleets  # noqa: E402
+import gateway_fleet  # noqa: E402
 import callers as load  # noqa: E402
+import fleet as fleets  # noqa: E402
 import platform_messages  # noqa: E402
-from run import wait_until_ready  # noqa: E402
 
 SEED = 19
 GATEWAYS = 2
@@ -67,29 +65,16 @@
 
 
 async def main(program):
-    with tempfile.TemporaryDirectory() as folder:
-        net = f"127.{1 + os.getpid() % 250}.{SEED}"
-        fleet = fleets.Fleet(os.path.abspath(program), folder, net, GATEWAYS,
-                             fleets.STREAM_OBJECTIVE_S)
-        watchers = []
-        try:
-            await fleet.start()
-            watchers = [asyncio.ensure_future(gateway.watch_readiness())
-                        for gateway in fleet.gateways]
-            await wait_until_ready(fleet)
-            stop_event = asyncio.Event()
-            callers = asyncio.ensure_future(
-                load.Callers(fleet, random.Random(SEED)).run(stop_event))
-            leaving, removed_at = await remove_engines_after_outage(fleet)
-            await asyncio.sleep(LEAVE_TO_CHECK_S)
-            stop_event.set()
-            await callers
-            run_times = [run["at"] for run in read_runs(fleet.history)
-                         if run["engine"] in leaving]
-        finally:
-            for watcher in watchers:
-                watcher.cancel()
-            await fleet.stop()
+    async with gateway_fleet.running_fleet(program, SEED, GATEWAYS) as fleet:
+        stop_event = asyncio.Event()
+        callers = asyncio.ensure_future(
+            load.Callers(fleet, random.Random(SEED)).run(stop_event))
+        leaving, removed_at = await remove_engines_after_outage(fleet)
+        await asyncio.sleep(LEAVE_TO_CHECK_S)
+        stop_event.set()
+        await callers
+        run_times = [run["at"] for run in read_runs(fleet.history)
+                     if run["engine"] in leaving]
     last_run_s = max(run_times) - removed_at
     print(f"the last of {len(run_times)} requests at the leaving engines ran "
           f"{last_run_s:.2f} s after their removal, allowed "
