Report starts of requests at once, and to all gateways

Cause: changes were collected for 0.5 ms per peer and sent to 32 peers in rotation; the others learned of them with the next full report, up to a second later.

Change: a start is sent in the same turn of the loop, to all live peers; ends and progress are collected for 20 ms.

The test fails with 32 receivers (32 of 40 informed).

--- a/src/gateway/gateway_calls.cc
+++ b/src/gateway/gateway_calls.cc
@@ -52,7 +52,7 @@
       now + FromMillis(std::max(servers[*chosen].call_ms, 1.0) * 2);
   active_request_table.Put(live->attempt->engine_key, active_request);
   CountAgainstLimit(live->attempt->engine_key);
-  peers.NoteChange(live->attempt->engine_key);
+  peers.NoteStart(live->attempt->engine_key);
   events::Log(EventId::kRequestPlaced,
               {{"request", live->request.id.value()},
                {"engine", live->attempt->engine_key},
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -295,7 +295,7 @@
             : now + FromMillis(plan.first_event_ms + plan.decode_ms);
     active_request_table.Put(engine.engine, active_request);
     CountAgainstLimit(engine.engine);
-    peers.NoteChange(engine.engine);
+    peers.NoteStart(engine.engine);
   };
   put(plan.primary, /*is_prefill_shard=*/false);
   for (const size_t index : plan.helpers) put(index, /*is_prefill_shard=*/true);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -50,9 +50,10 @@
   std::string process_id;
   int64_t sequence = 0;
   int64_t full_reports = 0;
-  size_t next_receiver = 0;
   bool is_stopped = false;
   bool is_flush_scheduled = false;
+  bool is_immediate_flush_scheduled = false;
+  bool is_progress_new = false;
   std::set<std::string> changed_engines;
   std::unordered_map<std::string, Peer> peers;
   std::function<void()> on_peer_change = [] {};
@@ -68,13 +69,13 @@
   void Receive();
   void HandleDatagram(std::string_view bytes);
   void ScheduleFlush();
+  void FlushNow();
   void Flush();
   void SendFullReport();
   void GreetLostPeers();
   void SendTo(Peer& peer, const std::string& bytes);
-  void SendToLive(const std::string& bytes, bool to_all);
+  void SendToLive(const std::string& bytes);
   size_t CountLivePeers() const;
-  Duration BatchDelay() const;
   void SendReport(const std::vector<std::string>& engines, bool complete);
   wire::EntryLoad MakeReport();
   void AddEngineRequests(wire::EntryLoad& load,
@@ -149,18 +150,10 @@
   socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
 }
 
-void PeerExchange::Impl::SendToLive(const std::string& bytes, bool to_all) {
-  std::vector<Peer*> live;
+void PeerExchange::Impl::SendToLive(const std::string& bytes) {
   for (auto& [address, peer] : peers) {
-    if (peer.is_live) live.push_back(&peer);
+    if (peer.is_live) SendTo(peer, bytes);
   }
-  const size_t receivers =
-      to_all ? live.size() : std::min(live.size(), options.max_receivers);
-  // Rotates through the peers, so that all of them receive changes in turn.
-  for (size_t i = 0; i < receivers; ++i) {
-    SendTo(*live[(next_receiver + i) % live.size()], bytes);
-  }
-  if (!live.empty()) next_receiver = (next_receiver + receivers) % live.size();
 }
 
 size_t PeerExchange::Impl::CountLivePeers() const {
@@ -169,13 +162,6 @@
                     [](const auto& item) { return item.second.is_live; }));
 }
 
-Duration PeerExchange::Impl::BatchDelay() const {
-  return std::min(
-      options.max_batch_delay,
-      options.batch_delay_per_peer *
-          static_cast<int64_t>(std::max<size_t>(CountLivePeers(), 1)));
-}
-
 void PeerExchange::Impl::SendReport(const std::vector<std::string>& engines,
                                     bool complete) {
   size_t begin = 0;
@@ -188,19 +174,31 @@
       if (!complete) AddLimit(load, engines[i]);
     }
     if (complete && begin == 0) AddAllLimits(load);
-    SendToLive(Encode(load), complete);
+    SendToLive(Encode(load));
     begin = end;
   } while (begin < engines.size());
 }
 
 void PeerExchange::Impl::ScheduleFlush() {
   if (std::exchange(is_flush_scheduled, true)) return;
-  threads.RunAfter(BatchDelay(),
-                   [self = shared_from_this()] { self->Flush(); });
+  threads.RunAfter(options.batch_delay, [self = shared_from_this()] {
+    self->is_flush_scheduled = false;
+    self->Flush();
+  });
+}
+
+void PeerExchange::Impl::FlushNow() {
+  // The parts of one request start in the same callback and share a datagram.
+  if (std::exchange(is_immediate_flush_scheduled, true)) return;
+  threads.Post([self = shared_from_this()] {
+    self->is_immediate_flush_scheduled = false;
+    self->Flush();
+  });
 }
 
 void PeerExchange::Impl::Flush() {
-  is_flush_scheduled = false;
+  if (changed_engines.empty() && !is_progress_new) return;
+  is_progress_new = false;
   const std::vector<std::string> engines(changed_engines.begin(),
                                          changed_engines.end());
   changed_engines.clear();
@@ -340,6 +338,11 @@
 
 void PeerExchange::GreetLostPeers() { m_impl->GreetLostPeers(); }
 
+void PeerExchange::NoteStart(const std::string& engine) {
+  m_impl->changed_engines.insert(engine);
+  m_impl->FlushNow();
+}
+
 void PeerExchange::NoteChange(const std::string& engine) {
   m_impl->changed_engines.insert(engine);
   m_impl->ScheduleFlush();
@@ -357,13 +360,8 @@
 }
 
 scheduling::LimitSharers PeerExchange::LimitSharers() const {
-  const size_t peers = m_impl->CountLivePeers();
   const PeerExchangeOptions& options = m_impl->options;
-  // Changes that do not reach all peers reach the others with a full report.
-  const Duration send_delay = peers <= options.max_receivers
-                                  ? m_impl->BatchDelay()
-                                  : options.full_report_interval;
-  return {peers, send_delay + options.transit_time};
+  return {m_impl->CountLivePeers(), options.batch_delay + options.transit_time};
 }
 
 void PeerExchange::SetRecordsProgress(const RecordsProgress& progress) {
@@ -372,6 +370,7 @@
       previous.engines_digest == progress.engines_digest) {
     return;
   }
+  m_impl->is_progress_new = true;
   m_impl->ScheduleFlush();
 }
 
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -1,7 +1,10 @@
 #include "peridotshelf/gateway/peer_exchange.h"
 
+#include <algorithm>
 #include <chrono>
 #include <future>
+#include <thread>
+#include <vector>
 
 #include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
@@ -20,6 +23,7 @@
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
   CPPUNIT_TEST(ShareRateLimits_PeerGreets_LearnsTheLimit);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
+  CPPUNIT_TEST(NoteStart_FleetOfManyEntries_ReachesEachAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -107,6 +111,58 @@
     CPPUNIT_ASSERT(status == std::future_status::ready);
   }
 
+  // Guards against entries that place requests at the same engine because they
+  // learn of each other's with the next full report only.
+  void NoteStart_FleetOfManyEntries_ReachesEachAtOnce() {
+    constexpr size_t kPeers = 40;
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    // Nothing but starts is sent during the test.
+    auto sender =
+        CreateExchange(threads, requests, address, std::chrono::hours(1));
+    std::vector<scheduling::ActiveRequestTable> tables(kPeers);
+    std::vector<std::unique_ptr<PeerExchange>> peers;
+    for (scheduling::ActiveRequestTable& table : tables) {
+      peers.push_back(CreateExchange(threads, table,
+                                     {"127.0.0.1", testing::FindFreePort()}));
+    }
+    const auto count_informed = [&] {
+      std::promise<int64_t> counted;
+      threads.Post([&] {
+        counted.set_value(
+            std::count_if(tables.begin(), tables.end(), [](const auto& table) {
+              return table.ComputeLoad("e@1", SteadyClock().Now()).running == 1;
+            }));
+      });
+      return static_cast<size_t>(counted.get_future().get());
+    };
+    std::promise<void> connected;
+    threads.Post([&] {
+      sender->OnPeerChange([&, is_done = false]() mutable {
+        if (is_done || sender->CountLiveEntries() != kPeers + 1) return;
+        is_done = true;
+        connected.set_value();
+      });
+      for (auto& peer : peers) peer->AddPeer(address.ToString());
+    });
+    connected.get_future().get();
+    threads.Post([&] {
+      scheduling::ActiveRequest request;
+      request.id = 1;
+      request.end = SteadyClock().Now() + seconds(60);
+      requests.Put("e@1", request);
+      sender->NoteStart("e@1");
+    });
+    const TimePoint deadline = SteadyClock().Now() + seconds(20);
+    while (count_informed() < kPeers && SteadyClock().Now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    const size_t informed = count_informed();
+    threads.Stop();
+    CPPUNIT_ASSERT_EQUAL(kPeers, informed);
+  }
+
  private:
   static constexpr int64_t kDigest = 7;
 
@@ -118,9 +174,10 @@
 
   static std::unique_ptr<PeerExchange> CreateExchange(
       io::IoThreads& threads, scheduling::ActiveRequestTable& requests,
-      const PeerAddress& address) {
+      const PeerAddress& address, Duration batch_delay = milliseconds(20)) {
     PeerExchangeOptions options;
     options.local_address = address;
+    options.batch_delay = batch_delay;
     // Only greetings are answered.
     options.full_report_interval = std::chrono::hours(1);
     return std::move(*PeerExchange::Create(threads, requests, options));
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -55,14 +55,10 @@
 
 struct PeerExchangeOptions {
   PeerAddress local_address;
-  /// Delay per live peer before changes are sent, so that several share a
-  /// datagram. It grows with the number of peers, so each peer receives fewer
-  /// datagrams.
-  Duration batch_delay_per_peer = std::chrono::microseconds(500);
-  Duration max_batch_delay = std::chrono::milliseconds(200);
-  /// Maximum number of peers that a datagram of changes is sent to; the other
-  /// peers receive the changes with the next full report.
-  size_t max_receivers = 32;
+  /// Delay before ends and progress of requests are sent, so that several share
+  /// a datagram. Starts are sent at once: until they are known, other entries
+  /// place their own requests at the same engines.
+  Duration batch_delay = std::chrono::milliseconds(20);
   /// Interval at which all active requests are reported.
   Duration full_report_interval = std::chrono::seconds(1);
   /// Time from sending a report until the peer has applied it.
@@ -88,7 +84,9 @@
   /// Asks the peers that are considered stopped for a report, for an entry that
   /// may have been cut off from them.
   void GreetLostPeers();
-  /// Reports that local requests at `engine` changed.
+  /// Reports at once that a local request starts at `engine`.
+  void NoteStart(const std::string& engine);
+  /// Reports within the batch delay that local requests at `engine` changed.
   void NoteChange(const std::string& engine);
   /// Sets the callback for changes of a peer's requests.
   void OnPeerChange(std::function<void()> callback);
