--- a/src/include/peridotshelf/testing/free_port.h
+++ b/src/include/peridotshelf/testing/free_port.h
@@ -5,7 +5,7 @@
 
 namespace peridotshelf::testing {
 
-/// Returns a TCP port of 127.0.0.1 on which no process listens at present.
+/// Returns a port of 127.0.0.1 that no process uses at present, by TCP or UDP.
 /// Throws std::runtime_error if it finds none.
 uint16_t FindFreePort();
 
