Add up the backlogs of prompts that gateways place without knowing of each other's

Cause: the backlog of an engine was the latest predicted end of its prefills. Two gateways that place prompts there at the same time both predict from an idle engine, so the second prompt did not count.

Change: each prefill carries the engine time that it takes by itself; the backlog is the sum of what remains of each, and at least the latest predicted end.

The new case fails without the sum (400 of 700 ms).

--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -286,9 +286,9 @@
     active_request.caller_timeout_ms =
         scheduling::ToMillis(live.route->caller_timeout);
     active_request.value = live.value;
+    active_request.prefill_ms = engine.slowdown_factor * plan.prefill_shard_ms;
     active_request.prefill_end =
-        now + FromMillis(engine.load.backlog_ms +
-                         engine.slowdown_factor * plan.prefill_shard_ms);
+        now + FromMillis(engine.load.backlog_ms + active_request.prefill_ms);
     active_request.end =
         is_prefill_shard
             ? now + FromMillis(plan.first_event_ms)
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -54,6 +54,7 @@
   out.is_late = request.missed_objective;
   out.memory_tokens = request.memory_tokens;
   out.read_left_ms = MillisUntil(now, request.prefill_end);
+  out.read_ms = static_cast<int32_t>(std::lround(request.prefill_ms));
   out.end_left_ms = MillisUntil(now, request.end);
   out.max_pause_ms = static_cast<int32_t>(request.max_pause_ms);
   out.patience_ms = static_cast<int32_t>(request.caller_timeout_ms);
@@ -70,6 +71,7 @@
   request.missed_objective = in.is_late;
   request.memory_tokens = std::max<int64_t>(in.memory_tokens, 0);
   request.prefill_end = now + std::chrono::milliseconds(in.read_left_ms);
+  request.prefill_ms = std::max(in.read_ms, 0);
   request.end = now + std::chrono::milliseconds(in.end_left_ms);
   request.max_pause_ms = in.max_pause_ms;
   request.caller_timeout_ms = in.patience_ms;
--- a/src/include/peridotshelf/scheduling/active_request_table.h
+++ b/src/include/peridotshelf/scheduling/active_request_table.h
@@ -35,6 +35,8 @@
   Millis caller_timeout_ms = 0;
   /// Value of a response that meets its objective.
   double value = 0;
+  /// Engine time that the prefill takes by itself; 0 if unknown.
+  Millis prefill_ms = 0;
   /// Predicted end of the prefill.
   TimePoint prefill_end{};
   /// Predicted end of the request.
@@ -59,7 +61,8 @@
   int32_t prefill_shards = 0;
   int64_t memory_tokens = 0;
   int64_t context_tokens = 0;
-  /// Time until all pending prefills are finished.
+  /// Time until all pending prefills are finished. Prefills that entries
+  /// started without knowing of each other's add up.
   Millis backlog_ms = 0;
   std::vector<DecodingRequest> decoding_requests;
   /// Predicted ends of the requests, unordered.
--- a/src/scheduling/active_request_table.cc
+++ b/src/scheduling/active_request_table.cc
@@ -8,10 +8,25 @@
 /// Time after its predicted end for which a peer's request still counts.
 constexpr Duration kPeerOverrun = std::chrono::seconds(2);
 
-void AddToLoad(EngineLoad& load, const ActiveRequest& request, TimePoint now) {
+/// Sums over the pending prefills of one engine.
+struct PrefillSums {
+  Millis remaining_ms = 0;
+  Millis latest_end_ms = 0;
+};
+
+/// Returns the engine time that a prefill still needs. Prefills run one after
+/// the other, so before its own share of the time it waits for others.
+Millis RemainingPrefill(const ActiveRequest& request, TimePoint now) {
+  const Millis left = ToMillis(request.prefill_end - now);
+  return std::clamp(left, 0.0, request.prefill_ms);
+}
+
+void AddToLoad(EngineLoad& load, PrefillSums& sums,
+               const ActiveRequest& request, TimePoint now) {
   if (request.is_prefilling) {
-    load.backlog_ms =
-        std::max(load.backlog_ms, ToMillis(request.prefill_end - now));
+    sums.remaining_ms += RemainingPrefill(request, now);
+    sums.latest_end_ms =
+        std::max(sums.latest_end_ms, ToMillis(request.prefill_end - now));
   }
   load.memory_tokens += request.memory_tokens;
   if (request.is_prefill_shard) {
@@ -113,13 +128,15 @@
   EngineLoad load;
   const auto at_engine = m_engines.find(engine);
   if (at_engine == m_engines.end()) return load;
+  PrefillSums sums;
   for (const auto& [sender, requests] : at_engine->second) {
     for (const ActiveRequest& request : requests) {
       // A local request stays until it is removed, however late it is.
       if (sender != kSelf && request.end + kPeerOverrun <= now) continue;
-      AddToLoad(load, request, now);
+      AddToLoad(load, sums, request, now);
     }
   }
+  load.backlog_ms = std::max(sums.remaining_ms, sums.latest_end_ms);
   return load;
 }
 
--- a/src/scheduling/scheduling_test.cc
+++ b/src/scheduling/scheduling_test.cc
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(ComputeLoad_LocalAndPeerRequests_AreSummed);
   CPPUNIT_TEST(ComputeLoad_PrefillShard_TakesNoSlot);
   CPPUNIT_TEST(ComputeLoad_PeerRequestPastItsEnd_IsLeftOut);
+  CPPUNIT_TEST(ComputeLoad_PrefillsInTurn_IsTimeUntilTheLastEnds);
+  CPPUNIT_TEST(ComputeLoad_ConcurrentPlacements_BacklogsAddUp);
   CPPUNIT_TEST(SetPeerRequests_NewList_ReplacesOldList);
   CPPUNIT_TEST(RemovePeer_PeerWithRequests_RemovesThem);
   CPPUNIT_TEST(Remove_LastRequest_LeavesNoEngine);
@@ -52,6 +54,20 @@
     CPPUNIT_ASSERT_EQUAL(
         0, m_active_request_table.ComputeLoad("e", kNow + seconds(9)).running);
   }
+  void ComputeLoad_PrefillsInTurn_IsTimeUntilTheLastEnds() {
+    m_active_request_table.Put("e", MakePrefill(1, 300, 300));
+    m_active_request_table.Put("e", MakePrefill(2, 700, 400));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(700, BacklogAt(kNow), 1e-6);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(600, BacklogAt(kNow + milliseconds(100)),
+                                 1e-6);
+  }
+  // Two entries that did not know of each other's prompts.
+  void ComputeLoad_ConcurrentPlacements_BacklogsAddUp() {
+    m_active_request_table.Put("e", MakePrefill(1, 300, 300));
+    m_active_request_table.SetPeerRequests("p", "e",
+                                           {MakePrefill(1, 400, 400)});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(700, BacklogAt(kNow), 1e-6);
+  }
   void SetPeerRequests_NewList_ReplacesOldList() {
     m_active_request_table.SetPeerRequests(
         "p", "e", {MakeRequest(1, 100), MakeRequest(2, 100)});
@@ -80,6 +96,14 @@
     request.end = kNow + seconds(1);
     return request;
   }
+  static ActiveRequest MakePrefill(uint64_t id, int left_ms, Millis own_ms) {
+    ActiveRequest request = MakeRequest(id, left_ms);
+    request.prefill_ms = own_ms;
+    return request;
+  }
+  Millis BacklogAt(TimePoint now) const {
+    return m_active_request_table.ComputeLoad("e", now).backlog_ms;
+  }
 
   ActiveRequestTable m_active_request_table;
 };
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4054,6 +4054,10 @@
 void EngineWork::__set_patience_ms(const int32_t val) {
   this->patience_ms = val;
 }
+
+void EngineWork::__set_read_ms(const int32_t val) {
+  this->read_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineWork& obj)
 {
   obj.printTo(out);
@@ -4162,6 +4166,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->read_ms);
+          this->__isset.read_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4219,6 +4231,10 @@
   xfer += oprot->writeI32(this->patience_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("read_ms", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->read_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4236,6 +4252,7 @@
   swap(a.max_pause_ms, b.max_pause_ms);
   swap(a.value_thousandths, b.value_thousandths);
   swap(a.patience_ms, b.patience_ms);
+  swap(a.read_ms, b.read_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4250,6 +4267,7 @@
   max_pause_ms = other84.max_pause_ms;
   value_thousandths = other84.value_thousandths;
   patience_ms = other84.patience_ms;
+  read_ms = other84.read_ms;
   __isset = other84.__isset;
 }
 EngineWork::EngineWork(EngineWork&& other85) noexcept {
@@ -4263,6 +4281,7 @@
   max_pause_ms = other85.max_pause_ms;
   value_thousandths = other85.value_thousandths;
   patience_ms = other85.patience_ms;
+  read_ms = other85.read_ms;
   __isset = other85.__isset;
 }
 EngineWork& EngineWork::operator=(const EngineWork& other86) noexcept {
@@ -4276,6 +4295,7 @@
   max_pause_ms = other86.max_pause_ms;
   value_thousandths = other86.value_thousandths;
   patience_ms = other86.patience_ms;
+  read_ms = other86.read_ms;
   __isset = other86.__isset;
   return *this;
 }
@@ -4290,6 +4310,7 @@
   max_pause_ms = other87.max_pause_ms;
   value_thousandths = other87.value_thousandths;
   patience_ms = other87.patience_ms;
+  read_ms = other87.read_ms;
   __isset = other87.__isset;
   return *this;
 }
@@ -4306,6 +4327,7 @@
   out << ", " << "max_pause_ms=" << to_string(max_pause_ms);
   out << ", " << "value_thousandths=" << to_string(value_thousandths);
   out << ", " << "patience_ms=" << to_string(patience_ms);
+  out << ", " << "read_ms=" << to_string(read_ms);
   out << ")";
 }
 
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -207,6 +207,7 @@
   8: i32 max_pause_ms
   9: i32 value_thousandths
   10: i32 patience_ms
+  11: i32 read_ms             // engine time that the prefill takes by itself
 }
 
 // All active requests of the sender at one engine; the list may be empty.
