Split prompts only over engines without pending prefill

Cause: engines read the newest shard first.

PlaceStream_SplitPrefill_AllowsForSlowestShard placed shards at engines with a backlog of 2 s; it now uses a prompt that takes as long on idle engines, and also checks that the prediction without the allowance meets the objective.

--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -71,6 +71,9 @@
   bool is_not_run = false;
   /// A different engine now uses the address.
   bool is_other_engine = false;
+  /// Address of the engine that caused the failure, which may be a helper;
+  /// empty if not stated.
+  std::string failed_address;
   /// Requests per second that the engine accepts from all entries together, if
   /// it states a limit.
   std::optional<double> max_requests_per_second;
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -50,6 +50,10 @@
 constexpr double kSpareSlots = 3;
 /// Fraction of a stream's value that placing it on an idle engine costs.
 constexpr double kIdleEngineCost = 0.1;
+/// A prefill is only split over engines whose own prefills end within this
+/// time. Engines run the newest shard first, so a further one would delay those
+/// that wait there already, and the streams that they belong to.
+constexpr Millis kMaxPendingPrefillMs = 5;
 /// Margin for the block granularity of the engines' KV-cache allocation.
 constexpr int64_t kMemorySlackTokens = 512;
 
@@ -103,8 +107,13 @@
          kMemorySlackTokens;
 }
 
+bool HasPendingPrefill(const EngineCandidate& engine) {
+  return engine.load.backlog_ms > kMaxPendingPrefillMs;
+}
+
 bool CanTakeShard(const EngineCandidate& engine) {
-  return engine.load.prefill_shards < engine.model->speed().slots;
+  return engine.load.prefill_shards < engine.model->speed().slots &&
+         !HasPendingPrefill(engine);
 }
 
 /// An engine with the cost of running a shard there.
@@ -222,15 +231,16 @@
     return IdleEngineCost(engine) + LastSlotCost(engine);
   }
 
-  /// Returns the best primary engine; null if no engine has a free slot and
-  /// enough memory.
+  /// Returns the best primary engine; null if no engine has a free slot, enough
+  /// memory and, for a split prefill, no pending one.
   const ShardOption* ChoosePrimary(const std::vector<ShardOption>& options,
-                                   int64_t memory) const {
+                                   size_t split, int64_t memory) const {
     const ShardOption* best = nullptr;
     double best_rank = 0;
     for (const ShardOption& option : options) {
       const EngineCandidate& engine = m_engines[option.index];
       if (!HasFreeSlot(engine) || FreeMemory(engine) < memory) continue;
+      if (split > 1 && HasPendingPrefill(engine)) continue;
       const double rank = option.rank + PrimaryCost(engine);
       if (best != nullptr && rank >= best_rank) continue;
       best = &option;
@@ -247,7 +257,8 @@
     plan.reserve_tokens = reserve_tokens;
     const int64_t primary_memory =
         reserve_tokens > 0 ? reserve_tokens : RequiredMemory();
-    const ShardOption* primary_option = ChoosePrimary(options, primary_memory);
+    const ShardOption* primary_option =
+        ChoosePrimary(options, split, primary_memory);
     if (primary_option == nullptr) return std::nullopt;
     plan.primary = primary_option->index;
     Millis ready_ms = primary_option->ready_ms;
--- a/src/scheduling/stream_placement_test.cc
+++ b/src/scheduling/stream_placement_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(PlaceStream_StreamsAlreadyLate_AvoidsCallerTimeouts);
   CPPUNIT_TEST(PlaceStream_IdleEngines_PacksShortStreams);
   CPPUNIT_TEST(PlaceStream_SplitPrefill_AllowsForSlowestShard);
+  CPPUNIT_TEST(PlaceStream_EnginesWithPendingPrefill_GetNoShards);
   CPPUNIT_TEST(PlaceStream_EngineNearlyFull_LeavesLastSlots);
   CPPUNIT_TEST(PlaceStream_ConcurrentEntries_StayWithinSlots);
   CPPUNIT_TEST(ShouldStart_LateWithLargeBacklog_Waits);
@@ -163,13 +164,24 @@
 
   // Each shard's prediction meets the objective, but the slowest overruns it.
   void PlaceStream_SplitPrefill_AllowsForSlowestShard() {
-    auto fleet = Engines(4);
-    for (EngineCandidate& engine : fleet) engine.load.backlog_ms = 2000;
-    const auto plan = PlaceStream(LongStream(190000), fleet);
+    const auto fleet = Engines(4);
+    const auto plan = PlaceStream(LongStream(320000), fleet);
     CPPUNIT_ASSERT(!plan->helpers.empty());
+    CPPUNIT_ASSERT(plan->uncontended_first_event_ms < 0.8 * 3000);
     CPPUNIT_ASSERT(!plan->meets_objective);
   }
 
+  // Engines run the newest shard first, so a prompt whose shards wait there
+  // would be delayed by each further one.
+  void PlaceStream_EnginesWithPendingPrefill_GetNoShards() {
+    auto fleet = Engines(6);
+    for (size_t i = 0; i < 3; ++i) fleet[i].load.backlog_ms = 100;
+    const auto plan = PlaceStream(LongStream(), fleet);
+    CPPUNIT_ASSERT(plan->primary >= 3);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, plan->helpers.size());
+    for (const size_t helper : plan->helpers) CPPUNIT_ASSERT(helper >= 3);
+  }
+
   void PlaceStream_EngineNearlyFull_LeavesLastSlots() {
     auto fleet = Engines(2);
     AddStreams(fleet[0], 15, 250);
