Bound what engines and the store may send in a head, an event and a body

Cause: the client collected heads and bodies of any size, and the splitter of events any event.

Change: a call states the largest head and body that a valid response can have; past that its connection is closed, the attempt fails as oversized, which counts like a broken answer, and the engine is avoided. An event is bounded too, bytes that complete no event are no progress for the stall timeout, and an event without a number is not delivered. Callers' heads and bodies were bounded before.

--- a/src/gateway/failure.cc
+++ b/src/gateway/failure.cc
@@ -10,6 +10,8 @@
       return "silent";
     case FailureCause::kBroken:
       return "broken";
+    case FailureCause::kOversized:
+      return "oversized";
     case FailureCause::kNotRun:
       return "not_run";
     case FailureCause::kOtherEngine:
--- a/src/gateway/failure.h
+++ b/src/gateway/failure.h
@@ -11,6 +11,7 @@
   kUnreachable,    ///< No connection.
   kSilent,         ///< No data arrived within the timeout.
   kBroken,         ///< Connection lost or response malformed.
+  kOversized,      ///< The response has no end within the limits.
   kNotRun,         ///< The engine guarantees that it did not run.
   kOtherEngine,    ///< A different engine uses the address.
   kEngineFailure,  ///< The engine responded with an error.
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -40,6 +40,16 @@
   return std::nullopt;
 }
 
+/// Returns the size of the largest body that a valid response can have.
+size_t MaxBodyBytes(const LiveRequest& live, const GatewayOptions& options) {
+  if (!live.IsStream() || !live.request.prompt) {
+    return options.max_response_bytes;
+  }
+  const auto tokens = static_cast<size_t>(
+      std::max<int64_t>(live.request.prompt->max_output_tokens, 1));
+  return options.max_event_bytes + tokens * options.max_stream_bytes_per_token;
+}
+
 /// Returns how long a stream may go without events, given the predicted time to
 /// first token.
 Duration ComputeStallTimeout(const LiveRequest& live, double predicted_ms) {
@@ -82,6 +92,7 @@
   request.fresh_connection = true;
   request.exact_headers = true;
   request.connect_timeout = kConnectTimeout;
+  request.max_body_bytes = MaxBodyBytes(*live, options);
   // The callbacks run on the client's thread and are posted to the gateway's
   // thread.
   const auto post = [self = shared_from_this(), weak = std::weak_ptr(live),
@@ -147,17 +158,24 @@
                            const std::string& data) {
   Attempt& attempt = *live->attempt;
   if (!attempt.head) return;
-  attempt.last_progress = SteadyClock().Now();
   if (!live->IsStream() || !http::IsSuccess(attempt.head->status)) {
+    attempt.last_progress = SteadyClock().Now();
     attempt.body += data;
     return;
   }
   const uint64_t number = attempt.number;
+  const auto events = attempt.events.Feed(data);
+  // Bytes that never complete an event are no progress.
+  if (!events.empty()) attempt.last_progress = SteadyClock().Now();
   // An event may end the attempt and destroy its splitter.
-  for (const std::string& event : attempt.events.Feed(data)) {
+  for (const std::string& event : events) {
     if (!live->attempt || live->attempt->number != number) return;
     OnEvent(live, event);
   }
+  if (!live->attempt || live->attempt->number != number) return;
+  if (attempt.events.incomplete_bytes() > options.max_event_bytes) {
+    Fail(live, FailureCause::kOversized, "an event has no end");
+  }
 }
 
 void Gateway::Impl::NoteFirstEvent(LiveRequest& live, TimePoint now) {
@@ -223,7 +241,11 @@
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
   const auto number = ParseEventNumber(event);
-  if (number && live->last_event_number) {
+  if (!number) {
+    Fail(live, FailureCause::kBroken, "an event has no number");
+    return;
+  }
+  if (live->last_event_number) {
     if (*number <= *live->last_event_number) return;
     if (*number != *live->last_event_number + 1) {
       Fail(live, FailureCause::kBroken, "an event is missing");
@@ -235,7 +257,7 @@
   } else {
     NotePause(*live, now);
   }
-  if (number) live->last_event_number = number;
+  live->last_event_number = number;
   if (!std::exchange(live->is_head_sent, true)) {
     live->responder->BeginStream(attempt.head->status, attempt.head->headers);
   }
@@ -248,9 +270,10 @@
   attempt.call.reset();
   if (!outcome) {
     const Error& error = outcome.error();
-    Fail(live,
-         error.not_run ? FailureCause::kUnreachable : FailureCause::kBroken,
-         error.detail);
+    FailureCause cause = FailureCause::kBroken;
+    if (error.not_run) cause = FailureCause::kUnreachable;
+    if (error.code == ErrorCode::kProtocol) cause = FailureCause::kOversized;
+    Fail(live, cause, error.detail);
     return;
   }
   if (!attempt.head) {
@@ -328,6 +351,7 @@
       break;
     case FailureCause::kSilent:
     case FailureCause::kBroken:
+    case FailureCause::kOversized:
     case FailureCause::kNotRun:
     case FailureCause::kEngineFailure:
       health.NoteFailure(now);
--- a/src/gateway/gateway_stream_test.cc
+++ b/src/gateway/gateway_stream_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(RefuseNewStreams_StreamAndCall_OnlyStreamIsRefused);
   CPPUNIT_TEST(Stream_PromptOverOneEnginesMemory_ReservesAndReleases);
   CPPUNIT_TEST(Stream_HelperCannotTakePart_IsSentWithoutIt);
+  CPPUNIT_TEST(Stream_EventWithoutEnd_ContinuesAtAnotherEngine);
+  CPPUNIT_TEST(Stream_EventWithoutNumber_IsNotDelivered);
   CPPUNIT_TEST(Stream_StallsWithReservedMemory_ReleasesIt);
   CPPUNIT_TEST(Stream_EngineLeavesDuringReservation_IsNotSentThere);
   CPPUNIT_TEST(Stream_HelperLeavesDuringReservation_IsNotSent);
@@ -196,6 +198,38 @@
     WaitForReleases(reservations);
   }
 
+  // Guards against memory that grows as long as an engine sends.
+  void Stream_EventWithoutEnd_ContinuesAtAnotherEngine() {
+    AddEngine(
+        [this](const ServerRequest& request, const ResponderPtr& responder) {
+          responder->BeginStream(200, SignedHeaders(request));
+          responder->Write(MakeEvent(0));
+          SendForever(responder);
+        });
+    AddEngine([](const ServerRequest& request, const ResponderPtr& responder) {
+      responder->BeginStream(200, SignedHeaders(request));
+      responder->Write(MakeEvent(1));
+      responder->EndStream();
+    });
+    Configure();
+    const auto served = Call("/stream/x");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, EngineAt(1).Count());
+    CPPUNIT_ASSERT(served.body.ends_with(MakeEvent(1)));
+  }
+
+  // Guards against bytes that are no events of an engine, such as comments.
+  void Stream_EventWithoutNumber_IsNotDelivered() {
+    AddEngine([](const ServerRequest& request, const ResponderPtr& responder) {
+      responder->BeginStream(200, SignedHeaders(request));
+      responder->Write(MakeEvent(0));
+      responder->Write(": x\n\n");
+      responder->EndStream();
+    });
+    Configure();
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(0), Call("/stream/x").body);
+    CPPUNIT_ASSERT(m_call_failed);
+  }
+
   // Guards against a failed helper that is chosen again and again because the
   // primary engine, which reports the failure, is taken for the cause.
   void Stream_HelperCannotTakePart_IsSentWithoutIt() {
@@ -290,6 +324,13 @@
     return calls;
   }
   /// Returns the number of reservations requested from engines.
+  /// Sends parts of one event until the connection is closed or the test ends.
+  void SendForever(const ResponderPtr& responder) {
+    responder->Write(std::string(size_t{16} * 1024, 'x'));
+    m_threads->RunAfter(milliseconds(1),
+                        [this, responder] { SendForever(responder); });
+  }
+
   /// Returns the address of an engine with reserved memory, other than the
   /// `primary` one.
   std::string AddressOfHelper(size_t primary) {
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -16,6 +16,8 @@
 /// a failed renewal is retried immediately.
 constexpr int kRenewalsPerTtl = 2;
 constexpr int kReleaseAttempts = 3;
+/// An answer to an order states a few numbers.
+constexpr size_t kMaxAnswerBytes = size_t{16} * 1024;
 constexpr Duration kReleaseRetryDelay = std::chrono::milliseconds(400);
 
 }  // namespace
@@ -38,6 +40,7 @@
   http::ClientRequest request =
       shared.codec.write_reserve(address, group->id, group->tokens, shared.ttl);
   request.timeout = kRequestTimeout;
+  request.max_body_bytes = kMaxAnswerBytes;
   shared.client.Fetch(
       std::move(request), [group, address, on_answer = std::move(on_answer)](
                               Result<http::ClientResponse> response) {
@@ -112,6 +115,7 @@
   Shared& shared = *group->shared;
   http::ClientRequest request = shared.codec.write_release(address, group->id);
   request.timeout = kRequestTimeout;
+  request.max_body_bytes = kMaxAnswerBytes;
   shared.client.Fetch(
       std::move(request),
       [group, address, attempts](const Result<http::ClientResponse>& response) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -34,6 +34,10 @@
   curl_slist* headers = nullptr;
   bool head_reported = false;
   std::vector<Header> response_headers;
+  size_t head_bytes = 0;
+  size_t body_bytes = 0;
+  /// The response exceeded its limits.
+  bool is_oversized = false;
   /// Bytes sent and received, and when the number last changed.
   curl_off_t bytes = 0;
   TimePoint progressed_at = SteadyClock().Now();
@@ -65,6 +69,11 @@
 size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
   const size_t bytes = size * count;
+  call->head_bytes += bytes;
+  if (call->head_bytes > call->request.max_head_bytes) {
+    call->is_oversized = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
   std::string_view line(data, bytes);
   if (line.starts_with("HTTP/")) {
     call->response_headers.clear();
@@ -87,8 +96,14 @@
 
 size_t OnBytes(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
-  ReportHead(*call);
   const size_t bytes = size * count;
+  call->body_bytes += bytes;
+  if (call->request.max_body_bytes > 0 &&
+      call->body_bytes > call->request.max_body_bytes) {
+    call->is_oversized = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  ReportHead(*call);
   if (call->callbacks.on_data) {
     call->callbacks.on_data(std::string_view(data, bytes));
   }
@@ -189,6 +204,12 @@
   error.code = code == CURLE_OPERATION_TIMEDOUT ? ErrorCode::kDeadlineExceeded
                                                 : ErrorCode::kConnectionLost;
   error.detail = curl_easy_strerror(code);
+  if (call.is_oversized) {
+    error.code = ErrorCode::kProtocol;
+    error.detail = "response too large after " +
+                   std::to_string(call.head_bytes) + " bytes of head and " +
+                   std::to_string(call.body_bytes) + " bytes of body";
+  }
   curl_off_t request_bytes = 0;
   CurlLong sent = 0;
   curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &sent);
@@ -359,6 +380,7 @@
     ClientRequest request,
     std::function<void(Result<ClientResponse>)> on_done) {
   auto response = std::make_shared<ClientResponse>();
+  if (request.max_body_bytes == 0) request.max_body_bytes = kMaxFetchedBytes;
   ClientCallbacks callbacks;
   callbacks.on_head = [response](const ClientResponseHead& head) {
     response->status = head.status;
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -25,6 +25,13 @@
   scheduling::RetryLimits retry_limits;
   /// Time after which an engine releases a reservation that is not renewed.
   Duration reservation_ttl = std::chrono::milliseconds(3500);
+  /// Largest body of an engine's response that is not streamed.
+  size_t max_response_bytes = size_t{512} * 1024;
+  /// Largest event of a stream.
+  size_t max_event_bytes = size_t{64} * 1024;
+  /// A stream may have this many bytes for each output token that its request
+  /// allows, and one event more.
+  size_t max_stream_bytes_per_token = 512;
 };
 
 /// The gateway of one process. Its state is used only on the one thread of
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -119,6 +119,8 @@
   std::vector<std::string> Feed(std::string_view bytes);
   /// Returns whether bytes of an incomplete event remain.
   bool HasIncompleteEvent() const { return !m_incomplete.empty(); }
+  /// Size of the incomplete event.
+  size_t incomplete_bytes() const { return m_incomplete.size(); }
 
  private:
   std::string m_incomplete;
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -21,6 +21,9 @@
   std::string value;
 };
 
+/// Largest body that the client collects unless the request states a limit.
+inline constexpr size_t kMaxFetchedBytes = size_t{64} * 1024 * 1024;
+
 /// A request to be sent.
 struct ClientRequest {
   std::string method = "GET";
@@ -41,6 +44,12 @@
   /// The call fails after this long without a byte transferred; zero for no
   /// limit.
   Duration idle_timeout{};
+  /// The call fails with `kProtocol` if the head of the response, with all
+  /// informational responses and trailers, is larger.
+  size_t max_head_bytes = size_t{16} * 1024;
+  /// The call fails with `kProtocol` if the body is larger; 0 for no limit, or
+  /// for `kMaxFetchedBytes` where the client collects the body.
+  size_t max_body_bytes = 0;
   /// Opens a new connection and closes it after the call. On a reused
   /// connection that turns out to be closed, libcurl may send the request
   /// twice.
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -6,14 +6,22 @@
 
 import fleet as fleets
 
+# Of the garbled answers of an engine; they have no end then.
+ENDLESS_PROBABILITY = 0.3
+ENDLESS_MODES = ("endless_line", "endless_lines", "endless_chunk_size",
+                 "endless_event", "endless_body", "slow_endless_line",
+                 "slow_endless_event")
+
 
 class Faults:
     """Injects faults into a fleet and records the span of each."""
 
-    def __init__(self, fleet, random, restore_random, limit_random):
+    def __init__(self, fleet, random, restore_random, limit_random,
+                 endless_random):
         self.fleet, self.random = fleet, random
         # Separate, so that older seeds keep their other faults.
         self.restore_random, self.limit_random = restore_random, limit_random
+        self.endless_random = endless_random
         self.injected = []  # [kind, begin, end], in Unix seconds
         self.kinds = [
             self.gateway_kill, self.gateway_freeze, self.gateway_stop,
@@ -182,6 +190,9 @@
 
     async def garble(self, host):
         mode = self.random.choice(["skip", "torn", "other_id", "unsigned"])
+        # Drawn separately, so that older seeds keep their other faults.
+        if self.endless_random.random() < ENDLESS_PROBABILITY:
+            mode = self.endless_random.choice(ENDLESS_MODES)
         await host.set_fault(mode)
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
         await host.set_fault("")
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -55,7 +55,8 @@
         await wait_until_ready(fleet)
         callers = Callers(fleet, random.Random(seed))
         faults = Faults(fleet, random.Random(seed + 1),
-                        random.Random(seed + 2), random.Random(seed + 3))
+                        random.Random(seed + 2), random.Random(seed + 3),
+                        random.Random(seed + 4))
         end = time.monotonic() + options.seconds
         stop_event = asyncio.Event()
         callers_task = asyncio.ensure_future(callers.run(stop_event))
