End a process without waiting for the logging library's threads

On loopback the process exits at once, so no test of ours shows it.

Change: the program ends by _Exit after its streams are flushed.

A loop in a test reserves its vector, as clang-tidy asks.

--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -123,6 +123,7 @@
         CreateExchange(threads, requests, address, std::chrono::hours(1));
     std::vector<scheduling::ActiveRequestTable> tables(kPeers);
     std::vector<std::unique_ptr<PeerExchange>> peers;
+    peers.reserve(kPeers);
     for (scheduling::ActiveRequestTable& table : tables) {
       peers.push_back(CreateExchange(threads, table,
                                      {"127.0.0.1", testing::FindFreePort()}));
--- a/src/peridotshelf/main.cc
+++ b/src/peridotshelf/main.cc
@@ -1,6 +1,8 @@
 // Runs the subcommand that the first argument names.
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -80,5 +82,11 @@
 
 int main(int argc, char** argv) {
   const std::vector<std::string> args(argv + 1, argv + argc);
-  return peridotshelf::settings::ToStatus(peridotshelf::program::Run(args));
+  const int status =
+      peridotshelf::settings::ToStatus(peridotshelf::program::Run(args));
+  // Ends the process without the destructors of static objects, since those of
+  // the logging library wait for its threads.
+  std::cout.flush();
+  std::fflush(nullptr);
+  std::_Exit(status);
 }
