Close connections to silent engines after two keep-alive probes

Keep-alive probes start after 1 s, but their number was not set; nine unanswered ones take 9 s. The user timeout of 2.5 s counts for unacknowledged data only there. Prompts are split over fewer engines since, so the stall timeout, 2.5 times the predicted part of 5.5 s, does not come first any more.

Change: a connection ends after two unanswered probes, 3 s after the last byte.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -116,10 +116,14 @@
 /// TCP_USER_TIMEOUT: a connection is closed when sent data stays unacknowledged
 /// for this long, in ms.
 constexpr int kUserTimeoutMs = 2500;
+/// Unanswered probes after which a connection is closed.
+constexpr int kKeepAliveProbes = 2;
 
 int OnSocket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
              sizeof(kUserTimeoutMs));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
   return CURL_SOCKOPT_OK;
 }
 
