--- a/src/discovery/shared_polling.cc
+++ b/src/discovery/shared_polling.cc
@@ -21,18 +21,29 @@
 /// Added to the poll gap for the greatest age, so that in small fleets the
 /// regular polls come first.
 constexpr Duration kMaxAgeMargin = std::chrono::milliseconds(100);
-/// With more entries than this, their polls are spread evenly enough that the
-/// pause of each entry can grow with their number without longer gaps.
-constexpr int64_t kMinEntriesToSpread = 8;
 constexpr Duration kMaxPause = std::chrono::seconds(6);
+/// An entry alone must find the end of an outage well before its bounds hold
+/// again, which is 3 s after that end at the earliest.
+constexpr Duration kMaxSharedRetryPause = std::chrono::seconds(2);
 
 }  // namespace
 
-PollTiming MakeConfigurationTiming(Duration bound, Duration answer_timeout) {
+PollTiming MakeConfigurationTiming(Duration bound, Duration answer_timeout,
+                                   size_t live_entries) {
+  const auto entries = static_cast<int64_t>(live_entries);
   PollTiming timing;
   timing.wait =
       std::clamp(bound - answer_timeout - timing.retry_pause - kAdoptionTime,
                  kMinConfigurationWait, kMaxConfigurationWait);
+  if (entries > kMinEntriesToSpread) {
+    timing.pause = std::min(
+        timing.wait * (entries - kMinEntriesToSpread) / kMinEntriesToSpread,
+        kMaxPause);
+    timing.max_age = timing.wait;
+    // A call that waited for as long as the greatest age would be replaced by
+    // the check of the age each time, by all entries at once.
+    timing.wait /= 2;
+  }
   return timing;
 }
 
@@ -50,4 +61,11 @@
   return timing;
 }
 
+Duration ShareRetryPause(size_t live_entries, bool has_records) {
+  const auto entries = static_cast<int64_t>(live_entries);
+  if (!has_records || entries <= kMinEntriesToSpread) return kMaxRetryPause;
+  return std::min(kMaxRetryPause * entries / kMinEntriesToSpread,
+                  kMaxSharedRetryPause);
+}
+
 }  // namespace peridotshelf::discovery
--- a/src/discovery/shared_polling_test.cc
+++ b/src/discovery/shared_polling_test.cc
@@ -19,9 +19,31 @@
   CPPUNIT_TEST(MakeRegistrationTiming_MoreEntries_MakeFewCalls);
   CPPUNIT_TEST(MakeRegistrationTiming_PeersDoNotRead_BoundsTheAge);
   CPPUNIT_TEST(MakeConfigurationTiming_AnswerLost_FindsChangesWithinTheBound);
+  CPPUNIT_TEST(MakeConfigurationTiming_LargeFleet_MakesFewCallsWithinTheBound);
+  CPPUNIT_TEST(ShareRetryPause_SmallFleetOrNewEntry_IsNotLonger);
+  CPPUNIT_TEST(ShareRetryPause_LargeFleet_MakesFewCallsAndIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against an entry that cannot serve yet and waits for its peers.
+  void ShareRetryPause_SmallFleetOrNewEntry_IsNotLonger() {
+    for (const size_t entries : {1, 5, 8}) {
+      CPPUNIT_ASSERT(ShareRetryPause(entries, true) == kMaxRetryPause);
+    }
+    CPPUNIT_ASSERT(ShareRetryPause(390, false) == kMaxRetryPause);
+  }
+
+  // Target: also in an outage below one call per second and entry. Guards
+  // against entries that find its end only after their bounds hold again.
+  void ShareRetryPause_LargeFleet_MakesFewCallsAndIsBounded() {
+    constexpr double kEarliestBoundSeconds = 3;
+    for (const size_t entries : {22, 26, 390}) {
+      CPPUNIT_ASSERT(1 / ToSeconds(ShareRetryPause(entries, true)) < 1);
+    }
+    CPPUNIT_ASSERT(ToSeconds(ShareRetryPause(390, true)) <
+                   kEarliestBoundSeconds);
+  }
+
   void MakeRegistrationTiming_OneEntry_PollsTwiceASecond() {
     CPPUNIT_ASSERT(MakeRegistrationTiming(1, kLeaveBound).pause ==
                    std::chrono::milliseconds(500));
@@ -83,6 +105,28 @@
         std::chrono::milliseconds(500));
   }
 
+  // Guards against calls that grow with the fleet, and against an entry that
+  // trusts its peers for longer than it would wait for an answer of its own.
+  void MakeConfigurationTiming_LargeFleet_MakesFewCallsWithinTheBound() {
+    constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+    const Duration bound = std::chrono::seconds(3);
+    for (const size_t entries : {1, 5, 8}) {
+      const PollTiming timing =
+          MakeConfigurationTiming(bound, kAnswerTimeout, entries);
+      CPPUNIT_ASSERT(timing.pause == Duration::zero());
+      CPPUNIT_ASSERT(timing.max_age == Duration::zero());
+    }
+    for (const size_t entries : {22, 26, 68, 100}) {
+      const PollTiming timing =
+          MakeConfigurationTiming(bound, kAnswerTimeout, entries);
+      CPPUNIT_ASSERT(timing.max_age > Duration::zero());
+      CPPUNIT_ASSERT(timing.max_age + kAnswerTimeout + timing.retry_pause <
+                     bound);
+      // An entry alone makes a call each 1.75 s.
+      CPPUNIT_ASSERT(ToSeconds(timing.wait + timing.pause) > 3);
+    }
+  }
+
  private:
   static double ToSeconds(Duration span) {
     return std::chrono::duration<double>(span).count();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -37,6 +37,14 @@
     load.__set_engines_available_ms(
         ToMilliseconds(now - progress.registry_reads->available_since));
   }
+  if (progress.operator_read) {
+    const TopicRead& read = *progress.operator_read;
+    wire::TopicRead out;
+    out.epoch = read.position.epoch;
+    out.offset = read.position.offset;
+    out.age_ms = ToMilliseconds(SteadyClock().Now() - read.at);
+    load.__set_operator_read(out);
+  }
   return load;
 }
 
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -173,10 +173,15 @@
   progress.engines_digest = load.engines_digest;
   progress.engines_position = {load.engines_epoch, load.engines_offset};
   progress.departed_engines = load.departed_engines;
+  const auto before_now = [now](int64_t millis) {
+    return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
+  };
+  if (load.__isset.operator_read) {
+    const wire::TopicRead& read = load.operator_read;
+    progress.operator_read = {{read.epoch, read.offset},
+                              before_now(read.age_ms)};
+  }
   if (load.__isset.engines_age_ms && load.__isset.engines_available_ms) {
-    const auto before_now = [now](int64_t millis) {
-      return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
-    };
     progress.registry_reads = {before_now(load.engines_available_ms),
                                before_now(load.engines_age_ms)};
   }
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -130,6 +130,17 @@
     m_state->follows_full_pause = false;
     Poll(m_state, Duration::zero());
   }
+  /// Returns whether the last call failed.
+  bool is_lost() const { return m_state->lost; }
+  /// Reads at once if the last call failed and is at least `min_interval` old,
+  /// because another follower has read its topic. Must be called on the thread
+  /// of the `IoThreads`.
+  void RetryNow(Duration min_interval) {
+    if (!is_lost() || SteadyClock().Now() - m_state->called_at < min_interval) {
+      return;
+    }
+    PollNow();
+  }
   /// Records that another follower, which has the same records, read the topic
   /// at `at`. Must be called on the thread of the `IoThreads`.
   void NoteFresh(TimePoint at) {
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -42,6 +42,13 @@
   friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
 };
 
+/// The newest read of a topic by an entry. An entry with the same position
+/// knows by it that it had missed no record at that time.
+struct TopicRead {
+  TopicPosition position;
+  TimePoint at{};
+};
+
 /// How far an entry has read the platform's records.
 struct RecordsProgress {
   /// Version of the configuration; 0 if there is none.
@@ -53,6 +60,8 @@
   TopicPosition engines_position;
   /// When the entry read the registrations; none before the first read.
   std::optional<discovery::RegistryReads> registry_reads;
+  /// The entry's newest read of the operator's records; none before the first.
+  std::optional<TopicRead> operator_read;
   /// Keys of the engines that leave or have left, by the registrations that the
   /// entry has read. A peer gets them only as it starts.
   std::vector<std::string> departed_engines;
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -1,7 +1,6 @@
 #include "peridotshelf/store_follower.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "peridotshelf/discovery/shared_polling.h"
@@ -20,9 +19,7 @@
 using discovery::MakeRegistrationTiming;
 using events::EventId;
 
-constexpr Duration kTimingUpdateInterval = std::chrono::seconds(1);
 constexpr Duration kRetryDelay = std::chrono::seconds(1);
-constexpr Duration kAnnounceSpread = std::chrono::seconds(1);
 /// The registrations are read once more this long before kept engines are
 /// removed.
 constexpr Duration kFinalReadLead = std::chrono::milliseconds(200);
@@ -67,6 +64,7 @@
       m_host(settings.host),
       m_return_grace(settings.registrations.return_grace),
       m_leave_bound(settings.engine_leave_bound),
+      m_configuration_bound(settings.configuration_bound),
       m_local_address(settings.peers.ToString()),
       m_peers(peers),
       m_engines(engines),
@@ -109,6 +107,7 @@
   discovery::FollowCallbacks callbacks;
   callbacks.on_all = [this](const auto& records) {
     ApplyConfiguration(records);
+    ShareProgress();
   };
   callbacks.on_changes = callbacks.on_all;
   callbacks.on_read = [](const discovery::ReadReport& read) {
@@ -152,7 +151,6 @@
                {"routes", static_cast<int64_t>(parsed->route_count())}});
   m_configuration =
       std::make_shared<const routing::Configuration>(std::move(*parsed));
-  ShareProgress();
   m_callbacks.on_configuration(m_configuration);
 }
 
@@ -282,94 +280,6 @@
   return {m_engine_follower.epoch(), m_engine_follower.next_offset()};
 }
 
-void StoreFollower::ShareProgress() {
-  gateway::RecordsProgress progress;
-  progress.configuration_version = Version();
-  progress.engines_digest = m_engines.ComputeDigest();
-  progress.engines_position = EnginesPosition();
-  if (m_has_all_engines) progress.registry_reads = m_engines.reads();
-  progress.departed_engines = m_engines.FindDeparted();
-  m_peers.SetRecordsProgress(progress);
-}
-
-void StoreFollower::CatchUp(const gateway::RecordsProgress& peer) {
-  if (peer.registry_reads &&
-      m_engines.NotePeerReads(*peer.registry_reads, peer.engines_digest)) {
-    m_engine_follower.NoteFresh(peer.registry_reads->last);
-  }
-  for (const std::string& engine :
-       m_engines.NotePeerDeparted(peer.departed_engines, SteadyClock().Now())) {
-    NoteOutdatedEngine(engine, "peer");
-  }
-  ExpireEngines();
-  if (peer.configuration_version > Version()) {
-    m_configuration_follower.PollNow();
-  }
-  if (EnginesPosition().IsBehind(peer.engines_position) &&
-      peer.engines_digest != m_engines.ComputeDigest()) {
-    m_engine_follower.PollNow();
-  }
-}
-
-void StoreFollower::AdjustTiming() {
-  const size_t live = m_peers.CountLiveEntries();
-  m_engine_follower.SetTiming(MakeRegistrationTiming(live, m_leave_bound));
-  m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
-}
-
-void StoreFollower::AnnounceSelf() {
-  const nlohmann::json value = {{"address", m_local_address},
-                                {"host", m_host.value()}};
-  // The callback runs on the client's thread, possibly after this object is
-  // destroyed.
-  m_entry_topic.Put(m_host.value(), value.dump(),
-                    [this, threads = &m_threads](const Result<void>& done) {
-                      threads->Post([this, done] {
-                        if (done) {
-                          // Entries whose reads were too early to find this one
-                          // have announced themselves by now.
-                          FindPeers();
-                        } else {
-                          RetryLater("announce", done.error(),
-                                     [this] { AnnounceSelf(); });
-                        }
-                      });
-                    });
-}
-
-void StoreFollower::AnnounceAgain(int64_t epoch) {
-  if (std::exchange(m_announced_epoch, epoch) == epoch) return;
-  // Spreads the calls of a large fleet.
-  std::uniform_int_distribution<Duration::rep> delay(
-      0, Duration(kAnnounceSpread).count());
-  m_threads.RunAfter(Duration(delay(m_random)), [this] { AnnounceSelf(); });
-}
-
-void StoreFollower::FindPeers() {
-  m_entry_topic.ReadNewest(
-      [this, threads = &m_threads](Result<discovery::RecordPage> page) {
-        threads->Post([this, page = std::move(page)] {
-          if (page) {
-            AddPeers(page->records);
-          } else {
-            RetryLater("find_entries", page.error(), [this] { FindPeers(); });
-          }
-        });
-      });
-}
-
-void StoreFollower::AddPeers(const std::vector<KeyedRecord>& records) {
-  for (const KeyedRecord& record : records) {
-    if (!record.value) continue;
-    const auto entry = nlohmann::json::parse(*record.value, nullptr,
-                                             /*allow_exceptions=*/false);
-    if (entry.is_object() && entry.contains("address") &&
-        entry["address"].is_string()) {
-      m_peers.AddPeer(entry["address"].get<std::string>());
-    }
-  }
-}
-
 void StoreFollower::RetryLater(const char* call, const Error& error,
                                std::function<void()> retry) {
   events::Log(EventId::kPlatformCallFailed,
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -29,7 +29,8 @@
   std::function<void()> on_engines;
 };
 
-/// Keeps configuration and engines up to date from `Start` until destroyed. All
+/// Keeps configuration and engines up to date from `Start` until destroyed.
+/// What it shares with peers is implemented in store_follower_peers.cc. All
 /// members except the constructor must be called on the one thread of
 /// `threads`.
 class StoreFollower {
@@ -76,10 +77,25 @@
   void AddRunningEngines();
   int64_t Version() const;
   gateway::TopicPosition EnginesPosition() const;
+  gateway::TopicPosition OperatorPosition() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
   /// Polls at once if a peer has read newer records.
   void CatchUp(const gateway::RecordsProgress& peer);
+  /// Ends a pause between failed calls if the store serves a peer.
+  void RetryIfRead(const discovery::RegistryReads& peer_reads);
+  /// Polls the configuration unless the call that waits for it is answered
+  /// soon.
+  void CatchUpConfiguration(int64_t peer_version);
+  /// Polls the registrations if the peer has newer ones.
+  void CatchUpEngines(const gateway::RecordsProgress& peer);
+  bool HasOlderEngines(const gateway::RecordsProgress& peer) const;
+  /// Reads the newer records that a peer has.
+  void ReadNewer(Follower& follower);
+  /// Returns whether there are so many entries that calls are worth saving.
+  bool IsLargeFleet() const;
+  /// Returns `delay` in larger fleets and zero in others.
+  Duration CatchUpDelay(Duration delay) const;
   void AdjustTiming();
   /// Announces this entry in the store, then looks for its peers.
   void AnnounceSelf();
@@ -94,6 +110,7 @@
   HostId m_host;
   Duration m_return_grace;
   Duration m_leave_bound;
+  Duration m_configuration_bound;
   std::string m_local_address;
   gateway::PeerExchange& m_peers;
   discovery::EngineDirectory& m_engines;
@@ -103,6 +120,10 @@
   Follower m_engine_follower;
   std::shared_ptr<const routing::Configuration> m_configuration;
   bool m_has_all_engines = false;
+  /// A read because of a peer's newer configuration is scheduled.
+  bool m_is_configuration_due = false;
+  /// The same because of a peer's newer registrations.
+  bool m_are_engines_due = false;
   int64_t m_announced_epoch = 0;
   std::mt19937_64 m_random{std::random_device()()};
   /// Keys of the engine entries that are invalid and whose rejection is logged.
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -5178,6 +5178,151 @@
 }
 
 
+TopicRead::~TopicRead() noexcept {
+}
+
+
+void TopicRead::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void TopicRead::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void TopicRead::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const TopicRead& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TopicRead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TopicRead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TopicRead");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TopicRead &a, TopicRead &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.offset, b.offset);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TopicRead::TopicRead(const TopicRead& other116) noexcept {
+  epoch = other116.epoch;
+  offset = other116.offset;
+  age_ms = other116.age_ms;
+  __isset = other116.__isset;
+}
+TopicRead::TopicRead(TopicRead&& other117) noexcept {
+  epoch = other117.epoch;
+  offset = other117.offset;
+  age_ms = other117.age_ms;
+  __isset = other117.__isset;
+}
+TopicRead& TopicRead::operator=(const TopicRead& other118) noexcept {
+  epoch = other118.epoch;
+  offset = other118.offset;
+  age_ms = other118.age_ms;
+  __isset = other118.__isset;
+  return *this;
+}
+TopicRead& TopicRead::operator=(TopicRead&& other119) noexcept {
+  epoch = other119.epoch;
+  offset = other119.offset;
+  age_ms = other119.age_ms;
+  __isset = other119.__isset;
+  return *this;
+}
+void TopicRead::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TopicRead(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 EntryLoad::~EntryLoad() noexcept {
 }
 
@@ -5243,6 +5388,11 @@
 void EntryLoad::__set_departed_engines(const std::vector<std::string> & val) {
   this->departed_engines = val;
 }
+
+void EntryLoad::__set_operator_read(const TopicRead& val) {
+  this->operator_read = val;
+__isset.operator_read = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -5299,14 +5449,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->engines.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->engines.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->engines[_i120].read(iprot);
+              xfer += this->engines[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5375,14 +5525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->limits.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->limits.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->limits[_i125].read(iprot);
+              xfer += this->limits[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5395,14 +5545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->suspects.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->suspects.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->suspects[_i130].read(iprot);
+              xfer += this->suspects[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5415,14 +5565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_engines.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->leaving_engines.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->leaving_engines.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readString(this->leaving_engines[_i135]);
+              xfer += iprot->readString(this->leaving_engines[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5435,14 +5585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed_engines.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->departed_engines.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->departed_engines.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->departed_engines[_i140]);
+              xfer += iprot->readString(this->departed_engines[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5451,6 +5601,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->operator_read.read(iprot);
+          this->__isset.operator_read = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5483,10 +5641,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineWorks> ::const_iterator _iter141;
-    for (_iter141 = this->engines.begin(); _iter141 != this->engines.end(); ++_iter141)
+    std::vector<EngineWorks> ::const_iterator _iter145;
+    for (_iter145 = this->engines.begin(); _iter145 != this->engines.end(); ++_iter145)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5525,10 +5683,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<EngineLimit> ::const_iterator _iter142;
-    for (_iter142 = this->limits.begin(); _iter142 != this->limits.end(); ++_iter142)
+    std::vector<EngineLimit> ::const_iterator _iter146;
+    for (_iter146 = this->limits.begin(); _iter146 != this->limits.end(); ++_iter146)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5537,10 +5695,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter143;
-    for (_iter143 = this->suspects.begin(); _iter143 != this->suspects.end(); ++_iter143)
+    std::vector<CrashSuspect> ::const_iterator _iter147;
+    for (_iter147 = this->suspects.begin(); _iter147 != this->suspects.end(); ++_iter147)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5549,10 +5707,10 @@
   xfer += oprot->writeFieldBegin("leaving_engines", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_engines.size()));
-    std::vector<std::string> ::const_iterator _iter144;
-    for (_iter144 = this->leaving_engines.begin(); _iter144 != this->leaving_engines.end(); ++_iter144)
+    std::vector<std::string> ::const_iterator _iter148;
+    for (_iter148 = this->leaving_engines.begin(); _iter148 != this->leaving_engines.end(); ++_iter148)
     {
-      xfer += oprot->writeString((*_iter144));
+      xfer += oprot->writeString((*_iter148));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5561,15 +5719,20 @@
   xfer += oprot->writeFieldBegin("departed_engines", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->departed_engines.size()));
-    std::vector<std::string> ::const_iterator _iter145;
-    for (_iter145 = this->departed_engines.begin(); _iter145 != this->departed_engines.end(); ++_iter145)
+    std::vector<std::string> ::const_iterator _iter149;
+    for (_iter149 = this->departed_engines.begin(); _iter149 != this->departed_engines.end(); ++_iter149)
     {
-      xfer += oprot->writeString((*_iter145));
+      xfer += oprot->writeString((*_iter149));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.operator_read) {
+    xfer += oprot->writeFieldBegin("operator_read", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->operator_read.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5592,81 +5755,86 @@
   swap(a.suspects, b.suspects);
   swap(a.leaving_engines, b.leaving_engines);
   swap(a.departed_engines, b.departed_engines);
+  swap(a.operator_read, b.operator_read);
   swap(a.__isset, b.__isset);
 }
 
-EntryLoad::EntryLoad(const EntryLoad& other146) {
-  process_id = other146.process_id;
-  sequence = other146.sequence;
-  complete = other146.complete;
-  engines = other146.engines;
-  config_version = other146.config_version;
-  wants_reply = other146.wants_reply;
-  engines_digest = other146.engines_digest;
-  engines_offset = other146.engines_offset;
-  engines_age_ms = other146.engines_age_ms;
-  engines_available_ms = other146.engines_available_ms;
-  engines_epoch = other146.engines_epoch;
-  limits = other146.limits;
-  suspects = other146.suspects;
-  leaving_engines = other146.leaving_engines;
-  departed_engines = other146.departed_engines;
-  __isset = other146.__isset;
-}
-EntryLoad::EntryLoad(EntryLoad&& other147) noexcept {
-  process_id = std::move(other147.process_id);
-  sequence = other147.sequence;
-  complete = other147.complete;
-  engines = std::move(other147.engines);
-  config_version = other147.config_version;
-  wants_reply = other147.wants_reply;
-  engines_digest = other147.engines_digest;
-  engines_offset = other147.engines_offset;
-  engines_age_ms = other147.engines_age_ms;
-  engines_available_ms = other147.engines_available_ms;
-  engines_epoch = other147.engines_epoch;
-  limits = std::move(other147.limits);
-  suspects = std::move(other147.suspects);
-  leaving_engines = std::move(other147.leaving_engines);
-  departed_engines = std::move(other147.departed_engines);
-  __isset = other147.__isset;
-}
-EntryLoad& EntryLoad::operator=(const EntryLoad& other148) {
-  process_id = other148.process_id;
-  sequence = other148.sequence;
-  complete = other148.complete;
-  engines = other148.engines;
-  config_version = other148.config_version;
-  wants_reply = other148.wants_reply;
-  engines_digest = other148.engines_digest;
-  engines_offset = other148.engines_offset;
-  engines_age_ms = other148.engines_age_ms;
-  engines_available_ms = other148.engines_available_ms;
-  engines_epoch = other148.engines_epoch;
-  limits = other148.limits;
-  suspects = other148.suspects;
-  leaving_engines = other148.leaving_engines;
-  departed_engines = other148.departed_engines;
-  __isset = other148.__isset;
+EntryLoad::EntryLoad(const EntryLoad& other150) {
+  process_id = other150.process_id;
+  sequence = other150.sequence;
+  complete = other150.complete;
+  engines = other150.engines;
+  config_version = other150.config_version;
+  wants_reply = other150.wants_reply;
+  engines_digest = other150.engines_digest;
+  engines_offset = other150.engines_offset;
+  engines_age_ms = other150.engines_age_ms;
+  engines_available_ms = other150.engines_available_ms;
+  engines_epoch = other150.engines_epoch;
+  limits = other150.limits;
+  suspects = other150.suspects;
+  leaving_engines = other150.leaving_engines;
+  departed_engines = other150.departed_engines;
+  operator_read = other150.operator_read;
+  __isset = other150.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other151) noexcept {
+  process_id = std::move(other151.process_id);
+  sequence = other151.sequence;
+  complete = other151.complete;
+  engines = std::move(other151.engines);
+  config_version = other151.config_version;
+  wants_reply = other151.wants_reply;
+  engines_digest = other151.engines_digest;
+  engines_offset = other151.engines_offset;
+  engines_age_ms = other151.engines_age_ms;
+  engines_available_ms = other151.engines_available_ms;
+  engines_epoch = other151.engines_epoch;
+  limits = std::move(other151.limits);
+  suspects = std::move(other151.suspects);
+  leaving_engines = std::move(other151.leaving_engines);
+  departed_engines = std::move(other151.departed_engines);
+  operator_read = std::move(other151.operator_read);
+  __isset = other151.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other152) {
+  process_id = other152.process_id;
+  sequence = other152.sequence;
+  complete = other152.complete;
+  engines = other152.engines;
+  config_version = other152.config_version;
+  wants_reply = other152.wants_reply;
+  engines_digest = other152.engines_digest;
+  engines_offset = other152.engines_offset;
+  engines_age_ms = other152.engines_age_ms;
+  engines_available_ms = other152.engines_available_ms;
+  engines_epoch = other152.engines_epoch;
+  limits = other152.limits;
+  suspects = other152.suspects;
+  leaving_engines = other152.leaving_engines;
+  departed_engines = other152.departed_engines;
+  operator_read = other152.operator_read;
+  __isset = other152.__isset;
   return *this;
 }
-EntryLoad& EntryLoad::operator=(EntryLoad&& other149) noexcept {
-  process_id = std::move(other149.process_id);
-  sequence = other149.sequence;
-  complete = other149.complete;
-  engines = std::move(other149.engines);
-  config_version = other149.config_version;
-  wants_reply = other149.wants_reply;
-  engines_digest = other149.engines_digest;
-  engines_offset = other149.engines_offset;
-  engines_age_ms = other149.engines_age_ms;
-  engines_available_ms = other149.engines_available_ms;
-  engines_epoch = other149.engines_epoch;
-  limits = std::move(other149.limits);
-  suspects = std::move(other149.suspects);
-  leaving_engines = std::move(other149.leaving_engines);
-  departed_engines = std::move(other149.departed_engines);
-  __isset = other149.__isset;
+EntryLoad& EntryLoad::operator=(EntryLoad&& other153) noexcept {
+  process_id = std::move(other153.process_id);
+  sequence = other153.sequence;
+  complete = other153.complete;
+  engines = std::move(other153.engines);
+  config_version = other153.config_version;
+  wants_reply = other153.wants_reply;
+  engines_digest = other153.engines_digest;
+  engines_offset = other153.engines_offset;
+  engines_age_ms = other153.engines_age_ms;
+  engines_available_ms = other153.engines_available_ms;
+  engines_epoch = other153.engines_epoch;
+  limits = std::move(other153.limits);
+  suspects = std::move(other153.suspects);
+  leaving_engines = std::move(other153.leaving_engines);
+  departed_engines = std::move(other153.departed_engines);
+  operator_read = std::move(other153.operator_read);
+  __isset = other153.__isset;
   return *this;
 }
 void EntryLoad::printTo(std::ostream& out) const {
@@ -5687,6 +5855,7 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "leaving_engines=" << to_string(leaving_engines);
   out << ", " << "departed_engines=" << to_string(departed_engines);
+  out << ", " << "operator_read="; (__isset.operator_read ? (out << to_string(operator_read)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -98,6 +98,8 @@
 
 class CrashSuspect;
 
+class TopicRead;
+
 class EntryLoad;
 
 typedef struct _Hello__isset {
@@ -2011,8 +2013,67 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
+typedef struct _TopicRead__isset {
+  _TopicRead__isset() : epoch(false), offset(false), age_ms(false) {}
+  bool epoch :1;
+  bool offset :1;
+  bool age_ms :1;
+} _TopicRead__isset;
+
+class TopicRead : public virtual ::apache::thrift::TBase {
+ public:
+
+  TopicRead(const TopicRead&) noexcept;
+  TopicRead(TopicRead&&) noexcept;
+  TopicRead& operator=(const TopicRead&) noexcept;
+  TopicRead& operator=(TopicRead&&) noexcept;
+  TopicRead() noexcept
+            : epoch(0),
+              offset(0),
+              age_ms(0) {
+  }
+
+  virtual ~TopicRead() noexcept;
+  int64_t epoch;
+  int64_t offset;
+  int64_t age_ms;
+
+  _TopicRead__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const TopicRead & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TopicRead &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TopicRead & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TopicRead &a, TopicRead &b);
+
+std::ostream& operator<<(std::ostream& out, const TopicRead& obj);
+
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false), limits(false), suspects(false), leaving_engines(false), departed_engines(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false), limits(false), suspects(false), leaving_engines(false), departed_engines(false), operator_read(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
@@ -2028,6 +2089,7 @@
   bool suspects :1;
   bool leaving_engines :1;
   bool departed_engines :1;
+  bool operator_read :1;
 } _EntryLoad__isset;
 
 class EntryLoad : public virtual ::apache::thrift::TBase {
@@ -2066,6 +2128,7 @@
   std::vector<CrashSuspect>  suspects;
   std::vector<std::string>  leaving_engines;
   std::vector<std::string>  departed_engines;
+  TopicRead operator_read;
 
   _EntryLoad__isset __isset;
 
@@ -2099,6 +2162,8 @@
 
   void __set_departed_engines(const std::vector<std::string> & val);
 
+  void __set_operator_read(const TopicRead& val);
+
   bool operator == (const EntryLoad & rhs) const
   {
     if (!(process_id == rhs.process_id))
@@ -2135,6 +2200,10 @@
       return false;
     if (!(departed_engines == rhs.departed_engines))
       return false;
+    if (__isset.operator_read != rhs.__isset.operator_read)
+      return false;
+    else if (__isset.operator_read && !(operator_read == rhs.operator_read))
+      return false;
     return true;
   }
   bool operator != (const EntryLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -250,6 +250,13 @@
  10: bool is_whole_request    // not a prompt part
 }
 
+// The newest read of a topic by the sender.
+struct TopicRead {
+  1: i64 epoch
+  2: i64 offset               // of the next record to read, valid in the epoch
+  3: i64 age_ms
+}
+
 // A datagram between entries: the active requests of the sender.
 struct EntryLoad {
   1: string process_id        // new at each start of a process
@@ -269,4 +276,5 @@
  15: list<string> leaving_engines  // that said so to the sender
  16: list<string> departed_engines // only in replies: that left by registrations
                                    // that the sender has read
+ 20: optional TopicRead operator_read  // of the operator's records
 }
