--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -182,9 +182,8 @@
     std::string_view service) const {
   std::vector<const EngineRecord*> ready;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.record.service == service &&
-        entry.record.state == EngineState::kReady &&
-        !m_told_leaving.contains(entry.record.Key())) {
+    if (entry.record.service == service && IsReady(entry.record) &&
+        !m_evacuated_domains.contains(entry.record.failure_domain)) {
       ready.push_back(&entry.record);
     }
   }
@@ -262,9 +261,45 @@
   return *m_digest;
 }
 
-bool EngineDirectory::Contains(std::string_view key) const {
+const EngineRecord* EngineDirectory::FindByKey(std::string_view key) const {
   const EngineRecord* known = Find(std::string(key.substr(0, key.rfind('@'))));
-  return known != nullptr && known->Key() == key;
+  return known != nullptr && known->Key() == key ? known : nullptr;
+}
+
+bool EngineDirectory::Contains(std::string_view key) const {
+  return FindByKey(key) != nullptr;
+}
+
+bool EngineDirectory::IsReady(const EngineRecord& record) const {
+  return record.state == EngineState::kReady &&
+         !m_told_leaving.contains(record.Key());
+}
+
+bool EngineDirectory::IsReady(std::string_view key) const {
+  const EngineRecord* known = FindByKey(key);
+  return known != nullptr && IsReady(*known);
+}
+
+void EngineDirectory::SetEvacuatedDomains(
+    std::span<const FailureDomain> domains) {
+  m_evacuated_domains = {domains.begin(), domains.end()};
+}
+
+bool EngineDirectory::IsEvacuated(std::string_view key) const {
+  const EngineRecord* known = FindByKey(key);
+  return known != nullptr &&
+         m_evacuated_domains.contains(known->failure_domain);
+}
+
+bool EngineDirectory::IsServiceEvacuated(std::string_view service) const {
+  if (m_evacuated_domains.empty() || !FindReadyEngines(service).empty()) {
+    return false;
+  }
+  return std::any_of(m_entries.begin(), m_entries.end(),
+                     [this, service](const auto& item) {
+                       const EngineRecord& record = item.second.record;
+                       return record.service == service && IsReady(record);
+                     });
 }
 
 const EngineRecord* EngineDirectory::Find(const std::string& id) const {
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -130,10 +131,26 @@
   /// outdated ones of a copy. Returns the keys of those that it had as ready.
   std::vector<std::string> NotePeerDeparted(std::span<const std::string> keys,
                                             TimePoint now);
-  /// Returns the engine that is registered as ready at `address`, or null.
+  /// Returns the engine that is registered as ready at `address`, or null. It
+  /// may run requests sent before, so its domain may be evacuated.
   const EngineRecord* FindReadyAt(std::string_view address) const;
 
-  /// Returns the engines of `service` that may receive requests.
+  /// Withholds the engines of these domains from further requests; replaces the
+  /// domains of the last call.
+  void SetEvacuatedDomains(std::span<const FailureDomain> domains);
+  bool HasEvacuatedDomains() const { return !m_evacuated_domains.empty(); }
+  /// Returns whether the engine with this key is ready. Requests sent before
+  /// may run there although its domain is evacuated.
+  bool IsReady(std::string_view key) const;
+  /// Returns whether the engine with this key is known and its domain
+  /// evacuated.
+  bool IsEvacuated(std::string_view key) const;
+  /// Returns whether `service` has ready engines and all of them are in
+  /// evacuated domains.
+  bool IsServiceEvacuated(std::string_view service) const;
+
+  /// Returns the engines of `service` that may receive requests: the ready ones
+  /// outside evacuated domains.
   std::vector<const EngineRecord*> FindReadyEngines(
       std::string_view service) const;
   /// Number of known engines.
@@ -154,6 +171,9 @@
   /// Removes the entry and remembers that the engine has left.
   void Erase(const std::string& id);
   void ForgetDeparted(TimePoint now);
+  /// Returns the record of the engine with this key, or null.
+  const EngineRecord* FindByKey(std::string_view key) const;
+  bool IsReady(const EngineRecord& record) const;
   /// Returns whether `record` is outdated in the copy that is being read.
   bool IsOutdated(const EngineRecord& record) const;
 
@@ -195,6 +215,7 @@
   std::unordered_map<std::string, TimePoint> m_told_leaving;
   /// By id.
   std::unordered_map<std::string, OutdatedEntry> m_outdated;
+  std::set<FailureDomain> m_evacuated_domains;
   /// Engines may be kept; spares looking through all of them.
   bool m_may_keep_engines = false;
   std::unordered_map<std::string, Entry> m_entries;
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -5178,6 +5178,129 @@
 }
 
 
+EvacuatedDomain::~EvacuatedDomain() noexcept {
+}
+
+
+void EvacuatedDomain::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void EvacuatedDomain::__set_hold_left_ms(const int64_t val) {
+  this->hold_left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedDomain& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedDomain::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hold_left_ms);
+          this->__isset.hold_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedDomain::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedDomain");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hold_left_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hold_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedDomain &a, EvacuatedDomain &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.hold_left_ms, b.hold_left_ms);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedDomain::EvacuatedDomain(const EvacuatedDomain& other116) {
+  domain = other116.domain;
+  hold_left_ms = other116.hold_left_ms;
+  __isset = other116.__isset;
+}
+EvacuatedDomain::EvacuatedDomain(EvacuatedDomain&& other117) noexcept {
+  domain = std::move(other117.domain);
+  hold_left_ms = other117.hold_left_ms;
+  __isset = other117.__isset;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(const EvacuatedDomain& other118) {
+  domain = other118.domain;
+  hold_left_ms = other118.hold_left_ms;
+  __isset = other118.__isset;
+  return *this;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(EvacuatedDomain&& other119) noexcept {
+  domain = std::move(other119.domain);
+  hold_left_ms = other119.hold_left_ms;
+  __isset = other119.__isset;
+  return *this;
+}
+void EvacuatedDomain::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedDomain(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "hold_left_ms=" << to_string(hold_left_ms);
+  out << ")";
+}
+
+
 EntryLoad::~EntryLoad() noexcept {
 }
 
@@ -5243,6 +5366,20 @@
 void EntryLoad::__set_departed_engines(const std::vector<std::string> & val) {
   this->departed_engines = val;
 }
+
+void EntryLoad::__set_operator_epoch(const int64_t val) {
+  this->operator_epoch = val;
+__isset.operator_epoch = true;
+}
+
+void EntryLoad::__set_operator_offset(const int64_t val) {
+  this->operator_offset = val;
+__isset.operator_offset = true;
+}
+
+void EntryLoad::__set_evacuations(const std::vector<EvacuatedDomain> & val) {
+  this->evacuations = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryLoad& obj)
 {
   obj.printTo(out);
@@ -5299,14 +5436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->engines.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->engines.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->engines[_i120].read(iprot);
+              xfer += this->engines[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5375,14 +5512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->limits.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->limits.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->limits[_i125].read(iprot);
+              xfer += this->limits[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5395,14 +5532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->suspects.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->suspects.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->suspects[_i130].read(iprot);
+              xfer += this->suspects[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5415,14 +5552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_engines.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->leaving_engines.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->leaving_engines.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readString(this->leaving_engines[_i135]);
+              xfer += iprot->readString(this->leaving_engines[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5435,14 +5572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed_engines.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->departed_engines.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->departed_engines.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->departed_engines[_i140]);
+              xfer += iprot->readString(this->departed_engines[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5451,6 +5588,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_epoch);
+          this->__isset.operator_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_offset);
+          this->__isset.operator_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->evacuations.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += this->evacuations[_i149].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5483,10 +5656,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineWorks> ::const_iterator _iter141;
-    for (_iter141 = this->engines.begin(); _iter141 != this->engines.end(); ++_iter141)
+    std::vector<EngineWorks> ::const_iterator _iter150;
+    for (_iter150 = this->engines.begin(); _iter150 != this->engines.end(); ++_iter150)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5525,10 +5698,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<EngineLimit> ::const_iterator _iter142;
-    for (_iter142 = this->limits.begin(); _iter142 != this->limits.end(); ++_iter142)
+    std::vector<EngineLimit> ::const_iterator _iter151;
+    for (_iter151 = this->limits.begin(); _iter151 != this->limits.end(); ++_iter151)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5537,10 +5710,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter143;
-    for (_iter143 = this->suspects.begin(); _iter143 != this->suspects.end(); ++_iter143)
+    std::vector<CrashSuspect> ::const_iterator _iter152;
+    for (_iter152 = this->suspects.begin(); _iter152 != this->suspects.end(); ++_iter152)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5549,10 +5722,10 @@
   xfer += oprot->writeFieldBegin("leaving_engines", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_engines.size()));
-    std::vector<std::string> ::const_iterator _iter144;
-    for (_iter144 = this->leaving_engines.begin(); _iter144 != this->leaving_engines.end(); ++_iter144)
+    std::vector<std::string> ::const_iterator _iter153;
+    for (_iter153 = this->leaving_engines.begin(); _iter153 != this->leaving_engines.end(); ++_iter153)
     {
-      xfer += oprot->writeString((*_iter144));
+      xfer += oprot->writeString((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5561,10 +5734,32 @@
   xfer += oprot->writeFieldBegin("departed_engines", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->departed_engines.size()));
-    std::vector<std::string> ::const_iterator _iter145;
-    for (_iter145 = this->departed_engines.begin(); _iter145 != this->departed_engines.end(); ++_iter145)
+    std::vector<std::string> ::const_iterator _iter154;
+    for (_iter154 = this->departed_engines.begin(); _iter154 != this->departed_engines.end(); ++_iter154)
+    {
+      xfer += oprot->writeString((*_iter154));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.operator_epoch) {
+    xfer += oprot->writeFieldBegin("operator_epoch", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->operator_epoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.operator_offset) {
+    xfer += oprot->writeFieldBegin("operator_offset", ::apache::thrift::protocol::T_I64, 18);
+    xfer += oprot->writeI64(this->operator_offset);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<EvacuatedDomain> ::const_iterator _iter155;
+    for (_iter155 = this->evacuations.begin(); _iter155 != this->evacuations.end(); ++_iter155)
     {
-      xfer += oprot->writeString((*_iter145));
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5592,81 +5787,96 @@
   swap(a.suspects, b.suspects);
   swap(a.leaving_engines, b.leaving_engines);
   swap(a.departed_engines, b.departed_engines);
+  swap(a.operator_epoch, b.operator_epoch);
+  swap(a.operator_offset, b.operator_offset);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-EntryLoad::EntryLoad(const EntryLoad& other146) {
-  process_id = other146.process_id;
-  sequence = other146.sequence;
-  complete = other146.complete;
-  engines = other146.engines;
-  config_version = other146.config_version;
-  wants_reply = other146.wants_reply;
-  engines_digest = other146.engines_digest;
-  engines_offset = other146.engines_offset;
-  engines_age_ms = other146.engines_age_ms;
-  engines_available_ms = other146.engines_available_ms;
-  engines_epoch = other146.engines_epoch;
-  limits = other146.limits;
-  suspects = other146.suspects;
-  leaving_engines = other146.leaving_engines;
-  departed_engines = other146.departed_engines;
-  __isset = other146.__isset;
-}
-EntryLoad::EntryLoad(EntryLoad&& other147) noexcept {
-  process_id = std::move(other147.process_id);
-  sequence = other147.sequence;
-  complete = other147.complete;
-  engines = std::move(other147.engines);
-  config_version = other147.config_version;
-  wants_reply = other147.wants_reply;
-  engines_digest = other147.engines_digest;
-  engines_offset = other147.engines_offset;
-  engines_age_ms = other147.engines_age_ms;
-  engines_available_ms = other147.engines_available_ms;
-  engines_epoch = other147.engines_epoch;
-  limits = std::move(other147.limits);
-  suspects = std::move(other147.suspects);
-  leaving_engines = std::move(other147.leaving_engines);
-  departed_engines = std::move(other147.departed_engines);
-  __isset = other147.__isset;
-}
-EntryLoad& EntryLoad::operator=(const EntryLoad& other148) {
-  process_id = other148.process_id;
-  sequence = other148.sequence;
-  complete = other148.complete;
-  engines = other148.engines;
-  config_version = other148.config_version;
-  wants_reply = other148.wants_reply;
-  engines_digest = other148.engines_digest;
-  engines_offset = other148.engines_offset;
-  engines_age_ms = other148.engines_age_ms;
-  engines_available_ms = other148.engines_available_ms;
-  engines_epoch = other148.engines_epoch;
-  limits = other148.limits;
-  suspects = other148.suspects;
-  leaving_engines = other148.leaving_engines;
-  departed_engines = other148.departed_engines;
-  __isset = other148.__isset;
+EntryLoad::EntryLoad(const EntryLoad& other156) {
+  process_id = other156.process_id;
+  sequence = other156.sequence;
+  complete = other156.complete;
+  engines = other156.engines;
+  config_version = other156.config_version;
+  wants_reply = other156.wants_reply;
+  engines_digest = other156.engines_digest;
+  engines_offset = other156.engines_offset;
+  engines_age_ms = other156.engines_age_ms;
+  engines_available_ms = other156.engines_available_ms;
+  engines_epoch = other156.engines_epoch;
+  limits = other156.limits;
+  suspects = other156.suspects;
+  leaving_engines = other156.leaving_engines;
+  departed_engines = other156.departed_engines;
+  operator_epoch = other156.operator_epoch;
+  operator_offset = other156.operator_offset;
+  evacuations = other156.evacuations;
+  __isset = other156.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other157) noexcept {
+  process_id = std::move(other157.process_id);
+  sequence = other157.sequence;
+  complete = other157.complete;
+  engines = std::move(other157.engines);
+  config_version = other157.config_version;
+  wants_reply = other157.wants_reply;
+  engines_digest = other157.engines_digest;
+  engines_offset = other157.engines_offset;
+  engines_age_ms = other157.engines_age_ms;
+  engines_available_ms = other157.engines_available_ms;
+  engines_epoch = other157.engines_epoch;
+  limits = std::move(other157.limits);
+  suspects = std::move(other157.suspects);
+  leaving_engines = std::move(other157.leaving_engines);
+  departed_engines = std::move(other157.departed_engines);
+  operator_epoch = other157.operator_epoch;
+  operator_offset = other157.operator_offset;
+  evacuations = std::move(other157.evacuations);
+  __isset = other157.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other158) {
+  process_id = other158.process_id;
+  sequence = other158.sequence;
+  complete = other158.complete;
+  engines = other158.engines;
+  config_version = other158.config_version;
+  wants_reply = other158.wants_reply;
+  engines_digest = other158.engines_digest;
+  engines_offset = other158.engines_offset;
+  engines_age_ms = other158.engines_age_ms;
+  engines_available_ms = other158.engines_available_ms;
+  engines_epoch = other158.engines_epoch;
+  limits = other158.limits;
+  suspects = other158.suspects;
+  leaving_engines = other158.leaving_engines;
+  departed_engines = other158.departed_engines;
+  operator_epoch = other158.operator_epoch;
+  operator_offset = other158.operator_offset;
+  evacuations = other158.evacuations;
+  __isset = other158.__isset;
   return *this;
 }
-EntryLoad& EntryLoad::operator=(EntryLoad&& other149) noexcept {
-  process_id = std::move(other149.process_id);
-  sequence = other149.sequence;
-  complete = other149.complete;
-  engines = std::move(other149.engines);
-  config_version = other149.config_version;
-  wants_reply = other149.wants_reply;
-  engines_digest = other149.engines_digest;
-  engines_offset = other149.engines_offset;
-  engines_age_ms = other149.engines_age_ms;
-  engines_available_ms = other149.engines_available_ms;
-  engines_epoch = other149.engines_epoch;
-  limits = std::move(other149.limits);
-  suspects = std::move(other149.suspects);
-  leaving_engines = std::move(other149.leaving_engines);
-  departed_engines = std::move(other149.departed_engines);
-  __isset = other149.__isset;
+EntryLoad& EntryLoad::operator=(EntryLoad&& other159) noexcept {
+  process_id = std::move(other159.process_id);
+  sequence = other159.sequence;
+  complete = other159.complete;
+  engines = std::move(other159.engines);
+  config_version = other159.config_version;
+  wants_reply = other159.wants_reply;
+  engines_digest = other159.engines_digest;
+  engines_offset = other159.engines_offset;
+  engines_age_ms = other159.engines_age_ms;
+  engines_available_ms = other159.engines_available_ms;
+  engines_epoch = other159.engines_epoch;
+  limits = std::move(other159.limits);
+  suspects = std::move(other159.suspects);
+  leaving_engines = std::move(other159.leaving_engines);
+  departed_engines = std::move(other159.departed_engines);
+  operator_epoch = other159.operator_epoch;
+  operator_offset = other159.operator_offset;
+  evacuations = std::move(other159.evacuations);
+  __isset = other159.__isset;
   return *this;
 }
 void EntryLoad::printTo(std::ostream& out) const {
@@ -5687,6 +5897,9 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "leaving_engines=" << to_string(leaving_engines);
   out << ", " << "departed_engines=" << to_string(departed_engines);
+  out << ", " << "operator_epoch="; (__isset.operator_epoch ? (out << to_string(operator_epoch)) : (out << "<null>"));
+  out << ", " << "operator_offset="; (__isset.operator_offset ? (out << to_string(operator_offset)) : (out << "<null>"));
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -98,6 +98,8 @@
 
 class CrashSuspect;
 
+class EvacuatedDomain;
+
 class EntryLoad;
 
 typedef struct _Hello__isset {
@@ -2011,8 +2013,60 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
+typedef struct _EvacuatedDomain__isset {
+  _EvacuatedDomain__isset() : domain(false), hold_left_ms(false) {}
+  bool domain :1;
+  bool hold_left_ms :1;
+} _EvacuatedDomain__isset;
+
+class EvacuatedDomain : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedDomain(const EvacuatedDomain&);
+  EvacuatedDomain(EvacuatedDomain&&) noexcept;
+  EvacuatedDomain& operator=(const EvacuatedDomain&);
+  EvacuatedDomain& operator=(EvacuatedDomain&&) noexcept;
+  EvacuatedDomain() noexcept
+                  : domain(),
+                    hold_left_ms(0) {
+  }
+
+  virtual ~EvacuatedDomain() noexcept;
+  std::string domain;
+  int64_t hold_left_ms;
+
+  _EvacuatedDomain__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_hold_left_ms(const int64_t val);
+
+  bool operator == (const EvacuatedDomain & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(hold_left_ms == rhs.hold_left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedDomain &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedDomain & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedDomain &a, EvacuatedDomain &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedDomain& obj);
+
 typedef struct _EntryLoad__isset {
-  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false), limits(false), suspects(false), leaving_engines(false), departed_engines(false) {}
+  _EntryLoad__isset() : process_id(false), sequence(false), complete(false), engines(false), config_version(false), wants_reply(false), engines_digest(false), engines_offset(false), engines_age_ms(false), engines_available_ms(false), engines_epoch(false), limits(false), suspects(false), leaving_engines(false), departed_engines(false), operator_epoch(false), operator_offset(false), evacuations(false) {}
   bool process_id :1;
   bool sequence :1;
   bool complete :1;
@@ -2028,6 +2082,9 @@
   bool suspects :1;
   bool leaving_engines :1;
   bool departed_engines :1;
+  bool operator_epoch :1;
+  bool operator_offset :1;
+  bool evacuations :1;
 } _EntryLoad__isset;
 
 class EntryLoad : public virtual ::apache::thrift::TBase {
@@ -2047,7 +2104,9 @@
               engines_offset(0),
               engines_age_ms(0),
               engines_available_ms(0),
-              engines_epoch(0) {
+              engines_epoch(0),
+              operator_epoch(0),
+              operator_offset(0) {
   }
 
   virtual ~EntryLoad() noexcept;
@@ -2066,6 +2125,9 @@
   std::vector<CrashSuspect>  suspects;
   std::vector<std::string>  leaving_engines;
   std::vector<std::string>  departed_engines;
+  int64_t operator_epoch;
+  int64_t operator_offset;
+  std::vector<EvacuatedDomain>  evacuations;
 
   _EntryLoad__isset __isset;
 
@@ -2099,6 +2161,12 @@
 
   void __set_departed_engines(const std::vector<std::string> & val);
 
+  void __set_operator_epoch(const int64_t val);
+
+  void __set_operator_offset(const int64_t val);
+
+  void __set_evacuations(const std::vector<EvacuatedDomain> & val);
+
   bool operator == (const EntryLoad & rhs) const
   {
     if (!(process_id == rhs.process_id))
@@ -2135,6 +2203,16 @@
       return false;
     if (!(departed_engines == rhs.departed_engines))
       return false;
+    if (__isset.operator_epoch != rhs.__isset.operator_epoch)
+      return false;
+    else if (__isset.operator_epoch && !(operator_epoch == rhs.operator_epoch))
+      return false;
+    if (__isset.operator_offset != rhs.__isset.operator_offset)
+      return false;
+    else if (__isset.operator_offset && !(operator_offset == rhs.operator_offset))
+      return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const EntryLoad &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -250,6 +250,12 @@
  10: bool is_whole_request    // not a prompt part
 }
 
+// A failure domain to which no further requests are sent.
+struct EvacuatedDomain {
+  1: string domain
+  2: i64 hold_left_ms         // 0: the store has its record
+}
+
 // A datagram between entries: the active requests of the sender.
 struct EntryLoad {
   1: string process_id        // new at each start of a process
@@ -269,4 +275,8 @@
  15: list<string> leaving_engines  // that said so to the sender
  16: list<string> departed_engines // only in replies: that left by registrations
                                    // that the sender has read
+ 17: optional i64 operator_epoch   // not set: the datagram has no evacuations
+ 18: optional i64 operator_offset  // up to which the sender knows the operator's
+                                   // records
+ 19: list<EvacuatedDomain> evacuations  // all of them at that position
 }
