--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -70,10 +70,8 @@
 }
 
 bool Gateway::Impl::ShouldRun(const LiveRequest& live) const {
-  const auto ready = engines.FindReadyEngines(live.service);
-  return std::any_of(ready.begin(), ready.end(), [&live](const auto* record) {
-    return record->Key() == live.attempt->engine_key;
-  });
+  // Requests run on at engines of an evacuated domain.
+  return engines.IsReady(live.attempt->engine_key);
 }
 
 void Gateway::Impl::ProbeAfterBreak(LiveRequest& live) {
--- a/src/gateway/gateway_engines.cc
+++ b/src/gateway/gateway_engines.cc
@@ -61,6 +61,26 @@
   return ready;
 }
 
+bool Gateway::Impl::RefuseIfEvacuated(const LiveRequestPtr& live) {
+  if (!engines.IsServiceEvacuated(live->service)) return false;
+  GiveUp(live, "evacuated");
+  return true;
+}
+
+void Gateway::Impl::RefuseEvacuated() {
+  if (!engines.HasEvacuatedDomains()) return;
+  // Looking through the engines for each request would cost too much.
+  std::unordered_map<std::string, bool> is_evacuated;
+  for (const uint64_t id : queue.SchedulingOrder(SteadyClock().Now())) {
+    const auto found = live_requests.find(id);
+    if (found == live_requests.end()) continue;
+    const LiveRequestPtr live = found->second;
+    const auto [service, is_new] = is_evacuated.try_emplace(live->service);
+    if (is_new) service->second = engines.IsServiceEvacuated(live->service);
+    if (service->second) GiveUp(live, "evacuated");
+  }
+}
+
 bool Gateway::Impl::RefuseIfAllPaused(const LiveRequestPtr& live) {
   if (SteadyClock().Now() >= last_pause_end) return false;
   const auto ready = engines.FindReadyEngines(live->service);
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -295,6 +295,17 @@
     CPPUNIT_ASSERT_EQUAL(reservations, released);
   }
 
+  /// Reports that another entry uses `count` of the four slots of an engine for
+  /// `left`. Must be called on the loop thread.
+  void OccupySlots(size_t index, size_t count, Duration left = seconds(60)) {
+    std::vector<scheduling::ActiveRequest> requests(count);
+    for (scheduling::ActiveRequest& request : requests) {
+      request.end = SteadyClock().Now() + left;
+    }
+    m_active_request_table->SetPeerRequests(
+        "peer", "engine-" + std::to_string(index) + "@0", requests);
+  }
+
   static routing::Route MakeRoute(const std::string& prefix,
                                   const std::string& service,
                                   routing::RetrySafety retry_safety,
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -192,6 +192,12 @@
   /// Refuses `live` if its service has ready engines and all of them asked for
   /// a pause. Returns whether it was refused.
   bool RefuseIfAllPaused(const LiveRequestPtr& live);
+  /// Refuses `live` if its service has ready engines and all of them are in
+  /// evacuated failure domains. Returns whether it was refused.
+  bool RefuseIfEvacuated(const LiveRequestPtr& live);
+  /// Refuses the queued requests that have no engine outside evacuated failure
+  /// domains.
+  void RefuseEvacuated();
   /// Keeps requests from engines that said so to a peer.
   void OnPeerLeaving(std::span<const std::string> leaving);
 
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -106,6 +106,7 @@
 
 void Gateway::Impl::PlaceOrQueue(const LiveRequestPtr& live) {
   if (RejectIfQuarantined(live)) return;
+  if (RefuseIfEvacuated(live)) return;
   if (engines.FindReadyEngines(live->service).empty()) {
     GiveUp(live, "no_engine");
     return;
@@ -261,8 +262,8 @@
                      "a helper engine refused the reservation");
         } else if (!self->AreEnginesReady(*held)) {
           self->Fail(held, FailureCause::kEngineLeft,
-                     "an engine started to leave, or asked for a pause, during "
-                     "the reservation");
+                     "an engine started to leave, asked for a pause or was "
+                     "evacuated during the reservation");
         } else {
           self->Send(held);
         }
@@ -358,6 +359,7 @@
     const LiveRequestPtr live = found->second;
     Refuse(live, Duration::zero(), "waited_too_long");
   }
+  RefuseEvacuated();
   int failures = 0;
   for (const uint64_t id : queue.SchedulingOrder(now)) {
     if (failures == kMaxDrainFailures) break;
--- a/src/gateway/gateway_stalls.cc
+++ b/src/gateway/gateway_stalls.cc
@@ -36,7 +36,10 @@
 bool Gateway::Impl::CanRetry(const LiveRequest& live, TimePoint now) {
   if (!live.route->IsRetryable()) return false;
   if (live.possible_runs + 1 >= live.route->max_attempts) return false;
-  if (FindReadyEngines(live).size() < 2) return false;
+  // The engine of the attempt is not counted if its domain is evacuated.
+  const size_t needed_engines =
+      engines.IsEvacuated(live.attempt->engine_key) ? 1 : 2;
+  if (FindReadyEngines(live).size() < needed_engines) return false;
   return budgets.at(live.service).Remaining(now, peers.CountLiveEntries()) >= 1;
 }
 
--- a/src/gateway/gateway_stream_test.cc
+++ b/src/gateway/gateway_stream_test.cc
@@ -386,16 +386,6 @@
     }
     return reservations;
   }
-  /// Reports that another entry uses `count` of the four slots of a model
-  /// engine. Must be called on the loop thread.
-  void OccupySlots(size_t index, size_t count) {
-    std::vector<scheduling::ActiveRequest> requests(count);
-    for (scheduling::ActiveRequest& request : requests) {
-      request.end = SteadyClock().Now() + seconds(60);
-    }
-    m_active_request_table->SetPeerRequests(
-        "peer", "engine-" + std::to_string(index) + "@0", requests);
-  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStreamTest);
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -120,10 +120,12 @@
       if (!complete) AddLimit(load, engines[i]);
     }
     if (begin == 0) AddLeaving(load);
+    if (begin == 0 && (complete || are_evacuations_new)) AddEvacuations(load);
     if (complete && begin == 0) AddAllLimits(load);
     SendToLive(Encode(load));
     begin = end;
   } while (begin < engines.size());
+  are_evacuations_new = false;
 }
 
 void PeerExchange::Impl::ScheduleFlush() {
@@ -144,7 +146,9 @@
 }
 
 void PeerExchange::Impl::Flush() {
-  if (changed_engines.empty() && !is_progress_new) return;
+  if (changed_engines.empty() && !is_progress_new && !are_evacuations_new) {
+    return;
+  }
   is_progress_new = false;
   const std::vector<std::string> engines(changed_engines.begin(),
                                          changed_engines.end());
@@ -224,6 +228,7 @@
     wire::EntryLoad reply = MakeReport();
     AddAllLimits(reply);
     AddLeaving(reply);
+    AddEvacuations(reply);
     reply.departed_engines = progress.departed_engines;
     SendTo(peer, Encode(reply));
     SendQuarantined(peer);
@@ -231,6 +236,7 @@
   ApplyLimits(address, *load);
   ApplySuspects(*load);
   on_peer_leaving(load->leaving_engines);
+  ApplyEvacuations(*load);
   if (load->complete) active_request_table.RemovePeer(address);
   for (const wire::EngineWorks& engine_requests : load->engines) {
     std::vector<ActiveRequest> decoded;
--- a/src/gateway/peer_exchange_impl.h
+++ b/src/gateway/peer_exchange_impl.h
@@ -1,5 +1,6 @@
 /// State and operations of the exchange: loads, limits and greetings in
-/// peer_exchange.cc, suspects of crashes in peer_exchange_suspects.cc.
+/// peer_exchange.cc, suspects of crashes in peer_exchange_suspects.cc,
+/// evacuations in peer_exchange_evacuations.cc.
 #pragma once
 
 #include <array>
@@ -49,6 +50,7 @@
   bool is_flush_scheduled = false;
   bool is_immediate_flush_scheduled = false;
   bool is_progress_new = false;
+  bool are_evacuations_new = false;
   std::set<std::string> changed_engines;
   std::unordered_map<std::string, Peer> peers;
   std::function<void()> on_peer_change = [] {};
@@ -58,6 +60,9 @@
   std::shared_ptr<quarantine::CrashQuarantine> suspects;
   std::function<void(std::span<const quarantine::SuspectId>)> on_quarantine =
       [](std::span<const quarantine::SuspectId>) {};
+  std::shared_ptr<discovery::Evacuations> evacuations;
+  std::function<void(const discovery::Evacuations::Changes&)> on_evacuations =
+      [](const discovery::Evacuations::Changes&) {};
   std::mt19937_64 random{std::random_device()()};
   std::function<void(const RecordsProgress&)> on_peer_progress =
       [](const RecordsProgress&) {};
@@ -94,6 +99,9 @@
   /// Tells a new peer which suspects are quarantined.
   void SendQuarantined(Peer& peer);
   void ApplySuspects(const wire::EntryLoad& load);
+  void AddEvacuations(wire::EntryLoad& load) const;
+  void ReportEvacuations();
+  void ApplyEvacuations(const wire::EntryLoad& load);
 };
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -167,6 +167,39 @@
   return record;
 }
 
+void WriteEvacuations(const discovery::EvacuationReport& report,
+                      wire::EntryLoad& load) {
+  load.__set_operator_epoch(report.position.epoch);
+  load.__set_operator_offset(report.position.offset);
+  for (const discovery::ReportedEvacuation& reported : report.evacuations) {
+    wire::EvacuatedDomain& added = load.evacuations.emplace_back();
+    added.domain = reported.domain.value();
+    // 0 means that there is a record, so a hold is never rounded down to it.
+    if (reported.hold_left > Duration::zero()) {
+      added.hold_left_ms =
+          std::max<int64_t>(1, ToMilliseconds(reported.hold_left));
+    }
+  }
+}
+
+std::optional<discovery::EvacuationReport> ReadEvacuations(
+    const wire::EntryLoad& load) {
+  if (!load.__isset.operator_epoch || !load.__isset.operator_offset) {
+    return std::nullopt;
+  }
+  // Longer than any hold, and short enough for the clock's arithmetic.
+  constexpr int64_t kMaxHoldMilliseconds = 3'600'000;
+  discovery::EvacuationReport report;
+  report.position = {load.operator_epoch, load.operator_offset};
+  for (const wire::EvacuatedDomain& domain : load.evacuations) {
+    report.evacuations.push_back(
+        {FailureDomain(domain.domain),
+         std::chrono::milliseconds(std::clamp<int64_t>(domain.hold_left_ms, 0,
+                                                       kMaxHoldMilliseconds))});
+  }
+  return report;
+}
+
 RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now) {
   RecordsProgress progress;
   progress.configuration_version = load.config_version;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,13 @@
 wire::CrashSuspect ToWire(const quarantine::SuspectRecord& record,
                           TimePoint now);
 quarantine::SuspectRecord FromWire(const wire::CrashSuspect& in, TimePoint now);
+/// Adds `report` to a datagram.
+void WriteEvacuations(const discovery::EvacuationReport& report,
+                      wire::EntryLoad& load);
+/// Returns nullopt if the datagram has no evacuations, as those of entries that
+/// do not know of evacuations.
+std::optional<discovery::EvacuationReport> ReadEvacuations(
+    const wire::EntryLoad& load);
 RecordsProgress ReadProgress(const wire::EntryLoad& load, TimePoint now);
 
 }  // namespace peridotshelf::gateway
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -57,6 +57,8 @@
   kStoreRead = 609,
   kStoreRestored = 610,
   kEngineOutdated = 611,
+  kEvacuationStarted = 612,
+  kEvacuationEnded = 613,
   kBackendCallFailed = 700,
   kEngineLimitChanged = 701,
   kEngineLimitInvalid = 702,
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -14,6 +14,8 @@
 
 #include "peridotshelf/base/error.h"
 #include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/discovery/evacuations.h"
+#include "peridotshelf/discovery/topic_position.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/quarantine/crash_quarantine.h"
 #include "peridotshelf/scheduling/active_request_table.h"
@@ -29,18 +31,7 @@
   std::string ToString() const { return ip + ":" + std::to_string(port); }
 };
 
-/// A position in a topic that may be restored from an older copy.
-struct TopicPosition {
-  /// Rises with each restore.
-  int64_t epoch = 0;
-  /// Offset of the next record to read; only comparable within an epoch.
-  int64_t offset = 0;
-
-  bool IsBehind(const TopicPosition& other) const {
-    return epoch == other.epoch ? offset < other.offset : epoch < other.epoch;
-  }
-  friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
-};
+using discovery::TopicPosition;
 
 /// How far an entry has read the platform's records.
 struct RecordsProgress {
@@ -118,6 +109,14 @@
   /// Sets the callback that receives the engines that told a peer so.
   void OnPeerLeaving(
       std::function<void(std::span<const std::string>)> callback);
+  /// Exchanges the evacuations of failure domains: `evacuations` is reported
+  /// with each full report and receives peers' reports, `on_changes` what these
+  /// changed.
+  void ShareEvacuations(
+      std::shared_ptr<discovery::Evacuations> evacuations,
+      std::function<void(const discovery::Evacuations::Changes&)> on_changes);
+  /// Reports the evacuations at once.
+  void ReportEvacuations();
   /// Sets how far this entry has read. If the configuration or the engines
   /// changed, peers are notified without waiting for the next full report, so
   /// that peers that are behind catch up.
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -89,6 +89,10 @@
       [this, to_seconds] {
         return to_seconds(store_follower->ConfigurationAge());
       });
+  add("peridotshelf_evacuated_domains",
+      "Failure domains whose engines get no further requests.", [this] {
+        return static_cast<double>(store_follower->CountEvacuatedDomains());
+      });
   add("peridotshelf_engines_known", "Engines that are registered.",
       [this] { return static_cast<double>(engines.size()); });
   add("peridotshelf_engines_age_seconds",
@@ -155,6 +159,7 @@
     gateway->NoteEnginesChanged();
     NoteReadiness();
   };
+  callbacks.on_evacuations = [this] { gateway->NoteEnginesChanged(); };
   store_follower = std::make_unique<StoreFollower>(
       threads, client, settings, *peers, engines, std::move(callbacks));
   auto created_readiness_server = http::FrontServer::Create(
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -23,6 +23,9 @@
 constexpr Duration kTimingUpdateInterval = std::chrono::seconds(1);
 constexpr Duration kRetryDelay = std::chrono::seconds(1);
 constexpr Duration kAnnounceSpread = std::chrono::seconds(1);
+/// Time in which operators write an evacuation again that a restore lost, if
+/// the settings state no bound.
+constexpr Duration kDefaultEvacuationHold = std::chrono::seconds(5);
 /// The registrations are read once more this long before kept engines are
 /// removed.
 constexpr Duration kFinalReadLead = std::chrono::milliseconds(200);
@@ -75,17 +78,22 @@
       m_configuration_follower(
           threads,
           StoreTopic(settings.store, deployment::kOperatorTopic, client),
-          MakeConfigurationTiming(settings.configuration_bound,
-                                  StoreTopic::kAnswerTimeout),
+          MakeConfigurationTiming(
+              std::min(settings.configuration_bound,
+                       settings.evacuation_bound.value_or(Duration::max())),
+              StoreTopic::kAnswerTimeout),
           ConfigurationCallbacks()),
       m_engine_follower(
           threads, StoreTopic(settings.store, deployment::kEngineTopic, client),
           MakeRegistrationTiming(1, settings.engine_leave_bound),
-          EngineCallbacks()) {}
+          EngineCallbacks()),
+      m_evacuations(std::make_shared<discovery::Evacuations>(
+          settings.evacuation_bound.value_or(kDefaultEvacuationHold))) {}
 
 void StoreFollower::Start() {
   m_peers.OnPeerRecordsProgress(
       [this](const gateway::RecordsProgress& progress) { CatchUp(progress); });
+  ShareEvacuations();
   AdjustTiming();
   m_configuration_follower.Start();
   m_engine_follower.Start();
@@ -108,14 +116,19 @@
 discovery::FollowCallbacks StoreFollower::ConfigurationCallbacks() {
   discovery::FollowCallbacks callbacks;
   callbacks.on_all = [this](const auto& records) {
+    ApplyAllEvacuations(records);
+    ApplyConfiguration(records);
+  };
+  callbacks.on_changes = [this](const auto& records) {
+    ApplyEvacuationChanges(records);
     ApplyConfiguration(records);
   };
-  callbacks.on_changes = callbacks.on_all;
   callbacks.on_read = [](const discovery::ReadReport& read) {
     LogRead(deployment::kOperatorTopic, read);
   };
   callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kOperatorTopic, epoch);
+    m_evacuations->NoteRestored(epoch, SteadyClock().Now());
     AnnounceAgain(epoch);
   };
   callbacks.on_lost = [](const Error& error) {
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -4,12 +4,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/discovery/evacuations.h"
 #include "peridotshelf/discovery/record_follower.h"
 #include "peridotshelf/gateway/peer_exchange.h"
 #include "peridotshelf/http/client.h"
@@ -27,11 +29,13 @@
       on_configuration;
   /// Called when engines register, start leaving or are removed.
   std::function<void()> on_engines;
+  /// Called when the evacuated failure domains change.
+  std::function<void()> on_evacuations;
 };
 
-/// Keeps configuration and engines up to date from `Start` until destroyed. All
-/// members except the constructor must be called on the one thread of
-/// `threads`.
+/// Keeps configuration, evacuations and engines up to date from `Start` until
+/// destroyed. All members except the constructor must be called on the one
+/// thread of `threads`.
 class StoreFollower {
  public:
   /// All referenced objects must outlive this object.
@@ -48,6 +52,8 @@
   const std::shared_ptr<const routing::Configuration>& configuration() const {
     return m_configuration;
   }
+  /// Returns the number of failure domains that are evacuated.
+  size_t CountEvacuatedDomains() const;
   /// Return the time since the store last answered about the configuration and
   /// about engines.
   Duration ConfigurationAge() const;
@@ -60,6 +66,14 @@
   discovery::FollowCallbacks ConfigurationCallbacks();
   discovery::FollowCallbacks EngineCallbacks();
   void ApplyConfiguration(const std::vector<KeyedRecord>& records);
+  /// Shares the evacuations with peers.
+  void ShareEvacuations();
+  void ApplyAllEvacuations(const std::vector<KeyedRecord>& records);
+  void ApplyEvacuationChanges(const std::vector<KeyedRecord>& records);
+  /// Logs `changes` and puts them in force. Returns whether there are any.
+  bool NoteEvacuations(const discovery::Evacuations::Changes& changes);
+  /// Schedules the end of the next hold.
+  void ScheduleHoldEnd();
   void ApplyEngine(const KeyedRecord& record);
   void ApplyAllEngines(const std::vector<KeyedRecord>& records);
   /// Removes the engine `id`, whose registration is gone for `reason`.
@@ -75,6 +89,7 @@
   /// Adds engines that a restored store has and that turned out to run.
   void AddRunningEngines();
   int64_t Version() const;
+  gateway::TopicPosition OperatorPosition() const;
   gateway::TopicPosition EnginesPosition() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
@@ -102,6 +117,10 @@
   Follower m_configuration_follower;
   Follower m_engine_follower;
   std::shared_ptr<const routing::Configuration> m_configuration;
+  /// Shared with the exchange.
+  std::shared_ptr<discovery::Evacuations> m_evacuations;
+  /// When the next check for ended holds is due.
+  std::optional<TimePoint> m_hold_check_at;
   bool m_has_all_engines = false;
   int64_t m_announced_epoch = 0;
   std::mt19937_64 m_random{std::random_device()()};
