--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -4,12 +4,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/discovery/evacuations.h"
 #include "peridotshelf/discovery/record_follower.h"
 #include "peridotshelf/gateway/peer_exchange.h"
 #include "peridotshelf/http/client.h"
@@ -27,12 +29,14 @@
       on_configuration;
   /// Called when engines register, start leaving or are removed.
   std::function<void()> on_engines;
+  /// Called when the evacuated failure domains change.
+  std::function<void()> on_evacuations;
 };
 
-/// Keeps configuration and engines up to date from `Start` until destroyed.
-/// What it shares with peers is implemented in store_follower_peers.cc. All
-/// members except the constructor must be called on the one thread of
-/// `threads`.
+/// Keeps configuration, evacuations and engines up to date from `Start` until
+/// destroyed. What it shares with peers is implemented in
+/// store_follower_peers.cc. All members except the constructor must be called
+/// on the one thread of `threads`.
 class StoreFollower {
  public:
   /// All referenced objects must outlive this object.
@@ -49,6 +53,8 @@
   const std::shared_ptr<const routing::Configuration>& configuration() const {
     return m_configuration;
   }
+  /// Returns the number of failure domains that are evacuated.
+  size_t CountEvacuatedDomains() const;
   /// Return the time since the store last answered about the configuration and
   /// about engines.
   Duration ConfigurationAge() const;
@@ -61,6 +67,14 @@
   discovery::FollowCallbacks ConfigurationCallbacks();
   discovery::FollowCallbacks EngineCallbacks();
   void ApplyConfiguration(const std::vector<KeyedRecord>& records);
+  /// Shares the evacuations with peers.
+  void ShareEvacuations();
+  void ApplyAllEvacuations(const std::vector<KeyedRecord>& records);
+  void ApplyEvacuationChanges(const std::vector<KeyedRecord>& records);
+  /// Logs `changes` and puts them in force. Returns whether there are any.
+  bool NoteEvacuations(const discovery::Evacuations::Changes& changes);
+  /// Schedules the end of the next hold.
+  void ScheduleHoldEnd();
   void ApplyEngine(const KeyedRecord& record);
   void ApplyAllEngines(const std::vector<KeyedRecord>& records);
   /// Removes the engine `id`, whose registration is gone for `reason`.
@@ -76,8 +90,8 @@
   /// Adds engines that a restored store has and that turned out to run.
   void AddRunningEngines();
   int64_t Version() const;
-  gateway::TopicPosition EnginesPosition() const;
   gateway::TopicPosition OperatorPosition() const;
+  gateway::TopicPosition EnginesPosition() const;
   /// Tells peers which records this gateway has read.
   void ShareProgress();
   /// Polls at once if a peer has read newer records.
@@ -110,7 +124,8 @@
   HostId m_host;
   Duration m_return_grace;
   Duration m_leave_bound;
-  Duration m_configuration_bound;
+  /// Time within which the operator's records must be in force.
+  Duration m_operator_bound;
   std::string m_local_address;
   gateway::PeerExchange& m_peers;
   discovery::EngineDirectory& m_engines;
@@ -119,6 +134,10 @@
   Follower m_configuration_follower;
   Follower m_engine_follower;
   std::shared_ptr<const routing::Configuration> m_configuration;
+  /// Shared with the exchange.
+  std::shared_ptr<discovery::Evacuations> m_evacuations;
+  /// When the next check for ended holds is due.
+  std::optional<TimePoint> m_hold_check_at;
   bool m_has_all_engines = false;
   /// A read because of a peer's newer configuration is scheduled.
   bool m_is_configuration_due = false;
--- a/src/peridotshelf/store_follower_peers.cc
+++ b/src/peridotshelf/store_follower_peers.cc
@@ -29,11 +29,6 @@
 
 }  // namespace
 
-gateway::TopicPosition StoreFollower::OperatorPosition() const {
-  return {m_configuration_follower.epoch(),
-          m_configuration_follower.next_offset()};
-}
-
 void StoreFollower::ShareProgress() {
   gateway::RecordsProgress progress;
   progress.configuration_version = Version();
@@ -125,7 +120,7 @@
       discovery::ShareRetryPause(live, IsComplete());
   m_engine_follower.SetTiming(registration_timing);
   auto configuration_timing = MakeConfigurationTiming(
-      m_configuration_bound, StoreTopic::kAnswerTimeout, live);
+      m_operator_bound, StoreTopic::kAnswerTimeout, live);
   configuration_timing.max_retry_pause = registration_timing.max_retry_pause;
   m_configuration_follower.SetTiming(configuration_timing);
   m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -5323,6 +5323,129 @@
 }
 
 
+EvacuatedDomain::~EvacuatedDomain() noexcept {
+}
+
+
+void EvacuatedDomain::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void EvacuatedDomain::__set_hold_left_ms(const int64_t val) {
+  this->hold_left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedDomain& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedDomain::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hold_left_ms);
+          this->__isset.hold_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedDomain::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedDomain");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hold_left_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hold_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedDomain &a, EvacuatedDomain &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.hold_left_ms, b.hold_left_ms);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedDomain::EvacuatedDomain(const EvacuatedDomain& other120) {
+  domain = other120.domain;
+  hold_left_ms = other120.hold_left_ms;
+  __isset = other120.__isset;
+}
+EvacuatedDomain::EvacuatedDomain(EvacuatedDomain&& other121) noexcept {
+  domain = std::move(other121.domain);
+  hold_left_ms = other121.hold_left_ms;
+  __isset = other121.__isset;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(const EvacuatedDomain& other122) {
+  domain = other122.domain;
+  hold_left_ms = other122.hold_left_ms;
+  __isset = other122.__isset;
+  return *this;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(EvacuatedDomain&& other123) noexcept {
+  domain = std::move(other123.domain);
+  hold_left_ms = other123.hold_left_ms;
+  __isset = other123.__isset;
+  return *this;
+}
+void EvacuatedDomain::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedDomain(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "hold_left_ms=" << to_string(hold_left_ms);
+  out << ")";
+}
+
+
 EntryLoad::~EntryLoad() noexcept {
 }
 
@@ -5389,6 +5512,20 @@
   this->departed_engines = val;
 }
 
+void EntryLoad::__set_operator_epoch(const int64_t val) {
+  this->operator_epoch = val;
+__isset.operator_epoch = true;
+}
+
+void EntryLoad::__set_operator_offset(const int64_t val) {
+  this->operator_offset = val;
+__isset.operator_offset = true;
+}
+
+void EntryLoad::__set_evacuations(const std::vector<EvacuatedDomain> & val) {
+  this->evacuations = val;
+}
+
 void EntryLoad::__set_operator_read(const TopicRead& val) {
   this->operator_read = val;
 __isset.operator_read = true;
@@ -5449,14 +5586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->engines.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->engines.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->engines[_i124].read(iprot);
+              xfer += this->engines[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5525,14 +5662,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->limits.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->limits.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->limits[_i129].read(iprot);
+              xfer += this->limits[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5545,14 +5682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->suspects.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->suspects.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->suspects[_i134].read(iprot);
+              xfer += this->suspects[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5565,14 +5702,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_engines.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->leaving_engines.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->leaving_engines.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += iprot->readString(this->leaving_engines[_i139]);
+              xfer += iprot->readString(this->leaving_engines[_i143]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5585,14 +5722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed_engines.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->departed_engines.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->departed_engines.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readString(this->departed_engines[_i144]);
+              xfer += iprot->readString(this->departed_engines[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5601,6 +5738,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_epoch);
+          this->__isset.operator_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_offset);
+          this->__isset.operator_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->evacuations.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
+            {
+              xfer += this->evacuations[_i153].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->operator_read.read(iprot);
@@ -5641,10 +5814,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineWorks> ::const_iterator _iter145;
-    for (_iter145 = this->engines.begin(); _iter145 != this->engines.end(); ++_iter145)
+    std::vector<EngineWorks> ::const_iterator _iter154;
+    for (_iter154 = this->engines.begin(); _iter154 != this->engines.end(); ++_iter154)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5683,10 +5856,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<EngineLimit> ::const_iterator _iter146;
-    for (_iter146 = this->limits.begin(); _iter146 != this->limits.end(); ++_iter146)
+    std::vector<EngineLimit> ::const_iterator _iter155;
+    for (_iter155 = this->limits.begin(); _iter155 != this->limits.end(); ++_iter155)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5695,10 +5868,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter147;
-    for (_iter147 = this->suspects.begin(); _iter147 != this->suspects.end(); ++_iter147)
+    std::vector<CrashSuspect> ::const_iterator _iter156;
+    for (_iter156 = this->suspects.begin(); _iter156 != this->suspects.end(); ++_iter156)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5707,10 +5880,10 @@
   xfer += oprot->writeFieldBegin("leaving_engines", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_engines.size()));
-    std::vector<std::string> ::const_iterator _iter148;
-    for (_iter148 = this->leaving_engines.begin(); _iter148 != this->leaving_engines.end(); ++_iter148)
+    std::vector<std::string> ::const_iterator _iter157;
+    for (_iter157 = this->leaving_engines.begin(); _iter157 != this->leaving_engines.end(); ++_iter157)
     {
-      xfer += oprot->writeString((*_iter148));
+      xfer += oprot->writeString((*_iter157));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5719,10 +5892,32 @@
   xfer += oprot->writeFieldBegin("departed_engines", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->departed_engines.size()));
-    std::vector<std::string> ::const_iterator _iter149;
-    for (_iter149 = this->departed_engines.begin(); _iter149 != this->departed_engines.end(); ++_iter149)
+    std::vector<std::string> ::const_iterator _iter158;
+    for (_iter158 = this->departed_engines.begin(); _iter158 != this->departed_engines.end(); ++_iter158)
+    {
+      xfer += oprot->writeString((*_iter158));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.operator_epoch) {
+    xfer += oprot->writeFieldBegin("operator_epoch", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->operator_epoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.operator_offset) {
+    xfer += oprot->writeFieldBegin("operator_offset", ::apache::thrift::protocol::T_I64, 18);
+    xfer += oprot->writeI64(this->operator_offset);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<EvacuatedDomain> ::const_iterator _iter159;
+    for (_iter159 = this->evacuations.begin(); _iter159 != this->evacuations.end(); ++_iter159)
     {
-      xfer += oprot->writeString((*_iter149));
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5755,86 +5950,101 @@
   swap(a.suspects, b.suspects);
   swap(a.leaving_engines, b.leaving_engines);
   swap(a.departed_engines, b.departed_engines);
+  swap(a.operator_epoch, b.operator_epoch);
+  swap(a.operator_offset, b.operator_offset);
+  swap(a.evacuations, b.evacuations);
   swap(a.operator_read, b.operator_read);
   swap(a.__isset, b.__isset);
 }
 
-EntryLoad::EntryLoad(const EntryLoad& other150) {
-  process_id = other150.process_id;
-  sequence = other150.sequence;
-  complete = other150.complete;
-  engines = other150.engines;
-  config_version = other150.config_version;
-  wants_reply = other150.wants_reply;
-  engines_digest = other150.engines_digest;
-  engines_offset = other150.engines_offset;
-  engines_age_ms = other150.engines_age_ms;
-  engines_available_ms = other150.engines_available_ms;
-  engines_epoch = other150.engines_epoch;
-  limits = other150.limits;
-  suspects = other150.suspects;
-  leaving_engines = other150.leaving_engines;
-  departed_engines = other150.departed_engines;
-  operator_read = other150.operator_read;
-  __isset = other150.__isset;
-}
-EntryLoad::EntryLoad(EntryLoad&& other151) noexcept {
-  process_id = std::move(other151.process_id);
-  sequence = other151.sequence;
-  complete = other151.complete;
-  engines = std::move(other151.engines);
-  config_version = other151.config_version;
-  wants_reply = other151.wants_reply;
-  engines_digest = other151.engines_digest;
-  engines_offset = other151.engines_offset;
-  engines_age_ms = other151.engines_age_ms;
-  engines_available_ms = other151.engines_available_ms;
-  engines_epoch = other151.engines_epoch;
-  limits = std::move(other151.limits);
-  suspects = std::move(other151.suspects);
-  leaving_engines = std::move(other151.leaving_engines);
-  departed_engines = std::move(other151.departed_engines);
-  operator_read = std::move(other151.operator_read);
-  __isset = other151.__isset;
-}
-EntryLoad& EntryLoad::operator=(const EntryLoad& other152) {
-  process_id = other152.process_id;
-  sequence = other152.sequence;
-  complete = other152.complete;
-  engines = other152.engines;
-  config_version = other152.config_version;
-  wants_reply = other152.wants_reply;
-  engines_digest = other152.engines_digest;
-  engines_offset = other152.engines_offset;
-  engines_age_ms = other152.engines_age_ms;
-  engines_available_ms = other152.engines_available_ms;
-  engines_epoch = other152.engines_epoch;
-  limits = other152.limits;
-  suspects = other152.suspects;
-  leaving_engines = other152.leaving_engines;
-  departed_engines = other152.departed_engines;
-  operator_read = other152.operator_read;
-  __isset = other152.__isset;
+EntryLoad::EntryLoad(const EntryLoad& other160) {
+  process_id = other160.process_id;
+  sequence = other160.sequence;
+  complete = other160.complete;
+  engines = other160.engines;
+  config_version = other160.config_version;
+  wants_reply = other160.wants_reply;
+  engines_digest = other160.engines_digest;
+  engines_offset = other160.engines_offset;
+  engines_age_ms = other160.engines_age_ms;
+  engines_available_ms = other160.engines_available_ms;
+  engines_epoch = other160.engines_epoch;
+  limits = other160.limits;
+  suspects = other160.suspects;
+  leaving_engines = other160.leaving_engines;
+  departed_engines = other160.departed_engines;
+  operator_epoch = other160.operator_epoch;
+  operator_offset = other160.operator_offset;
+  evacuations = other160.evacuations;
+  operator_read = other160.operator_read;
+  __isset = other160.__isset;
+}
+EntryLoad::EntryLoad(EntryLoad&& other161) noexcept {
+  process_id = std::move(other161.process_id);
+  sequence = other161.sequence;
+  complete = other161.complete;
+  engines = std::move(other161.engines);
+  config_version = other161.config_version;
+  wants_reply = other161.wants_reply;
+  engines_digest = other161.engines_digest;
+  engines_offset = other161.engines_offset;
+  engines_age_ms = other161.engines_age_ms;
+  engines_available_ms = other161.engines_available_ms;
+  engines_epoch = other161.engines_epoch;
+  limits = std::move(other161.limits);
+  suspects = std::move(other161.suspects);
+  leaving_engines = std::move(other161.leaving_engines);
+  departed_engines = std::move(other161.departed_engines);
+  operator_epoch = other161.operator_epoch;
+  operator_offset = other161.operator_offset;
+  evacuations = std::move(other161.evacuations);
+  operator_read = std::move(other161.operator_read);
+  __isset = other161.__isset;
+}
+EntryLoad& EntryLoad::operator=(const EntryLoad& other162) {
+  process_id = other162.process_id;
+  sequence = other162.sequence;
+  complete = other162.complete;
+  engines = other162.engines;
+  config_version = other162.config_version;
+  wants_reply = other162.wants_reply;
+  engines_digest = other162.engines_digest;
+  engines_offset = other162.engines_offset;
+  engines_age_ms = other162.engines_age_ms;
+  engines_available_ms = other162.engines_available_ms;
+  engines_epoch = other162.engines_epoch;
+  limits = other162.limits;
+  suspects = other162.suspects;
+  leaving_engines = other162.leaving_engines;
+  departed_engines = other162.departed_engines;
+  operator_epoch = other162.operator_epoch;
+  operator_offset = other162.operator_offset;
+  evacuations = other162.evacuations;
+  operator_read = other162.operator_read;
+  __isset = other162.__isset;
   return *this;
 }
-EntryLoad& EntryLoad::operator=(EntryLoad&& other153) noexcept {
-  process_id = std::move(other153.process_id);
-  sequence = other153.sequence;
-  complete = other153.complete;
-  engines = std::move(other153.engines);
-  config_version = other153.config_version;
-  wants_reply = other153.wants_reply;
-  engines_digest = other153.engines_digest;
-  engines_offset = other153.engines_offset;
-  engines_age_ms = other153.engines_age_ms;
-  engines_available_ms = other153.engines_available_ms;
-  engines_epoch = other153.engines_epoch;
-  limits = std::move(other153.limits);
-  suspects = std::move(other153.suspects);
-  leaving_engines = std::move(other153.leaving_engines);
-  departed_engines = std::move(other153.departed_engines);
-  operator_read = std::move(other153.operator_read);
-  __isset = other153.__isset;
+EntryLoad& EntryLoad::operator=(EntryLoad&& other163) noexcept {
+  process_id = std::move(other163.process_id);
+  sequence = other163.sequence;
+  complete = other163.complete;
+  engines = std::move(other163.engines);
+  config_version = other163.config_version;
+  wants_reply = other163.wants_reply;
+  engines_digest = other163.engines_digest;
+  engines_offset = other163.engines_offset;
+  engines_age_ms = other163.engines_age_ms;
+  engines_available_ms = other163.engines_available_ms;
+  engines_epoch = other163.engines_epoch;
+  limits = std::move(other163.limits);
+  suspects = std::move(other163.suspects);
+  leaving_engines = std::move(other163.leaving_engines);
+  departed_engines = std::move(other163.departed_engines);
+  operator_epoch = other163.operator_epoch;
+  operator_offset = other163.operator_offset;
+  evacuations = std::move(other163.evacuations);
+  operator_read = std::move(other163.operator_read);
+  __isset = other163.__isset;
   return *this;
 }
 void EntryLoad::printTo(std::ostream& out) const {
@@ -5855,6 +6065,9 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "leaving_engines=" << to_string(leaving_engines);
   out << ", " << "departed_engines=" << to_string(departed_engines);
+  out << ", " << "operator_epoch="; (__isset.operator_epoch ? (out << to_string(operator_epoch)) : (out << "<null>"));
+  out << ", " << "operator_offset="; (__isset.operator_offset ? (out << to_string(operator_offset)) : (out << "<null>"));
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ", " << "operator_read="; (__isset.operator_read ? (out << to_string(operator_read)) : (out << "<null>"));
   out << ")";
 }
