--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -20,6 +20,14 @@
 constexpr size_t kMaxAnswerBytes = size_t{16} * 1024;
 constexpr Duration kReleaseRetryDelay = std::chrono::milliseconds(400);
 
+/// Sets the limits of an order. Its connection is its own: on a kept one a late
+/// copy of a grant would be taken for the answer to the next order.
+void SetLimits(http::ClientRequest& request) {
+  request.timeout = kRequestTimeout;
+  request.max_body_bytes = kMaxAnswerBytes;
+  request.fresh_connection = true;
+}
+
 }  // namespace
 
 struct Reservations::Group {
@@ -39,8 +47,7 @@
   Shared& shared = *group->shared;
   http::ClientRequest request =
       shared.codec.write_reserve(address, group->id, group->tokens, shared.ttl);
-  request.timeout = kRequestTimeout;
-  request.max_body_bytes = kMaxAnswerBytes;
+  SetLimits(request);
   shared.client.Fetch(
       std::move(request), [group, address, on_answer = std::move(on_answer)](
                               Result<http::ClientResponse> response) {
@@ -126,8 +133,7 @@
                                const std::string& address, int attempts) {
   Shared& shared = *group->shared;
   http::ClientRequest request = shared.codec.write_release(address, group->id);
-  request.timeout = kRequestTimeout;
-  request.max_body_bytes = kMaxAnswerBytes;
+  SetLimits(request);
   shared.client.Fetch(
       std::move(request),
       [group, address, attempts](const Result<http::ClientResponse>& response) {
