--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <cctype>
+#include <charconv>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -26,6 +27,8 @@
 constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(100);
 constexpr CurlLong kMaxIdleConnections = 512;
 constexpr CurlLong kBufferBytes = 64 * 1024;
+/// Lower statuses are those of informational responses.
+constexpr int kFirstFinalStatus = 200;
 
 /// A call that libcurl is running.
 struct Call {
@@ -35,6 +38,11 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   bool head_reported = false;
+  /// Status of the head that is being received or was received last.
+  int head_status = 0;
+  /// The blank line after a final head was received. libcurl reports a response
+  /// whose connection ended inside its head as a success.
+  bool is_head_complete = false;
   std::vector<Header> response_headers;
   size_t head_bytes = 0;
   size_t body_bytes = 0;
@@ -67,8 +75,19 @@
   call.callbacks.on_head(head);
 }
 
+/// Returns the status of a status line; 0 if it has none.
+int ParseStatus(std::string_view line) {
+  const size_t space = line.find(' ');
+  if (space == std::string_view::npos) return 0;
+  int status = 0;
+  line.remove_prefix(space + 1);
+  std::from_chars(line.data(), line.data() + line.size(), status);
+  return status;
+}
+
 /// Collects the headers. A new status line starts another response, as after an
-/// informational one.
+/// informational one. Lines after a final head are trailers, which are not
+/// headers.
 size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
   const size_t bytes = size * count;
@@ -77,15 +96,21 @@
     call->is_oversized = true;
     return CURL_WRITEFUNC_ERROR;
   }
+  if (call->is_head_complete) return bytes;
   std::string_view line(data, bytes);
   if (line.starts_with("HTTP/")) {
     call->response_headers.clear();
+    call->head_status = ParseStatus(line);
     return bytes;
   }
   while (!line.empty() &&
          std::isspace(static_cast<unsigned char>(line.back()))) {
     line.remove_suffix(1);
   }
+  if (line.empty()) {
+    call->is_head_complete = call->head_status >= kFirstFinalStatus;
+    return bytes;
+  }
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) return bytes;
   std::string_view value = line.substr(colon + 1);
@@ -332,6 +357,7 @@
   auto node = active.extract(id);
   windows.Close(id);
   Call& call = *node.mapped();
+  if (code == CURLE_OK && !call.is_head_complete) code = CURLE_PARTIAL_FILE;
   if (code == CURLE_OK) ReportHead(call);
   const Result<int> outcome = MakeOutcome(call, code);
   Release(multi, call);
