--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -4,7 +4,6 @@
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 #include <limits>
 
 #include "peridotshelf/events/log.h"
@@ -20,6 +19,11 @@
 constexpr size_t kMaxUnsent = size_t{8} * 1024 * 1024;
 /// TCP_USER_TIMEOUT: how long sent data may stay unacknowledged, in ms.
 constexpr int kUserTimeoutMs = 8000;
+/// How long bytes that a caller sends after its answer are discarded.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+/// In a planned stop, how long a new connection may wait for its request: its
+/// caller sends it at once, and has had no answer on it yet.
+constexpr Duration kNewConnectionTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -44,18 +48,46 @@
 }
 
 void FrontConnection::CheckTimeouts(TimePoint now) {
-  if (m_answering || m_closed) return;
+  if (m_closed) return;
   const CallerLimits& limits = m_server->limits;
+  if (!m_unsent.empty()) {
+    if (m_send_progress.HasStalled(now, limits.send_timeout)) Close();
+    return;
+  }
+  if (m_lingering) {
+    if (now > m_linger_until) Close();
+    return;
+  }
+  if (m_answering) return;
   if (m_request_begun) {
     if (!m_head_complete && now - m_request_begun_at > limits.header_timeout) {
       Reject(kRequestTimeout, "timeout while reading the headers");
     }
     return;
   }
-  const bool should_close_idle = m_server->close_idle && m_unparsed.empty();
+  if (!IsIdle()) return;
+  const bool should_close_idle =
+      m_server->close_idle &&
+      (m_had_request || now - m_idle_since > kNewConnectionTime) &&
+      !HasUnreadBytes();
   if (should_close_idle || now - m_idle_since > limits.idle_timeout) Close();
 }
 
+bool FrontConnection::IsIdle() const {
+  return !m_answering && !m_request_begun && m_unparsed.empty() &&
+         m_unsent.empty() && !m_close_when_sent;
+}
+
+bool FrontConnection::HasUnreadBytes() const {
+  asio::error_code error;
+  return m_socket.available(error) > 0;
+}
+
+void FrontConnection::RejectUnfinished() {
+  if (m_answering || m_closed || m_close_when_sent || !m_request_begun) return;
+  Reject(kUnavailable, "the process ends");
+}
+
 void FrontConnection::ResetParser() {
   http_parser_init(&m_parser, HTTP_REQUEST);
   m_parser.data = this;
@@ -177,7 +209,8 @@
     Close();
     return;
   }
-  m_unparsed.append(m_buffer.data(), bytes);
+  // What follows a rejected request is not read as another one.
+  if (!m_close_when_sent) m_unparsed.append(m_buffer.data(), bytes);
   Parse();
   Read();
 }
@@ -205,6 +238,7 @@
 
 void FrontConnection::Dispatch() {
   m_answering = true;
+  m_had_request = true;
   ++m_server->running_count;
   auto owner = std::make_shared<std::string>(std::move(m_request.body));
   ServerRequest request;
@@ -229,13 +263,17 @@
               {{"status", status}, {"reason", reason}});
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
   bytes += FindReasonPhrase(status);
-  bytes += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  bytes += "\r\n";
+  if (status == kUnavailable) bytes += "Retry-After: 1\r\n";
+  bytes += "Content-Length: 0\r\nConnection: close\r\n\r\n";
   m_close_when_sent = true;
+  m_unparsed.clear();
   Send(std::move(bytes));
 }
 
 void FrontConnection::Send(std::string bytes) {
   if (m_closed) return;
+  if (m_unsent.empty()) m_send_progress.Restart(SteadyClock().Now());
   m_unsent_bytes += bytes.size();
   m_unsent.push_back(std::move(bytes));
   if (m_unsent_bytes > kMaxUnsent) {
@@ -248,7 +286,7 @@
 void FrontConnection::WriteNext() {
   if (m_closed || m_writing) return;
   if (m_unsent.empty()) {
-    if (m_close_when_sent) Close();
+    if (m_close_when_sent) Linger();
     return;
   }
   m_writing = true;
@@ -256,24 +294,41 @@
   buffers.reserve(m_unsent.size());
   for (const std::string& part : m_unsent)
     buffers.push_back(asio::buffer(part));
-  const size_t parts = buffers.size();
-  asio::async_write(
-      m_socket, buffers,
-      [self = shared_from_this(), parts](const asio::error_code& error,
-                                         size_t bytes) {
+  buffers.front() += m_sent_of_front;
+  m_socket.async_write_some(
+      buffers,
+      [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
         self->m_writing = false;
         if (error) {
           self->Close();
           return;
         }
-        self->m_unsent.erase(
-            self->m_unsent.begin(),
-            self->m_unsent.begin() + static_cast<std::ptrdiff_t>(parts));
-        self->m_unsent_bytes -= bytes;
+        self->OnWritten(bytes);
         self->WriteNext();
       });
 }
 
+void FrontConnection::OnWritten(size_t bytes) {
+  const TimePoint now = SteadyClock().Now();
+  m_unsent_bytes -= bytes;
+  m_send_progress.Add(bytes, now);
+  m_sent_of_front += bytes;
+  while (!m_unsent.empty() && m_sent_of_front >= m_unsent.front().size()) {
+    m_sent_of_front -= m_unsent.front().size();
+    m_unsent.pop_front();
+  }
+  if (m_unsent.empty()) m_idle_since = now;
+}
+
+void FrontConnection::Linger() {
+  if (std::exchange(m_lingering, true)) return;
+  m_linger_until = SteadyClock().Now() + kLingerTime;
+  asio::error_code ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_unparsed.clear();
+  Read();
+}
+
 void FrontConnection::FinishAnswer(bool keep_open) {
   if (m_answering) --m_server->running_count;
   m_answering = false;
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -40,14 +40,21 @@
   CallerLimits limits;
   bool close_after_answers = false;
   bool close_idle = false;
+  /// Accepts no connections and reads no further requests.
+  bool shutting_down = false;
   bool stopped = false;
   FrontCounters counters;
   size_t running_count = 0;
   std::unordered_set<std::shared_ptr<FrontConnection>> connections;
 
+  /// Returns the open connections; closing one removes it from the set.
+  std::vector<std::shared_ptr<FrontConnection>> CopyConnections() const;
   /// Calls CheckTimeouts on all connections.
   void CheckConnections();
   static void Accept(const std::shared_ptr<Impl>& self);
+  /// Accepts the connections that wait in the listen queue.
+  static void AcceptWaiting(const std::shared_ptr<Impl>& self);
+  static void Add(const std::shared_ptr<Impl>& self, Tcp::socket socket);
   static void Sweep(const std::shared_ptr<Impl>& self);
 };
 
@@ -61,6 +68,29 @@
   bool is_in_value = false;
 };
 
+/// Checks that bytes move on: progress are `kStepBytes`, or all that remain, in
+/// the time allowed. A byte now and then is none.
+class ProgressWatch {
+ public:
+  static constexpr size_t kStepBytes = size_t{16} * 1024;
+
+  void Restart(TimePoint now) {
+    m_since = now;
+    m_bytes = 0;
+  }
+  void Add(size_t bytes, TimePoint now) {
+    m_bytes += bytes;
+    if (m_bytes >= kStepBytes) Restart(now);
+  }
+  bool HasStalled(TimePoint now, Duration allowed) const {
+    return now - m_since > allowed;
+  }
+
+ private:
+  TimePoint m_since{};
+  size_t m_bytes = 0;
+};
+
 /// One caller's connection: reads a request, waits until it is answered, then
 /// reads the next one.
 class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
@@ -74,9 +104,11 @@
 
   /// Starts to read.
   void Start();
-  /// Closes an idle connection and rejects a slow request that exceeds its
-  /// limit.
+  /// Closes an idle connection and one whose caller does not read, and rejects
+  /// a slow request.
   void CheckTimeouts(TimePoint now);
+  /// Rejects a request that was read in part, since the process ends.
+  void RejectUnfinished();
 
   void Close();
   bool closed() const { return m_closed; }
@@ -98,6 +130,14 @@
   void Dispatch();
   void Reject(int status, const char* reason);
   void WriteNext();
+  void OnWritten(size_t bytes);
+  /// Ends the answer and discards what the caller still sends, for at most
+  /// `kLingerTime`: closing a socket with unread bytes resets the connection,
+  /// and the caller may lose the answer.
+  void Linger();
+  /// Returns whether the connection has no request and nothing to send.
+  bool IsIdle() const;
+  bool HasUnreadBytes() const;
   /// Adds `more` bytes to the size of the head; returns whether it exceeds the
   /// limit.
   bool ExceedsHeadLimit(size_t more) {
@@ -126,10 +166,14 @@
   std::array<char, kReadBytes> m_buffer{};
   std::deque<std::string> m_unsent;
   size_t m_unsent_bytes = 0;
+  /// Bytes of the first unsent part that were sent.
+  size_t m_sent_of_front = 0;
   size_t m_head_bytes = 0;
   int m_rejection_status = 0;
   TimePoint m_idle_since;
   TimePoint m_request_begun_at{};
+  TimePoint m_linger_until{};
+  ProgressWatch m_send_progress;
   bool m_request_begun = false;
   bool m_head_complete = false;
   bool m_message_complete = false;
@@ -137,6 +181,8 @@
   bool m_reading = false;
   bool m_writing = false;
   bool m_close_when_sent = false;
+  bool m_lingering = false;
+  bool m_had_request = false;
   bool m_closed = false;
 };
 
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -104,22 +104,34 @@
 
 }  // namespace
 
+void FrontServer::Impl::Add(const std::shared_ptr<Impl>& self,
+                            Tcp::socket socket) {
+  ++self->counters.accepted;
+  ++self->counters.open;
+  auto connection = std::make_shared<FrontConnection>(self, std::move(socket));
+  self->connections.insert(connection);
+  connection->Start();
+}
+
 void FrontServer::Impl::Accept(const std::shared_ptr<Impl>& self) {
   self->acceptor.async_accept(
       [self](const asio::error_code& error, Tcp::socket socket) {
         if (self->stopped) return;
-        if (!error) {
-          ++self->counters.accepted;
-          ++self->counters.open;
-          auto connection =
-              std::make_shared<FrontConnection>(self, std::move(socket));
-          self->connections.insert(connection);
-          connection->Start();
-        }
-        Accept(self);
+        if (!error) Add(self, std::move(socket));
+        if (!self->shutting_down) Accept(self);
       });
 }
 
+void FrontServer::Impl::AcceptWaiting(const std::shared_ptr<Impl>& self) {
+  asio::error_code error;
+  self->acceptor.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(self->context);
+    self->acceptor.accept(socket, error);
+    if (!error) Add(self, std::move(socket));
+  }
+}
+
 void FrontServer::Impl::Sweep(const std::shared_ptr<Impl>& self) {
   self->sweep.expires_after(kSweepInterval);
   self->sweep.async_wait([self](const asio::error_code& error) {
@@ -131,10 +143,14 @@
 
 void FrontServer::Impl::CheckConnections() {
   const TimePoint now = SteadyClock().Now();
-  // Closing a connection removes it from the set.
-  const std::vector<std::shared_ptr<FrontConnection>> open(connections.begin(),
-                                                           connections.end());
-  for (const auto& connection : open) connection->CheckTimeouts(now);
+  for (const auto& connection : CopyConnections()) {
+    connection->CheckTimeouts(now);
+  }
+}
+
+std::vector<std::shared_ptr<FrontConnection>>
+FrontServer::Impl::CopyConnections() const {
+  return {connections.begin(), connections.end()};
 }
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
@@ -182,6 +198,18 @@
   m_impl->CheckConnections();
 }
 
+void FrontServer::Shutdown() {
+  m_impl->close_after_answers = true;
+  m_impl->close_idle = true;
+  m_impl->shutting_down = true;
+  Impl::AcceptWaiting(m_impl);
+  asio::error_code ignored;
+  m_impl->acceptor.close(ignored);
+  const auto open = m_impl->CopyConnections();
+  for (const auto& connection : open) connection->RejectUnfinished();
+  m_impl->CheckConnections();
+}
+
 size_t FrontServer::CountRunning() const { return m_impl->running_count; }
 
 FrontCounters FrontServer::counters() const { return m_impl->counters; }
--- a/src/http/front_server_test.cc
+++ b/src/http/front_server_test.cc
@@ -1,60 +1,15 @@
 #include "peridotshelf/http/front_server.h"
 
-#include <asio/buffer.hpp>
-#include <asio/connect.hpp>
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/read.hpp>
-#include <asio/write.hpp>
 #include <future>
-#include <thread>
 
 #include "peridotshelf/testing/free_port.h"
 #include "peridotshelf/testing/test.h"
+#include "raw_caller.h"
 
 namespace peridotshelf::http {
 namespace {
 
 using std::chrono::milliseconds;
-using Tcp = asio::ip::tcp;
-
-/// A caller that sends and receives raw bytes.
-class RawCaller {
- public:
-  explicit RawCaller(uint16_t port) : m_socket(m_context) {
-    m_socket.connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
-  }
-  void Send(const std::string& bytes) {
-    asio::write(m_socket, asio::buffer(bytes));
-  }
-  /// Reads until `end` is received.
-  std::string ReadUntil(const std::string& end) {
-    std::string bytes;
-    char byte = 0;
-    while (bytes.find(end) == std::string::npos) {
-      if (!ReadByte(byte)) break;
-      bytes.push_back(byte);
-    }
-    return bytes;
-  }
-  /// Reads until the server closes the connection.
-  std::string ReadAll() {
-    std::string bytes;
-    char byte = 0;
-    while (ReadByte(byte)) bytes.push_back(byte);
-    return bytes;
-  }
-  void Close() { m_socket.close(); }
-
- private:
-  bool ReadByte(char& byte) {
-    asio::error_code error;
-    return asio::read(m_socket, asio::buffer(&byte, 1), error) == 1;
-  }
-
-  asio::io_context m_context;
-  Tcp::socket m_socket;
-};
 
 class FrontServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrontServerTest);
--- a/src/include/peridotshelf/http/front_server.h
+++ b/src/include/peridotshelf/http/front_server.h
@@ -25,6 +25,8 @@
   size_t max_body_bytes = size_t{4} * 1024 * 1024;
   /// Time from a request's first byte to the end of its head.
   Duration header_timeout = std::chrono::seconds(3);
+  /// Time in which the caller takes 16 KiB of an answer, or what remains of it.
+  Duration send_timeout = std::chrono::seconds(8);
   /// Time that a connection may stay open without a request.
   Duration idle_timeout = std::chrono::seconds(15);
 };
@@ -58,8 +60,13 @@
   void SetLimits(const CallerLimits& limits);
   /// Closes each connection after its next response.
   void CloseAfterAnswers();
-  /// Closes connections on which no request has begun, now and in future.
+  /// Closes connections on which no request has begun, now and in future. New
+  /// ones have a second for their first request.
   void CloseIdle();
+  /// Accepts the connections that wait in the listen queue, and no further
+  /// ones, and answers 503 to requests that were read in part. Complete
+  /// requests still go to the handler, which should refuse them.
+  void Shutdown();
   /// Number of requests that were read and are not completely answered.
   size_t CountRunning() const;
   FrontCounters counters() const;
