--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -117,6 +117,7 @@
                              size_t length) {
   FrontConnection& self = FromParser(parser);
   ParsedRequest& request = self.m_request;
+  if (self.m_head_complete) return self.OnTrailer(length);
   if (request.headers.empty() || request.is_in_value) {
     request.headers.emplace_back();
     request.is_in_value = false;
@@ -130,6 +131,7 @@
 int FrontConnection::OnValue(http_parser* parser, const char* at,
                              size_t length) {
   FrontConnection& self = FromParser(parser);
+  if (self.m_head_complete) return self.OnTrailer(length);
   self.m_request.is_in_value = true;
   self.m_request.headers.back().value.append(at, length);
   if (!self.ExceedsHeadLimit(length)) return 0;
@@ -137,6 +139,12 @@
   return 1;
 }
 
+int FrontConnection::OnTrailer(size_t length) {
+  if (!ExceedsHeadLimit(length)) return 0;
+  m_rejection_status = kHeaderTooLarge;
+  return 1;
+}
+
 int FrontConnection::OnHeadersComplete(http_parser* parser) {
   FrontConnection& self = FromParser(parser);
   self.m_head_complete = true;
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -152,6 +152,9 @@
   static int OnUrl(http_parser* parser, const char* at, size_t length);
   static int OnField(http_parser* parser, const char* at, size_t length);
   static int OnValue(http_parser* parser, const char* at, size_t length);
+  /// Trailers count toward the size of the head and are not kept: they are no
+  /// headers.
+  int OnTrailer(size_t length);
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* at, size_t length);
   static int OnMessageComplete(http_parser* parser);
--- a/src/http/front_connection_test.cc
+++ b/src/http/front_connection_test.cc
@@ -26,6 +26,7 @@
 
 class FrontConnectionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrontConnectionTest);
+  CPPUNIT_TEST(Request_WithTrailer_TrailerIsNoHeader);
   CPPUNIT_TEST(Reject_EarlierAnswerUnread_IsSentOnce);
   CPPUNIT_TEST(Reject_BodyStillArriving_DoesNotResetTheConnection);
   CPPUNIT_TEST(CloseIdle_AnswerBeingSent_IsNotCut);
@@ -55,6 +56,20 @@
     m_server.reset();
   }
 
+  // Guards against a trailer that sets a header which the request does not
+  // have.
+  void Request_WithTrailer_TrailerIsNoHeader() {
+    m_handler = [](const ServerRequest& request,
+                   const ResponderPtr& responder) {
+      responder->Reply(200, {}, request.FindHeader("Key") ? "key" : "none");
+    };
+    RawCaller caller(m_port);
+    caller.Send(
+        "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n1\r\nx\r\n0\r\nKey: k\r\n\r\n");
+    CPPUNIT_ASSERT(caller.ReadAll().ends_with("none"));
+  }
+
   // Guards against a second and third rejection of one request while an earlier
   // answer is still being sent.
   void Reject_EarlierAnswerUnread_IsSentOnce() {
