--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -62,6 +62,9 @@
   if (m_request_begun) {
     if (!m_head_complete && now - m_request_begun_at > limits.header_timeout) {
       Reject(kRequestTimeout, "timeout while reading the headers");
+    } else if (m_head_complete &&
+               m_body_progress.HasStalled(now, limits.body_timeout)) {
+      Reject(kRequestTimeout, "timeout while reading the body");
     }
     return;
   }
@@ -148,6 +151,7 @@
 int FrontConnection::OnHeadersComplete(http_parser* parser) {
   FrontConnection& self = FromParser(parser);
   self.m_head_complete = true;
+  self.m_body_progress.Restart(SteadyClock().Now());
   self.m_request.method =
       http_method_str(static_cast<http_method>(parser->method));
   self.m_request.keep_alive = http_should_keep_alive(parser) != 0;
@@ -175,6 +179,7 @@
     return 1;
   }
   body.append(at, length);
+  self.m_body_progress.Add(length, SteadyClock().Now());
   return 0;
 }
 
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -176,6 +176,7 @@
   TimePoint m_idle_since;
   TimePoint m_request_begun_at{};
   TimePoint m_linger_until{};
+  ProgressWatch m_body_progress;
   ProgressWatch m_send_progress;
   bool m_request_begun = false;
   bool m_head_complete = false;
--- a/src/http/front_connection_test.cc
+++ b/src/http/front_connection_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(Shutdown_ConnectionsInTheListenQueue_AreAnswered);
   CPPUNIT_TEST(Shutdown_RequestReadInPart_IsAnswered503);
   CPPUNIT_TEST(IdleTimeout_AnswerBeingSent_IsNotCut);
+  CPPUNIT_TEST(Request_BodySentByteByByte_IsAnswered408);
+  CPPUNIT_TEST(Request_BodySentSteadily_IsServed);
   CPPUNIT_TEST(Answer_CallerDoesNotRead_ConnectionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -178,6 +180,36 @@
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("\r\n\r\n" + LargeBody()));
   }
 
+  // Guards against a caller that keeps its connection for ever with a byte now
+  // and then.
+  void Request_BodySentByteByByte_IsAnswered408() {
+    CallerLimits limits;
+    limits.body_timeout = milliseconds(200);
+    SetLimits(limits);
+    RawCaller caller(m_port);
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n");
+    for (int i = 0; i < 99; ++i) {
+      if (!caller.TrySend("x")) break;
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    CPPUNIT_ASSERT(caller.ReadAll().starts_with("HTTP/1.1 408"));
+  }
+
+  // Guards against a limit on the whole time of a body, which cuts large ones
+  // on narrow links.
+  void Request_BodySentSteadily_IsServed() {
+    CallerLimits limits;
+    limits.body_timeout = milliseconds(900);
+    SetLimits(limits);
+    RawCaller caller(m_port);
+    caller.Send("POST /steady HTTP/1.1\r\nContent-Length: 400000\r\n\r\n");
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(caller.TrySend(std::string(20000, 'x')));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(caller.ReadUntil("/steady").starts_with("HTTP/1.1 200"));
+  }
+
   // Guards against a caller that does not read and holds its answer in the
   // gateway's memory.
   void Answer_CallerDoesNotRead_ConnectionIsClosed() {
--- a/src/include/peridotshelf/http/front_server.h
+++ b/src/include/peridotshelf/http/front_server.h
@@ -25,6 +25,8 @@
   size_t max_body_bytes = size_t{4} * 1024 * 1024;
   /// Time from a request's first byte to the end of its head.
   Duration header_timeout = std::chrono::seconds(3);
+  /// Time for each 16 KiB of a body, or what remains of it.
+  Duration body_timeout = std::chrono::seconds(15);
   /// Time in which the caller takes 16 KiB of an answer, or what remains of it.
   Duration send_timeout = std::chrono::seconds(8);
   /// Time that a connection may stay open without a request.
