--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -71,6 +71,10 @@
     Reject(responder, RequestId(), http::kBadRequest, "bad_request");
     return;
   }
+  if (is_refusing_requests) {
+    Reject(responder, request->id, http::kUnavailable, "stopping");
+    return;
+  }
   if (!configuration) {
     Reject(responder, request->id, http::kUnavailable, "no_configuration");
     return;
@@ -329,6 +333,8 @@
 
 void Gateway::RefuseNewStreams() { m_impl->is_refusing_streams = true; }
 
+void Gateway::RefuseNewRequests() { m_impl->is_refusing_requests = true; }
+
 size_t Gateway::CountRunning() const { return m_impl->live_requests.size(); }
 
 size_t Gateway::CountQueued() const { return m_impl->queue.size(); }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -306,6 +306,7 @@
   scheduling::RequestQueue queue;
   uint64_t next_number = 1;
   bool is_refusing_streams = false;
+  bool is_refusing_requests = false;
   bool is_tick_scheduled = false;
   bool is_draining_queue = false;
   bool is_drain_scheduled = false;
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -66,6 +66,8 @@
   /// Refuses new streams from now on, because they might not finish before the
   /// process has to exit. Short calls are still served.
   void RefuseNewStreams();
+  /// Refuses all new requests from now on, since the process is about to exit.
+  void RefuseNewRequests();
   /// Returns the number of requests without a final response.
   size_t CountRunning() const;
   /// Returns the number of requests queued for a batch slot.
--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -1,4 +1,5 @@
 // The subcommand `gateway`.
+#include <algorithm>
 #include <iostream>
 #include <thread>
 
@@ -22,18 +23,40 @@
 /// a fraction of a second.
 constexpr Duration kKillMargin = std::chrono::milliseconds(800);
 
+/// Short calls are refused, too, for this long before running requests are
+/// aborted, so that those accepted last are not among them.
+constexpr Duration kLastCallTime = std::chrono::milliseconds(800);
+/// How long the last answers may take to reach their callers, within
+/// `kKillMargin`.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(400);
+
+/// Waits until callers have no open request or connection, or until `deadline`.
+/// Returns whether they have none.
+bool WaitUntilIdle(const GatewayDaemon& daemon, TimePoint deadline) {
+  while (SteadyClock().Now() < deadline) {
+    const GatewayDaemon::OpenCounts open = daemon.CountOpen();
+    if (open.requests == 0 && open.connections == 0) return true;
+    std::this_thread::sleep_for(kStopPollInterval);
+  }
+  return false;
+}
+
 /// Keeps serving until callers have moved to other processes and all requests
-/// are answered, or until `grace` is almost over.
-void WaitUntilIdle(GatewayDaemon& daemon, Duration grace) {
+/// are answered, or until `grace` is almost over; then gives each caller its
+/// final answer.
+void Stop(GatewayDaemon& daemon, Duration grace) {
   const TimePoint start = SteadyClock().Now();
   const TimePoint deadline = start + grace - kKillMargin;
-  std::this_thread::sleep_until(start + kBalancerRemovalDelay);
+  daemon.StartLeaving();
+  std::this_thread::sleep_until(
+      std::min(start + kBalancerRemovalDelay, deadline - kLastCallTime));
   daemon.RefuseNewWork();
-  while (SteadyClock().Now() < deadline) {
-    std::this_thread::sleep_for(kStopPollInterval);
-    const GatewayDaemon::OpenCounts open = daemon.CountOpen();
-    if (open.requests == 0 && open.connections == 0) return;
+  if (!WaitUntilIdle(daemon, deadline - kLastCallTime)) {
+    daemon.RefuseAllNewWork();
+    WaitUntilIdle(daemon, deadline);
   }
+  daemon.Shutdown();
+  WaitUntilIdle(daemon, SteadyClock().Now() + kLastAnswersTime);
 }
 
 /// The settings file may change without a signal, so it is also read
@@ -90,9 +113,7 @@
                {"failure_domain", settings->failure_domain.value()}});
   ServeUntilStopped(signals, **daemon, parsed->config, *settings);
   events::Log(EventId::kProcessStopping);
-  (*daemon)->StartLeaving();
-  WaitUntilIdle(**daemon, settings->stop_grace);
-  (*daemon)->AbortAll();
+  Stop(**daemon, settings->stop_grace);
   events::Log(EventId::kProcessStopped);
   return ExitCode::kSuccess;
 }
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -228,9 +228,16 @@
   return counted.get_future().get();
 }
 
-void GatewayDaemon::AbortAll() {
+void GatewayDaemon::RefuseAllNewWork() {
+  m_impl->threads.Post(
+      [impl = m_impl.get()] { impl->gateway->RefuseNewRequests(); });
+}
+
+void GatewayDaemon::Shutdown() {
   std::promise<void> done;
   m_impl->threads.Post([impl = m_impl.get(), &done] {
+    impl->gateway->RefuseNewRequests();
+    impl->caller_server->Shutdown();
     impl->gateway->AbortAll();
     done.set_value();
   });
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -32,8 +32,11 @@
     size_t connections = 0;
   };
   OpenCounts CountOpen() const;
-  /// Aborts all open requests; each receives its final answer.
-  void AbortAll();
+  /// Refuses all new requests.
+  void RefuseAllNewWork();
+  /// Accepts no further connections and gives each open request its final
+  /// answer, which may still have to be sent.
+  void Shutdown();
 
  private:
   struct Impl;
