--- a/src/discovery/evacuations_test.cc
+++ b/src/discovery/evacuations_test.cc
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(ApplyReport_PeerSawTheRestoreLater_ExtendsTheHold);
   CPPUNIT_TEST(ApplyReport_HoldAtStart_IsAdopted);
   CPPUNIT_TEST(ApplyReport_HoldThatEndedHere_IsNotRevived);
+  CPPUNIT_TEST(ApplyReport_HoldAtOlderPosition_ChangesNothing);
+  CPPUNIT_TEST(ApplyReport_HoldOfLaterEpoch_IsAdopted);
+  CPPUNIT_TEST(ApplyChanges_OfTheEpochBefore_ChangeNothing);
   CPPUNIT_TEST(ApplyReport_HoldsOfManyEntries_DoNotKeepEachOtherUp);
   CPPUNIT_TEST(ApplyReport_EndlessHold_EndsAfterTwoHoldTimes);
   CPPUNIT_TEST_SUITE_END();
@@ -195,6 +198,29 @@
     Tell(m_there, m_here, kNow + kHoldTime);
     CPPUNIT_ASSERT(!m_here.IsEvacuated(kA, kNow + kHoldTime));
   }
+  // Guards against a hold whose removal this entry has read before it started.
+  void ApplyReport_HoldAtOlderPosition_ChangesNothing() {
+    Read(m_here, {2, 10}, {});
+    LoseEvacuation(m_there, kNow);
+    Tell(m_there, m_here, kNow);
+    CPPUNIT_ASSERT(!m_here.IsEvacuated(kA, kNow));
+  }
+  // Guards against an end that is remembered after another restore.
+  void ApplyReport_HoldOfLaterEpoch_IsAdopted() {
+    Read(m_here, {1, 10}, {kA});
+    Remove(m_here, {1, 11}, kA);
+    LoseEvacuation(m_there, kNow);
+    Tell(m_there, m_here, kNow);
+    CPPUNIT_ASSERT(m_here.IsEvacuated(kA, kNow));
+  }
+  // Guards against a delayed answer from before the restore that a peer has
+  // reported.
+  void ApplyChanges_OfTheEpochBefore_ChangeNothing() {
+    Read(m_here, {1, 10}, {kA});
+    m_here.ApplyReport({{2, 8}, {}}, kNow);
+    CPPUNIT_ASSERT(Remove(m_here, {1, 11}, kA).empty());
+    CPPUNIT_ASSERT(m_here.IsEvacuated(kA, kNow));
+  }
   // Guards against holds that each report extends by its transit time.
   void ApplyReport_HoldsOfManyEntries_DoNotKeepEachOtherUp() {
     constexpr size_t kEntries = 390;
--- a/testsuite/common/gateway_fleet.py
+++ b/testsuite/common/gateway_fleet.py
@@ -90,3 +90,12 @@
     return max(await asyncio.gather(*(
         measure_adoption(fleet, gateway, service, acknowledged_at, probe_s)
         for gateway in fleet.gateways)))
+
+
+async def read_metric(gateway, name):
+    answer = await fleets.call((gateway.ip, fleets.PORTS.operations), "GET",
+                               "/metrics")
+    for line in answer.body.decode().splitlines():
+        if line.startswith(f"{name} "):
+            return int(float(line.split()[1]))
+    raise ValueError(f"no metric {name}")
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -150,15 +150,6 @@
     return failed == 0
 
 
-async def read_metric(gateway, name):
-    answer = await fleets.call((gateway.ip, fleets.PORTS.operations), "GET",
-                               "/metrics")
-    for line in answer.body.decode().splitlines():
-        if line.startswith(f"{name} "):
-            return int(float(line.split()[1]))
-    raise ValueError(f"no metric {name}")
-
-
 async def check_running_engine(fleet):
     """An engine whose registration was removed runs, and has in the copy the
     registration that it would write."""
@@ -168,10 +159,10 @@
     await asyncio.sleep(POLL_S)
     await fleet.restore_store(time.time() - copied_at)
     await asyncio.sleep(POLL_S)
-    before = [await read_metric(gateway, "peridotshelf_engines_known")
+    before = [await gateway_fleet.read_metric(gateway, "peridotshelf_engines_known")
               for gateway in fleet.gateways]
     await asyncio.sleep(SILENT_ENGINE_S)
-    after = [await read_metric(gateway, "peridotshelf_engines_known")
+    after = [await gateway_fleet.read_metric(gateway, "peridotshelf_engines_known")
              for gateway in fleet.gateways]
     print(f"engines known before and after the registration outlasted the time "
           f"of a silent engine: {before}, {after}")
@@ -189,7 +180,7 @@
     await asyncio.sleep(ENTRIES_RETURN_S)
     new = await fleet.add_gateway()
     await asyncio.sleep(ENTRIES_RETURN_S)
-    live = await read_metric(new, "peridotshelf_live_entries")
+    live = await gateway_fleet.read_metric(new, "peridotshelf_live_entries")
     print(f"a new gateway found {live} of {GATEWAYS + 1} live entries, itself "
           "included")
     new.kill()
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -51,6 +51,7 @@
     """Bounds that the gateways are configured with and checked against."""
     stop_grace_s: int = 6
     free_memory_s: float = 4.0
+    evacuation_s: float = 5.0
     retry_ratio: float = 0.2
     retry_slack: int = 60
     retry_window_s: int = 10
@@ -155,6 +156,10 @@
 class EngineHost:
     """A host of one backend server, whose process may be replaced."""
 
+    @property
+    def failure_domain(self):
+        return f"zone-{self.number % 2}"
+
     def __init__(self, fleet, number, service, link, is_direct):
         self.fleet, self.number, self.service, self.link = (
             fleet, number, service, link)
@@ -190,7 +195,7 @@
         slots = (engine.MODEL_SLOTS if self.kind == "model"
                  else engine.PLAIN_SLOTS)
         await self.fleet.put_engine(self.id, platform_messages.engine_entry(
-            self.service, self.address(), f"zone-{self.number % 2}",
+            self.service, self.address(), self.failure_domain,
             is_leaving, slots))
 
     async def set_fault(self, mode):
@@ -294,6 +299,18 @@
         """Sets an engine's registration; an empty entry removes it."""
         await self.append(platform_messages.ENGINE_TOPIC, engine_id, entry)
 
+    async def evacuate(self, failure_domain):
+        """Returns the time of the store's acknowledgement."""
+        return await self.append(
+            platform_messages.CONFIGURATION_TOPIC,
+            platform_messages.EVACUATION_PREFIX + failure_domain,
+            platform_messages.EVACUATION)
+
+    async def end_evacuation(self, failure_domain):
+        return await self.append(
+            platform_messages.CONFIGURATION_TOPIC,
+            platform_messages.EVACUATION_PREFIX + failure_domain, b"")
+
     async def set_store_fault(self, fault):
         await call(self.store_address, "POST", "/fault",
                    json.dumps(fault).encode())
