--- a/src/gateway/peer_exchange_evacuations_test.cc
+++ b/src/gateway/peer_exchange_evacuations_test.cc
@@ -17,6 +17,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kHoldTime = seconds(5);
+/// Much longer than any message takes.
+constexpr Duration kMaxWait = seconds(10);
 constexpr Duration kNever = std::chrono::hours(1);
 const FailureDomain kDomain("zone");
 
@@ -48,14 +50,14 @@
       m_known->ApplyChanges({1, 11}, {&record, 1}, SteadyClock().Now());
       m_sender->ReportEvacuations();
     });
-    CPPUNIT_ASSERT(m_changed.get_future().get().domain == kDomain);
+    CPPUNIT_ASSERT(WaitForChange().domain == kDomain);
   }
   // Guards against an entry that starts during an evacuation.
   void AddPeer_PeerKnowsEvacuations_LearnsThem() {
     m_known->ApplyFullRead({1, 11}, {&kDomain, 1}, SteadyClock().Now());
     Start(kNever);
     m_threads.Post([this] { m_receiver->AddPeer(m_address.ToString()); });
-    const auto change = m_changed.get_future().get();
+    const auto change = WaitForChange();
     CPPUNIT_ASSERT(change.has_started);
     CPPUNIT_ASSERT(change.source == discovery::EvacuationSource::kPeer);
     CPPUNIT_ASSERT(change.position == TopicPosition({1, 11}));
@@ -68,7 +70,7 @@
     m_threads.Post([this] {
       m_known->ApplyFullRead({1, 11}, {&kDomain, 1}, SteadyClock().Now());
     });
-    CPPUNIT_ASSERT(m_changed.get_future().get().domain == kDomain);
+    CPPUNIT_ASSERT(WaitForChange().domain == kDomain);
   }
   // Guards against an older entry whose datagrams end all evacuations.
   void ReadEvacuations_DatagramOfOlderEntry_HasNone() {
@@ -139,9 +141,16 @@
           });
     });
   }
+  discovery::EvacuationChange WaitForChange() {
+    auto changed = m_changed.get_future();
+    CPPUNIT_ASSERT(changed.wait_for(kMaxWait) == std::future_status::ready);
+    return changed.get();
+  }
   void WaitForPosition(const TopicPosition& position) {
+    const TimePoint deadline = SteadyClock().Now() + kMaxWait;
     bool is_reached = false;
     while (!is_reached) {
+      CPPUNIT_ASSERT(SteadyClock().Now() < deadline);
       std::promise<bool> result;
       m_threads.Post(
           [&] { result.set_value(m_learned->position() == position); });
--- a/testsuite/soak/checks.py
+++ b/testsuite/soak/checks.py
@@ -8,6 +8,8 @@
 
 REFUSAL_STATUSES = (408, 421, 429, 503)
 SLACK_S = 1.0
+# A gateway that was disturbed in this time before may exceed a bound.
+STABLE_WINDOW_S = 4.0
 STORE_FAULT_KINDS = {"store_fault", "store_link_silence"}
 
 
@@ -35,7 +37,7 @@
                       self.check_request_timeouts, self.check_leaving_engines,
                       self.check_configuration, self.check_retry_budget,
                       self.check_planned_stops, self.check_routes,
-                      self.check_limits,
+                      self.check_limits, self.check_evacuations,
                       self.check_processes):
             check()
         return self.violations
@@ -186,6 +188,32 @@
                                        f"{count} requests")
                     break
 
+    def check_evacuations(self):
+        """Checks that no request reaches an engine of an evacuated domain after
+        the bound, from gateways that were not disturbed."""
+        gateway_of = {record.request: self.fleet.gateways[record.gateway_number]
+                      for record in self.records}
+        for domain, begin, end in self.fleet.evacuations:
+            bound_from = begin + fleets.BOUNDS.evacuation_s
+            for event in self.engine_events:
+                at = event["at"]
+                host = self.fleet.host_of[event["engine"]]
+                if (event["step"] != "arrived" or
+                        host.failure_domain != domain or
+                        not bound_from < at < end):
+                    continue
+                gateway = gateway_of[event["request"]]
+                settled = at - STABLE_WINDOW_S
+                # Requests already sent may arrive late under an engine's faults.
+                if (overlaps_any(gateway.disturbances + gateway.stops +
+                                 host.disturbances, settled, at) or
+                        self.faults.has_overlap(begin - SLACK_S, at,
+                                                STORE_FAULT_KINDS)):
+                    continue
+                self.fail("EVACUATE", f"{event['request']} reached "
+                                      f"{event['engine']} {at - begin:.2f} s "
+                                      f"after the evacuation of {domain}")
+
     def check_routes(self):
         """Checks each request's service against all configurations."""
         for record in self.records:
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -17,11 +17,12 @@
     """Injects faults into a fleet and records the span of each."""
 
     def __init__(self, fleet, random, restore_random, limit_random,
-                 endless_random):
+                 endless_random, evacuation_random):
         self.fleet, self.random = fleet, random
         # Separate, so that older seeds keep their other faults.
         self.restore_random, self.limit_random = restore_random, limit_random
         self.endless_random = endless_random
+        self.evacuation_random = evacuation_random
         self.injected = []  # [kind, begin, end], in Unix seconds
         self.kinds = [
             self.gateway_kill, self.gateway_freeze, self.gateway_stop,
@@ -35,13 +36,14 @@
 
     async def run(self, until):
         """Runs two concurrent series of faults of varying duration; restores of the
-        store and an engine's limit come at times that do not depend on them."""
+        store, an engine's limit and an evacuation come at times that do not depend
+        on them."""
         async def series():
             while time.monotonic() < until:
                 await asyncio.sleep(self.random.uniform(0.1, 1.2))
                 await self.inject(self.random.choice(self.kinds))
         await asyncio.gather(series(), series(), self.run_restores(until),
-                             self.run_limit())
+                             self.run_limit(), self.run_evacuation())
 
     async def run_limit(self):
         await asyncio.sleep(self.limit_random.uniform(0.2, 2.0))
@@ -59,6 +61,20 @@
         span[3] = time.time()
         await host.set_limit(None)
 
+    async def run_evacuation(self):
+        await asyncio.sleep(self.evacuation_random.uniform(0.2, 3.0))
+        await self.inject(self.evacuation)
+
+    async def evacuation(self):
+        """A failure domain is evacuated for long enough to check it."""
+        domain = f"zone-{self.evacuation_random.randrange(2)}"
+        await self.fleet.evacuate(domain)
+        span = [domain, time.time(), float("inf")]
+        self.fleet.evacuations.append(span)
+        await asyncio.sleep(fleets.BOUNDS.evacuation_s + 4.0)
+        span[2] = time.time()
+        await self.fleet.end_evacuation(domain)
+
     async def run_restores(self, until):
         while time.monotonic() < until:
             await asyncio.sleep(self.restore_random.uniform(2.0, 8.0))
@@ -232,6 +248,7 @@
             await self.fleet.restore_store(self.restore_random.uniform(0.2, 3.0))
         except (OSError, asyncio.TimeoutError, ConnectionError):
             return  # The store does not answer during another fault.
+        await self.write_evacuations()
         for host in self.fleet.engines:
             await host.register(host.is_leaving)
         # The store removes registrations without heartbeats.
@@ -240,6 +257,14 @@
         for engine_id in set(self.fleet.service_of) - current:
             await self.fleet.put_engine(engine_id, b"")
 
+    async def write_evacuations(self):
+        """Writes what the operator has written since the copy again."""
+        for domain, _, end in self.fleet.evacuations:
+            if end == float("inf"):
+                await self.fleet.evacuate(domain)
+            else:
+                await self.fleet.end_evacuation(domain)
+
     async def link_delay(self):
         host = self.pick_engine()
 
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -226,6 +226,7 @@
         self.route_moves = []
         self.publish_lock = asyncio.Lock()
         self.limits = []  # [engine, requests per second, begin, end]
+        self.evacuations = []  # [failure domain, begin, end]
         self.leave_times = []  # [engine, acknowledgement time]
         self.store = None
         self.program = program
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -56,7 +56,7 @@
         callers = Callers(fleet, random.Random(seed))
         faults = Faults(fleet, random.Random(seed + 1),
                         random.Random(seed + 2), random.Random(seed + 3),
-                        random.Random(seed + 4))
+                        random.Random(seed + 4), random.Random(seed + 5))
         end = time.monotonic() + options.seconds
         stop_event = asyncio.Event()
         callers_task = asyncio.ensure_future(callers.run(stop_event))
