--- a/src/gateway/failure.cc
+++ b/src/gateway/failure.cc
@@ -1,5 +1,7 @@
 #include "failure.h"
 
+#include "peridotshelf/http/status.h"
+
 namespace peridotshelf::gateway {
 
 std::string_view ToString(FailureCause cause) {
@@ -36,4 +38,9 @@
          cause == FailureCause::kNoMemory || cause == FailureCause::kEngineLeft;
 }
 
+bool PromisesNotRun(int status) {
+  return status == http::kRequestTimeout || status == http::kMisdirected ||
+         status == http::kTooManyRequests || status == http::kUnavailable;
+}
+
 }  // namespace peridotshelf::gateway
--- a/src/gateway/failure.h
+++ b/src/gateway/failure.h
@@ -27,4 +27,8 @@
 /// request.
 bool GuaranteesNotRun(FailureCause cause);
 
+/// Returns whether an answer with this status tells its caller that the request
+/// has not run and will not.
+bool PromisesNotRun(int status);
+
 }  // namespace peridotshelf::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -156,7 +156,11 @@
     Finish(live, 0, "stream_cut");
     return;
   }
-  if (live->engine_failure) {
+  // The attempt that failed is one of the possible runs.
+  const bool is_false_refusal = live->engine_failure &&
+                                live->possible_runs > 1 &&
+                                PromisesNotRun(live->engine_failure->status);
+  if (live->engine_failure && !is_false_refusal) {
     const int status = live->engine_failure->status;
     live->responder->Reply(status, std::move(live->engine_failure->headers),
                            std::move(live->engine_failure_body));
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -16,8 +16,6 @@
 /// Attempts allowed beyond `max_attempts` if earlier attempts are guaranteed
 /// not to have run the request.
 constexpr int32_t kExtraAttempts = 2;
-/// Weight of the newest call in the moving average of a server's call duration.
-constexpr double kCallTimeWeight = 0.2;
 
 /// Returns the key of the attempt's helper engine at `address`, if it has one.
 std::optional<std::string> FindHelper(const Attempt& attempt,
@@ -106,6 +104,10 @@
                            const http::ClientResponseHead& response_head) {
   AnswerHead head = codec.read_answer(response_head, live->request);
   live->attempt->last_progress = SteadyClock().Now();
+  if (head.names_another_request) {
+    Fail(live, FailureCause::kBroken, "the response has another request's id");
+    return;
+  }
   // A different engine at the address speaks of itself.
   if (!head.is_other_engine) NoteState(live->attempt->engine_key, head);
   const auto helper = FindHelper(*live->attempt, head.failed_address);
@@ -292,31 +294,6 @@
   Complete(live);
 }
 
-void Gateway::Impl::Complete(const LiveRequestPtr& live) {
-  const TimePoint now = SteadyClock().Now();
-  Attempt& attempt = *live->attempt;
-  EngineState& state = GetEngineState(attempt.engine_key);
-  state.health.NoteSuccess(now);
-  NoteCompleted(*live);
-  const int status = attempt.head->status;
-  if (live->is_head_sent) {
-    EndAttempt(*live);
-    live->responder->EndStream();
-  } else {
-    const double duration_ms = MillisBetween(attempt.sent_at, now);
-    state.call_ms =
-        state.call_ms == 0
-            ? duration_ms
-            : state.call_ms + kCallTimeWeight * (duration_ms - state.call_ms);
-    AnswerHead head = std::move(*attempt.head);
-    std::string body = std::move(attempt.body);
-    EndAttempt(*live);
-    live->responder->Reply(head.status, std::move(head.headers),
-                           std::move(body));
-  }
-  Finish(live, status, http::IsSuccess(status) ? "served" : "engine_failure");
-}
-
 void Gateway::Impl::EndAttempt(LiveRequest& live) {
   if (!live.attempt) return;
   Attempt& attempt = *live.attempt;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -72,7 +72,9 @@
     head.status = from.status;
     head.is_not_run = from.FindHeader("Not-Run").has_value();
     head.failed_address = from.FindHeader("Failed").value_or("");
-    head.matches_request = from.FindHeader("Id") == request.id.value();
+    const auto id = from.FindHeader("Id");
+    head.matches_request = id == request.id.value();
+    head.names_another_request = id && !head.matches_request;
     head.is_signed = from.FindHeader("Signature").has_value();
     head.headers = {{"Signature", "s"}};
     ReadEngineState(from.headers, head);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,9 +1,10 @@
-/// State and operations of the gateway, implemented in eight files: arrival and
-/// end of a request (gateway.cc), placement of streams (gateway_placement.cc)
-/// and of calls (gateway_calls.cc), one attempt at an engine
-/// (gateway_attempt.cc), attempts without progress (gateway_stalls.cc), engines
-/// that limit their requests (gateway_limits.cc), that leave or ask for a pause
-/// (gateway_engines.cc) and that crash (gateway_crashes.cc).
+/// State and operations of the gateway, implemented in nine files: arrival and
+/// end of a request (gateway.cc), whole answers (gateway_answers.cc), placement
+/// of streams (gateway_placement.cc) and of calls (gateway_calls.cc), one
+/// attempt at an engine (gateway_attempt.cc), attempts without progress
+/// (gateway_stalls.cc), engines that limit their requests (gateway_limits.cc),
+/// that leave or ask for a pause (gateway_engines.cc) and that crash
+/// (gateway_crashes.cc).
 #pragma once
 
 #include <memory>
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -95,6 +95,9 @@
   bool has_invalid_limit = false;
   /// The response carries the id of the request.
   bool matches_request = false;
+  /// The response carries the id of another request, so that it says nothing of
+  /// this one.
+  bool names_another_request = false;
   /// The response carries the engine's signature.
   bool is_signed = false;
   /// The body has a content encoding, which engines do not use.
--- a/src/include/peridotshelf/http/status.h
+++ b/src/include/peridotshelf/http/status.h
@@ -14,6 +14,7 @@
 inline constexpr int kGone = 410;
 inline constexpr int kPayloadTooLarge = 413;
 inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
 inline constexpr int kHeaderTooLarge = 431;
 inline constexpr int kServerError = 500;
 inline constexpr int kBadGateway = 502;
