--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -269,7 +269,10 @@
     return;
   }
   const int status = attempt.head->status;
-  if (status >= http::kServerError) {
+  // An error answer cannot continue a stream whose caller has events already.
+  const bool is_stream_rejected =
+      live->is_head_sent && !http::IsSuccess(status);
+  if (status >= http::kServerError || is_stream_rejected) {
     live->engine_failure = attempt.head;
     live->engine_failure_body = std::move(attempt.body);
     Fail(live, FailureCause::kEngineFailure,
--- a/src/gateway/truncated_answer_test.cc
+++ b/src/gateway/truncated_answer_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(Call_AnswerWithoutLengthCutInItsHead_IsNeverASuccess);
   CPPUNIT_TEST(Call_EmptyChunkedAnswerWithSignedTrailer_IsNotDelivered);
   CPPUNIT_TEST(Stream_ChunkedCutAtEachByte_IsNeverComplete);
+  CPPUNIT_TEST(Stream_ResumedAtAnEngineThatRejectsIt_IsNotComplete);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,36 @@
     CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
   }
 
+  // Guards against a stream that broke off and is ended as if it were whole,
+  // because the engine that should continue it answers with an error.
+  void Stream_ResumedAtAnEngineThatRejectsIt_IsNotComplete() {
+    for (const int status : {404, 429}) {
+      int attempts = 0;
+      const auto answer = [&](const ServerRequest& request,
+                              const ResponderPtr& responder) {
+        if (attempts++ > 0) {
+          responder->Reply(status, SignedHeaders(request), "");
+          return;
+        }
+        responder->BeginStream(200, SignedHeaders(request));
+        responder->Write(MakeEvent(0));
+        responder->Abort();
+      };
+      for (int i = 0; i < 2; ++i) AddEngine(answer);
+      Configure();
+      const auto response = Call("/stream/x");
+      CPPUNIT_ASSERT_EQUAL(2, attempts);
+      CPPUNIT_ASSERT_EQUAL(MakeEvent(0), response.body);
+      CPPUNIT_ASSERT(m_call_failed);
+      for (size_t i = 0; i < m_engines.size(); ++i) {
+        RunOnLoop([&] {
+          m_directory->Remove("engine-" + std::to_string(i),
+                              SteadyClock().Now());
+        });
+      }
+    }
+  }
+
   void setUp() override {
     GatewayFixture::setUp();
     m_server = std::make_unique<RawServer>([this](RawConnection& connection) {
