--- a/src/include/peridotshelf/scheduling/engine_rate_limits.h
+++ b/src/include/peridotshelf/scheduling/engine_rate_limits.h
@@ -36,6 +36,29 @@
   size_t peers = 0;
   /// Time until all of them know of a request that this entry sends.
   Duration report_delay{};
+  /// Other entries that were not heard of lately but may still send, live or
+  /// not.
+  size_t silent_peers = 0;
+  /// This entry does not know yet whether there are others.
+  bool is_starting = false;
+};
+
+/// Most requests that a cold engine may get in any second: `overshoot` times
+/// its limit and `slack`.
+struct ColdBound {
+  double overshoot = 1.5;
+  double slack = 5;
+
+  friend bool operator==(const ColdBound&, const ColdBound&) = default;
+};
+
+/// The limit of an engine that is cold.
+struct ColdLimit {
+  /// Requests per second that the engine tolerates from all entries together.
+  double per_second = 0;
+  ColdBound bound;
+  /// End of the limit.
+  TimePoint until{};
 };
 
 /// Limits are shared as follows. Each entry counts the requests that it and its
@@ -49,18 +72,41 @@
 /// An entry that stops frees its share, since neither its demand nor new
 /// requests are reported; its last requests count until the window has passed.
 ///
+/// A cold engine has a second limit, which ends by itself and holds in any
+/// second. It answers the load of a whole fleet that turns to an engine at the
+/// same moment, since the engine is new and looks idle, or all of its service
+/// are. Within the report delay each entry counts as one that may send:
+/// - An entry tries once in a report delay. It is admitted with the probability
+///   at which the entries that may try send half of what is left, so that the
+///   count settles without exceeding it.
+/// - Any entry may try whose demand is not reported yet; otherwise those that
+///   reported demand may.
+/// - An entry sends no more in a second than its part of the demand earns.
+/// - Entries that were not heard of lately keep their part of the limit, so
+///   that the parts of separated groups add up to the limit.
+/// Where both limits apply, a request needs the consent of both.
+///
 /// Engines are identified by the key of their incarnation. Not thread-safe.
 class EngineRateLimits {
  public:
   explicit EngineRateLimits(uint64_t seed) : m_random(seed) {}
 
+  /// Limits `engine` as a cold one, or changes that limit.
+  void SetColdLimit(const std::string& engine, const ColdLimit& limit);
+  void EndColdLimit(std::string_view engine);
+  /// Returns whether the cold limit of `engine` applies.
+  bool IsCold(std::string_view engine, TimePoint now) const;
+  /// Returns whether a request for `engine`, which is cold, has a chance to be
+  /// admitted now. Costs no admission and is no demand.
+  bool MayTryCold(std::string_view engine, TimePoint now) const;
+
   /// Records that a request sent at `sent_at` was answered at `now` with this
   /// limit, or with none. Returns whether the limit changed.
   bool NoteAnswer(const std::string& engine, std::optional<double> per_second,
                   TimePoint sent_at, TimePoint now);
   /// Returns whether no engine is known to have, or to have had, a limit.
   bool empty() const { return m_engines.empty(); }
-  /// Returns the limit of `engine`, if it has one.
+  /// Returns the limit that `engine` states, if it has one.
   std::optional<double> FindLimit(std::string_view engine) const;
   /// Returns whether a request may be sent to `engine` now; true if it has no
   /// limit. `NoteSent` must follow before the next call if it is sent.
@@ -107,7 +153,13 @@
     TimePoint at{};
     int64_t count = 0;
   };
+  struct Cold {
+    ColdLimit limit;
+    /// Requests are refused until then.
+    TimePoint next_try_at{};
+  };
   struct Engine {
+    std::optional<Cold> cold;
     std::optional<double> per_second;
     TimePoint stated_at{};
     int64_t sent = 0;
@@ -122,8 +174,14 @@
     /// Requests are refused until then.
     TimePoint next_try_at{};
 
+    bool IsCold(TimePoint now) const;
+    /// Returns the requests per second that all entries aim at together; none
+    /// if there is no limit.
+    std::optional<double> TargetRate(TimePoint now) const;
+    bool IsWorthReporting(TimePoint now) const;
     Duration Window() const;
     int64_t Expire(std::deque<Sends>& sends, TimePoint now) const;
+    size_t CountPeersWithDemand(TimePoint now) const;
     double PeerDemand(TimePoint now) const;
     /// Returns the part of the limit that this entry's demand earns.
     double LocalShare(TimePoint now) const;
@@ -135,6 +193,10 @@
                                 TimePoint now) const;
   };
 
+  /// Decides for the limit that the engine states.
+  bool AdmitStated(Engine& limited, const LimitSharers& sharers, TimePoint now);
+  /// Decides for the cold limit.
+  bool AdmitCold(Engine& limited, const LimitSharers& sharers, TimePoint now);
   Engine* Find(std::string_view engine);
   const Engine* Find(std::string_view engine) const;
 
--- a/src/scheduling/engine_rate_limits.cc
+++ b/src/scheduling/engine_rate_limits.cc
@@ -149,27 +149,36 @@
 bool EngineRateLimits::TryAdmit(const std::string& engine,
                                 const LimitSharers& sharers, TimePoint now) {
   Engine* limited = Find(engine);
-  if (limited == nullptr || !limited->per_second) return true;
-  if (now < limited->next_try_at) return false;
+  if (limited == nullptr) return true;
+  const bool is_cold = limited->IsCold(now);
+  const bool has_stated = limited->per_second.has_value();
+  if (!is_cold && !has_stated) return true;
+  if (has_stated && now < limited->next_try_at) return false;
+  if (is_cold && now < limited->cold->next_try_at) return false;
   limited->NoteDemand(now);
-  const int64_t sent = limited->Expire(limited->local_sends, now) +
-                       limited->Expire(limited->peer_sends, now);
+  if (is_cold && !AdmitCold(*limited, sharers, now)) return false;
+  return !has_stated || AdmitStated(*limited, sharers, now);
+}
+
+bool EngineRateLimits::AdmitStated(Engine& limited, const LimitSharers& sharers,
+                                   TimePoint now) {
+  const int64_t sent = limited.Expire(limited.local_sends, now) +
+                       limited.Expire(limited.peer_sends, now);
   const double allowed =
-      std::floor(*limited->per_second * ToSeconds(limited->Window()));
+      std::floor(*limited.per_second * ToSeconds(limited.Window()));
   const double remaining = allowed - static_cast<double>(sent);
   std::uniform_real_distribution<double> draw(0, 1);
-  if (draw(m_random) < limited->AdmissionProbability(remaining, sharers, now)) {
+  if (draw(m_random) < limited.AdmissionProbability(remaining, sharers, now)) {
     if (sharers.peers > 0) {
       // Peers send their shares of what is left before they hear of this one.
       const double local_share =
-          std::max(1.0, remaining * limited->LocalShare(now));
-      limited->next_try_at = now + std::chrono::duration_cast<Duration>(
-                                       sharers.report_delay / local_share);
+          std::max(1.0, remaining * limited.LocalShare(now));
+      limited.next_try_at = now + std::chrono::duration_cast<Duration>(
+                                      sharers.report_delay / local_share);
     }
     return true;
   }
-  limited->next_try_at =
-      now + std::min(kMaxRetryInterval, sharers.report_delay);
+  limited.next_try_at = now + std::min(kMaxRetryInterval, sharers.report_delay);
   return false;
 }
 
@@ -189,17 +198,23 @@
 double EngineRateLimits::ExpectedShare(std::string_view engine,
                                        TimePoint now) const {
   const Engine* limited = Find(engine);
-  if (limited == nullptr || !limited->per_second) return 0;
-  return *limited->per_second * limited->LocalShare(now);
+  if (limited == nullptr) return 0;
+  const auto per_second = limited->TargetRate(now);
+  return per_second ? *per_second * limited->LocalShare(now) : 0;
 }
 
 std::vector<std::string> EngineRateLimits::EnginesToReport(TimePoint now) {
   std::erase_if(m_engines, [now](const auto& item) {
-    return !item.second.per_second &&
+    return !item.second.per_second && !item.second.IsCold(now) &&
            now - item.second.stated_at > kEndedLimitMemory;
   });
   std::vector<std::string> engines;
-  for (const auto& [engine, state] : m_engines) engines.push_back(engine);
+  for (const auto& [engine, state] : m_engines) {
+    const bool has_ended_limit = now - state.stated_at <= kEndedLimitMemory;
+    if (has_ended_limit || state.IsWorthReporting(now)) {
+      engines.push_back(engine);
+    }
+  }
   return engines;
 }
 
