--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -96,6 +96,10 @@
   bool NotePeerReads(const RegistryReads& reads, int64_t digest);
   /// Reads of this entry; only valid after the first one.
   const RegistryReads& reads() const { return m_reads; }
+  /// Whether the current read is the first one of this entry.
+  bool is_first_read() const { return m_is_first_read; }
+  /// Whether the current read finds an older copy.
+  bool is_reading_copy() const { return m_is_reading_copy; }
 
   /// Adds or replaces a registration. Returns false if it is outdated: a copy
   /// has the engine although it has left.
