--- a/src/include/peridotshelf/routing/configuration.h
+++ b/src/include/peridotshelf/routing/configuration.h
@@ -82,6 +82,11 @@
   std::string name;
   /// Set for LLM engines, absent for other services.
   std::optional<EngineSpeed> speed;
+  /// How long a backend server is cold after its start during traffic.
+  Duration cold_time{};
+  /// Requests per second that a cold backend server tolerates from all entries
+  /// together; 0 for no limit.
+  double cold_requests_per_second = 0;
 };
 
 /// A team and its API keys.
