--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4503,6 +4503,16 @@
 void EngineLimit::__set_demand_thousandths(const int64_t val) {
   this->demand_thousandths = val;
 }
+
+void EngineLimit::__set_cold_left_ms(const int64_t val) {
+  this->cold_left_ms = val;
+__isset.cold_left_ms = true;
+}
+
+void EngineLimit::__set_cold_age_ms(const int64_t val) {
+  this->cold_age_ms = val;
+__isset.cold_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const EngineLimit& obj)
 {
   obj.printTo(out);
@@ -4579,6 +4589,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_left_ms);
+          this->__isset.cold_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_age_ms);
+          this->__isset.cold_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4621,6 +4647,16 @@
   xfer += oprot->writeI64(this->demand_thousandths);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.cold_left_ms) {
+    xfer += oprot->writeFieldBegin("cold_left_ms", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->cold_left_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cold_age_ms) {
+    xfer += oprot->writeFieldBegin("cold_age_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->cold_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4634,6 +4670,8 @@
   swap(a.sent, b.sent);
   swap(a.recently_sent, b.recently_sent);
   swap(a.demand_thousandths, b.demand_thousandths);
+  swap(a.cold_left_ms, b.cold_left_ms);
+  swap(a.cold_age_ms, b.cold_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4644,6 +4682,8 @@
   sent = other98.sent;
   recently_sent = other98.recently_sent;
   demand_thousandths = other98.demand_thousandths;
+  cold_left_ms = other98.cold_left_ms;
+  cold_age_ms = other98.cold_age_ms;
   __isset = other98.__isset;
 }
 EngineLimit::EngineLimit(EngineLimit&& other99) noexcept {
@@ -4653,6 +4693,8 @@
   sent = other99.sent;
   recently_sent = other99.recently_sent;
   demand_thousandths = other99.demand_thousandths;
+  cold_left_ms = other99.cold_left_ms;
+  cold_age_ms = other99.cold_age_ms;
   __isset = other99.__isset;
 }
 EngineLimit& EngineLimit::operator=(const EngineLimit& other100) {
@@ -4662,6 +4704,8 @@
   sent = other100.sent;
   recently_sent = other100.recently_sent;
   demand_thousandths = other100.demand_thousandths;
+  cold_left_ms = other100.cold_left_ms;
+  cold_age_ms = other100.cold_age_ms;
   __isset = other100.__isset;
   return *this;
 }
@@ -4672,6 +4716,8 @@
   sent = other101.sent;
   recently_sent = other101.recently_sent;
   demand_thousandths = other101.demand_thousandths;
+  cold_left_ms = other101.cold_left_ms;
+  cold_age_ms = other101.cold_age_ms;
   __isset = other101.__isset;
   return *this;
 }
@@ -4684,6 +4730,8 @@
   out << ", " << "sent=" << to_string(sent);
   out << ", " << "recently_sent=" << to_string(recently_sent);
   out << ", " << "demand_thousandths=" << to_string(demand_thousandths);
+  out << ", " << "cold_left_ms="; (__isset.cold_left_ms ? (out << to_string(cold_left_ms)) : (out << "<null>"));
+  out << ", " << "cold_age_ms="; (__isset.cold_age_ms ? (out << to_string(cold_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1753,13 +1753,15 @@
 std::ostream& operator<<(std::ostream& out, const EngineWorks& obj);
 
 typedef struct _EngineLimit__isset {
-  _EngineLimit__isset() : engine(false), per_second_thousandths(false), stated_age_ms(false), sent(false), recently_sent(false), demand_thousandths(false) {}
+  _EngineLimit__isset() : engine(false), per_second_thousandths(false), stated_age_ms(false), sent(false), recently_sent(false), demand_thousandths(false), cold_left_ms(false), cold_age_ms(false) {}
   bool engine :1;
   bool per_second_thousandths :1;
   bool stated_age_ms :1;
   bool sent :1;
   bool recently_sent :1;
   bool demand_thousandths :1;
+  bool cold_left_ms :1;
+  bool cold_age_ms :1;
 } _EngineLimit__isset;
 
 class EngineLimit : public virtual ::apache::thrift::TBase {
@@ -1775,7 +1777,9 @@
                 stated_age_ms(0),
                 sent(0),
                 recently_sent(0),
-                demand_thousandths(0) {
+                demand_thousandths(0),
+                cold_left_ms(0),
+                cold_age_ms(0) {
   }
 
   virtual ~EngineLimit() noexcept;
@@ -1785,6 +1789,8 @@
   int64_t sent;
   int64_t recently_sent;
   int64_t demand_thousandths;
+  int64_t cold_left_ms;
+  int64_t cold_age_ms;
 
   _EngineLimit__isset __isset;
 
@@ -1800,6 +1806,10 @@
 
   void __set_demand_thousandths(const int64_t val);
 
+  void __set_cold_left_ms(const int64_t val);
+
+  void __set_cold_age_ms(const int64_t val);
+
   bool operator == (const EngineLimit & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -1816,6 +1826,14 @@
       return false;
     if (!(demand_thousandths == rhs.demand_thousandths))
       return false;
+    if (__isset.cold_left_ms != rhs.__isset.cold_left_ms)
+      return false;
+    else if (__isset.cold_left_ms && !(cold_left_ms == rhs.cold_left_ms))
+      return false;
+    if (__isset.cold_age_ms != rhs.__isset.cold_age_ms)
+      return false;
+    else if (__isset.cold_age_ms && !(cold_age_ms == rhs.cold_age_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineLimit &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -224,6 +224,8 @@
   4: i64 sent                 // requests sent since the sender knows a limit
   5: i64 recently_sent        // of these, the ones that still count
   6: i64 demand_thousandths   // wanted requests per 1,000 s
+  7: optional i64 cold_left_ms  // not set: not cold; until the datagram is sent
+  8: optional i64 cold_age_ms // time since the registration was read that tells
 }
 
 // The crash of an engine while it ran a request with a suspect. Times are
