--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -297,6 +297,9 @@
                             impl->rate_limits->Forget(engine);
                           }
                         });
+  peers.ShareColdEngines(
+      m_impl->cold_engines,
+      [impl = m_impl](const std::string& engine) { impl->OnPeerCold(engine); });
 }
 
 Gateway::~Gateway() = default;
@@ -306,6 +309,7 @@
   m_impl->configuration = std::move(configuration);
   // The configuration may have changed the engine speeds.
   m_impl->models.clear();
+  m_impl->ApplyColdLimits();
 }
 
 std::shared_ptr<const routing::Configuration> Gateway::configuration() const {
@@ -319,6 +323,7 @@
 
 void Gateway::NoteEnginesChanged() {
   m_impl->ForgetGoneLimits();
+  m_impl->ApplyColdLimits();
   m_impl->ScheduleQueueDrain();
 }
 
--- a/src/gateway/gateway_calls.cc
+++ b/src/gateway/gateway_calls.cc
@@ -10,6 +10,9 @@
 using events::EventId;
 using scheduling::ActiveRequest;
 
+/// Cold servers that are asked for one call; the others are left to later ones.
+constexpr int kMaxColdTries = 8;
+
 }  // namespace
 
 std::vector<scheduling::ServiceCandidate> Gateway::Impl::MakeServiceCandidates(
@@ -35,14 +38,22 @@
   const TimePoint now = SteadyClock().Now();
   const auto usable = FindUsableEngines(*live);
   auto records = RemoveLimited(usable);
-  auto servers = MakeServiceCandidates(records);
+  std::vector<scheduling::ServiceCandidate> servers;
+  const auto choose = [&] {
+    servers = MakeServiceCandidates(records);
+    return scheduling::PlaceCall(servers);
+  };
+  auto chosen = choose();
+  for (int tries = 1; chosen && !AdmitAtCold(records[*chosen]->Key());
+       ++tries) {
+    records.erase(records.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    if (tries == kMaxColdTries) RemoveCold(records);
+    chosen = choose();
+  }
   const bool has_free_slot = std::any_of(
       servers.begin(), servers.end(),
       [](const auto& server) { return server.running < server.slots; });
-  if (!has_free_slot && AddAdmitted(usable, records)) {
-    servers = MakeServiceCandidates(records);
-  }
-  const auto chosen = scheduling::PlaceCall(servers);
+  if (!has_free_slot && AddAdmitted(usable, records)) chosen = choose();
   if (!chosen) return false;
   StartAttempt(live, *records[*chosen]);
   ActiveRequest active_request;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -188,6 +188,8 @@
     m_active_request_table = std::make_unique<scheduling::ActiveRequestTable>();
     PeerExchangeOptions exchange;
     exchange.local_address = {"127.0.0.1", testing::FindFreePort()};
+    // The gateway is alone, and knows it from the start.
+    exchange.start_time = Duration::zero();
     m_peers = std::move(
         *PeerExchange::Create(*m_threads, *m_active_request_table, exchange));
     GatewayOptions options;
@@ -257,6 +259,15 @@
     m_engines.push_back(std::move(engine));
   }
 
+  /// Reads the registration of the engine with this index anew; it states how
+  /// much longer it stays cold.
+  void TurnCold(size_t index, Duration cold_left) {
+    RunOnLoop([&] {
+      m_gateway->NoteRegistration(
+          *m_directory->Find("engine-" + std::to_string(index)), cold_left);
+    });
+  }
+
   static void ServeEngine(FakeEngine& engine, const ServerRequest& request,
                           const ResponderPtr& responder) {
     std::function<void(const ServerRequest&, const ResponderPtr&)> handler;
@@ -312,7 +323,8 @@
     return route;
   }
 
-  void Configure() {
+  /// Services limit cold engines to `cold_per_second` requests; 0 for no limit.
+  void Configure(double cold_per_second = 0) {
     using routing::RetrySafety;
     routing::Service models;
     models.name = "models";
@@ -322,8 +334,12 @@
     speed.step_ms = 0.1;
     speed.prefill_tokens_per_ms = 200;
     models.speed = speed;
+    models.cold_requests_per_second = cold_per_second;
+    models.cold_time = seconds(3);
     routing::Service calls;
     calls.name = "calls";
+    calls.cold_requests_per_second = cold_per_second;
+    calls.cold_time = seconds(3);
     auto configuration = std::make_shared<const routing::Configuration>(
         routing::Configuration::Builder()
             .SetVersion(1)
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,8 +1,9 @@
-/// State and operations of the gateway, implemented in eight files: arrival and
+/// State and operations of the gateway, implemented in nine files: arrival and
 /// end of a request (gateway.cc), placement of streams (gateway_placement.cc)
 /// and of calls (gateway_calls.cc), one attempt at an engine
 /// (gateway_attempt.cc), attempts without progress (gateway_stalls.cc), engines
-/// that limit their requests (gateway_limits.cc), that leave or ask for a pause
+/// that limit their requests (gateway_limits.cc), that are cold
+/// (gateway_cold_engines.cc), that leave or ask for a pause
 /// (gateway_engines.cc) and that crash (gateway_crashes.cc).
 #pragma once
 
@@ -49,6 +50,10 @@
   double call_ms = 0;
   /// The engine wants no requests from this entry until then.
   TimePoint paused_until{};
+  /// When this entry learned that the engine is cold, and when the engine last
+  /// answered it.
+  TimePoint cold_since{};
+  TimePoint answered_at{};
 };
 
 /// An attempt whose connection broke before its response was complete.
@@ -83,6 +88,7 @@
         options(gateway_options),
         rate_limits(std::make_shared<scheduling::EngineRateLimits>(
             std::random_device()())),
+        cold_engines(std::make_shared<discovery::ColdEngines>()),
         crash_quarantine(std::make_shared<quarantine::CrashQuarantine>(
             quarantine::QuarantineOptions{})),
         reservations(
@@ -131,9 +137,9 @@
   void PlaceOrQueue(const LiveRequestPtr& live);
   bool TryStartStream(const LiveRequestPtr& live,
                       const scheduling::EngineModel& model);
-  bool TryStartStreamOn(
-      const std::vector<const discovery::EngineRecord*>& records,
-      const LiveRequestPtr& live, const scheduling::EngineModel& model);
+  bool TryStartStreamOn(std::vector<const discovery::EngineRecord*>& records,
+                        const LiveRequestPtr& live,
+                        const scheduling::EngineModel& model);
   /// Returns the plan to start the stream now on `candidates`; nullopt if it
   /// should wait.
   static std::optional<scheduling::StreamPlan> MakePlan(
@@ -159,9 +165,10 @@
   void ScheduleQueueDrain();
 
   // Engines that limit their requests.
-  /// Returns the engines of `records` that state no limit.
+  /// Returns the engines of `records` that state no limit and are not cold and
+  /// near their limit.
   std::vector<const discovery::EngineRecord*> RemoveLimited(
-      const std::vector<const discovery::EngineRecord*>& records) const;
+      const std::vector<const discovery::EngineRecord*>& records);
   /// Adds the engines of `usable` to `records` that state a limit and may
   /// receive a request now. Returns whether there are any.
   bool AddAdmitted(const std::vector<const discovery::EngineRecord*>& usable,
@@ -171,7 +178,7 @@
   /// Applies the limit that an engine states in a response.
   void NoteLimit(const Attempt& attempt, const AnswerHead& head);
   void LogLimit(const std::string& engine, std::string_view source);
-  /// Returns the time until the limits of `records`, which all state one, allow
+  /// Returns the time until the limits of `records`, which all have one, allow
   /// one request more than `ahead` of this entry.
   Duration PredictLimitWait(
       const std::vector<const discovery::EngineRecord*>& records,
@@ -179,6 +186,31 @@
   /// Forgets the limits of engines that are gone.
   void ForgetGoneLimits();
 
+  // Engines that are cold.
+  void NoteRegistration(const discovery::EngineRecord& record,
+                        std::optional<Duration> cold_left);
+  /// Applies what a peer knows about `engine`.
+  void OnPeerCold(const std::string& engine);
+  void LogCold(const std::string& engine);
+  /// Limits the engine if it is cold and its service limits cold ones. Returns
+  /// whether it does.
+  bool ApplyColdLimit(const discovery::EngineRecord& record);
+  void ApplyColdLimits();
+  /// Returns whether a cold engine is a candidate; true for one that is not
+  /// cold.
+  bool IsColdCandidate(const std::string& engine, TimePoint now);
+  /// Returns whether `engine`, which was chosen, may get a request now as far
+  /// as it is cold.
+  bool AdmitAtCold(const std::string& engine);
+  /// Returns the best plan on `records` whose cold engines admit the request,
+  /// with its `candidates`. Removes engines that do not from `records`.
+  std::optional<scheduling::StreamPlan> PlanAdmitted(
+      std::vector<const discovery::EngineRecord*>& records,
+      const LiveRequest& live, const scheduling::EngineModel& model,
+      std::vector<scheduling::EngineCandidate>& candidates);
+  /// Removes the cold engines that state no limit.
+  void RemoveCold(std::vector<const discovery::EngineRecord*>& records) const;
+
   // What engines say of themselves.
   /// Applies what `engine` says in an answer to this entry: that it leaves, or
   /// that it wants no requests from this entry for some time.
@@ -280,6 +312,8 @@
   /// Shared with the exchange.
   std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
   /// Shared with the exchange.
+  std::shared_ptr<discovery::ColdEngines> cold_engines;
+  /// Shared with the exchange.
   std::shared_ptr<quarantine::CrashQuarantine> crash_quarantine;
   Reservations reservations;
   metrics::Family<metrics::Counter>& finished;
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -16,11 +16,15 @@
 }  // namespace
 
 std::vector<const EngineRecord*> Gateway::Impl::RemoveLimited(
-    const std::vector<const EngineRecord*>& records) const {
+    const std::vector<const EngineRecord*>& records) {
   if (rate_limits->empty()) return records;
+  const TimePoint now = SteadyClock().Now();
   std::vector<const EngineRecord*> unlimited;
   for (const EngineRecord* record : records) {
-    if (!rate_limits->FindLimit(record->Key())) unlimited.push_back(record);
+    const std::string key = record->Key();
+    if (!rate_limits->FindLimit(key) && IsColdCandidate(key, now)) {
+      unlimited.push_back(record);
+    }
   }
   return unlimited;
 }
@@ -32,7 +36,7 @@
   bool has_added = false;
   for (const EngineRecord* record : usable) {
     const std::string key = record->Key();
-    if (!rate_limits->FindLimit(key)) continue;
+    if (!rate_limits->FindLimit(key) || !IsColdCandidate(key, now)) continue;
     // Peers share the limit by the demand that is reported to them; later
     // changes of it reach them with the next full report.
     if (rate_limits->IsDemandNew(key, now)) peers.NoteChange(key);
@@ -48,6 +52,9 @@
 }
 
 void Gateway::Impl::NoteLimit(const Attempt& attempt, const AnswerHead& head) {
+  if (!head.is_not_run) {
+    GetEngineState(attempt.engine_key).answered_at = SteadyClock().Now();
+  }
   if (head.has_invalid_limit) {
     events::Log(EventId::kEngineLimitInvalid, {{"engine", attempt.engine_key}});
     return;
@@ -78,7 +85,15 @@
   }
   const std::chrono::duration<double> wait(static_cast<double>(ahead + 1) /
                                            std::max(per_second, kMinShare));
-  return std::chrono::duration_cast<Duration>(wait);
+  auto shortest = std::chrono::duration_cast<Duration>(wait);
+  for (const EngineRecord* record : records) {
+    const std::string key = record->Key();
+    const discovery::ColdBelief* cold = cold_engines->FindCold(key, now);
+    if (cold != nullptr && !rate_limits->FindLimit(key)) {
+      shortest = std::min(shortest, cold->until - now);
+    }
+  }
+  return shortest;
 }
 
 void Gateway::Impl::ForgetGoneLimits() {
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -172,10 +172,10 @@
 }
 
 bool Gateway::Impl::TryStartStreamOn(
-    const std::vector<const discovery::EngineRecord*>& records,
+    std::vector<const discovery::EngineRecord*>& records,
     const LiveRequestPtr& live, const scheduling::EngineModel& model) {
-  const auto candidates = MakeCandidates(records, model);
-  const auto plan = MakePlan(*live, candidates);
+  std::vector<EngineCandidate> candidates;
+  const auto plan = PlanAdmitted(records, *live, model, candidates);
   if (!plan) return false;
   StartAttempt(live, *records[plan->primary]);
   Attempt& attempt = *live->attempt;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -52,23 +52,6 @@
   load.engines.push_back(std::move(engine_requests));
 }
 
-void PeerExchange::Impl::AddLimit(wire::EntryLoad& load,
-                                  const std::string& engine) const {
-  if (!rate_limits) return;
-  const TimePoint now = SteadyClock().Now();
-  if (const auto report = rate_limits->MakeReport(engine, now)) {
-    load.limits.push_back(ToWire(engine, *report, now));
-  }
-}
-
-void PeerExchange::Impl::AddAllLimits(wire::EntryLoad& load) const {
-  if (!rate_limits) return;
-  for (const std::string& engine :
-       rate_limits->EnginesToReport(SteadyClock().Now())) {
-    AddLimit(load, engine);
-  }
-}
-
 void PeerExchange::Impl::AddLeaving(wire::EntryLoad& load) {
   const TimePoint now = SteadyClock().Now();
   std::erase_if(leaving_until,
@@ -78,18 +61,6 @@
   }
 }
 
-void PeerExchange::Impl::ApplyLimits(const std::string& peer,
-                                     const wire::EntryLoad& load) {
-  if (!rate_limits) return;
-  const TimePoint now = SteadyClock().Now();
-  for (const wire::EngineLimit& limit : load.limits) {
-    if (rate_limits->ApplyReport(peer, limit.engine, FromWire(limit, now),
-                                 now)) {
-      on_limit_change(limit.engine);
-    }
-  }
-}
-
 void PeerExchange::Impl::SendTo(Peer& peer, const std::string& bytes) {
   asio::error_code ignored;
   // A datagram that cannot be sent is treated like a lost one.
@@ -120,7 +91,7 @@
       if (!complete) AddLimit(load, engines[i]);
     }
     if (begin == 0) AddLeaving(load);
-    if (complete && begin == 0) AddAllLimits(load);
+    if (complete && begin == 0) AddAllLimits(load, ColdReport::kNews);
     SendToLive(Encode(load));
     begin = end;
   } while (begin < engines.size());
@@ -165,6 +136,7 @@
   }
   SendReport(active_request_table.EnginesWithLocalRequests(),
              /*complete=*/true);
+  MakeSharers();
   RepeatSuspects();
   if (full_reports++ % kFullReportsPerGreeting == 0) {
     GreetLostPeers();
@@ -222,7 +194,7 @@
   }
   if (load->wants_reply) {
     wire::EntryLoad reply = MakeReport();
-    AddAllLimits(reply);
+    AddAllLimits(reply, ColdReport::kAll);
     AddLeaving(reply);
     reply.departed_engines = progress.departed_engines;
     SendTo(peer, Encode(reply));
@@ -305,18 +277,6 @@
   m_impl->on_peer_change = std::move(callback);
 }
 
-void PeerExchange::ShareRateLimits(
-    std::shared_ptr<scheduling::EngineRateLimits> limits,
-    std::function<void(const std::string&)> on_change) {
-  m_impl->rate_limits = std::move(limits);
-  m_impl->on_limit_change = std::move(on_change);
-}
-
-scheduling::LimitSharers PeerExchange::LimitSharers() const {
-  const PeerExchangeOptions& options = m_impl->options;
-  return {m_impl->CountLivePeers(), options.batch_delay + options.transit_time};
-}
-
 void PeerExchange::ReportLeaving(const std::string& engine) {
   m_impl->leaving_until[engine] = SteadyClock().Now() + kLeavingReportTime;
   m_impl->is_progress_new = true;
--- a/src/gateway/peer_exchange_impl.h
+++ b/src/gateway/peer_exchange_impl.h
@@ -1,5 +1,6 @@
-/// State and operations of the exchange: loads, limits and greetings in
-/// peer_exchange.cc, suspects of crashes in peer_exchange_suspects.cc.
+/// State and operations of the exchange: loads and greetings in
+/// peer_exchange.cc, limits in peer_exchange_limits.cc, suspects of crashes in
+/// peer_exchange_suspects.cc.
 #pragma once
 
 #include <array>
@@ -29,6 +30,10 @@
   bool is_live = false;
 };
 
+/// Which cold engines a report names: those that this entry has read lately, or
+/// all that it knows.
+enum class ColdReport { kNews, kAll };
+
 struct PeerExchange::Impl : std::enable_shared_from_this<PeerExchange::Impl> {
   Impl(io::IoThreads& io, scheduling::ActiveRequestTable& request_table,
        const PeerExchangeOptions& exchange_options)
@@ -36,7 +41,8 @@
         active_request_table(request_table),
         options(exchange_options),
         socket(io.context()),
-        process_id(MakeRandomId()) {}
+        process_id(MakeRandomId()),
+        fleet_view(SteadyClock().Now(), exchange_options.start_time) {}
 
   io::IoThreads& threads;
   scheduling::ActiveRequestTable& active_request_table;
@@ -55,6 +61,10 @@
   std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
   std::function<void(const std::string&)> on_limit_change =
       [](const std::string&) {};
+  std::shared_ptr<discovery::ColdEngines> cold_engines;
+  std::function<void(const std::string&)> on_cold_change =
+      [](const std::string&) {};
+  scheduling::FleetView fleet_view;
   std::shared_ptr<quarantine::CrashQuarantine> suspects;
   std::function<void(std::span<const quarantine::SuspectId>)> on_quarantine =
       [](std::span<const quarantine::SuspectId>) {};
@@ -83,8 +93,12 @@
   wire::EntryLoad MakeReport();
   void AddEngineRequests(wire::EntryLoad& load,
                          const std::string& engine) const;
-  void AddLimit(wire::EntryLoad& load, const std::string& engine) const;
-  void AddAllLimits(wire::EntryLoad& load) const;
+  /// Adds what is known of the limits of `engine`. Returns whether there is
+  /// anything.
+  bool AddLimit(wire::EntryLoad& load, const std::string& engine,
+                ColdReport cold_report = ColdReport::kNews) const;
+  void AddAllLimits(wire::EntryLoad& load, ColdReport cold_report) const;
+  scheduling::LimitSharers MakeSharers();
   void AddLeaving(wire::EntryLoad& load);
   void ApplyLimits(const std::string& peer, const wire::EntryLoad& load);
   std::string EncodeSuspects(
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(TopicPosition_LaterEpoch_IsFurtherThanAnyOffset);
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
   CPPUNIT_TEST(ShareRateLimits_PeerGreets_LearnsTheLimit);
+  CPPUNIT_TEST(ShareColdEngines_PeerGreets_LearnsTheColdTime);
   CPPUNIT_TEST(ReportLeaving_PeerStartsLater_LearnsTheEngine);
   CPPUNIT_TEST(ShareSuspects_PeerStartsLater_LearnsTheQuarantine);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
@@ -148,6 +149,43 @@
     CPPUNIT_ASSERT(learned->FindLimit("e@1") == 1.7);
   }
 
+  // Guards against a rush by an entry that has not read the registration yet.
+  void ShareColdEngines_PeerGreets_LearnsTheColdTime() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    auto informed = CreateExchange(threads, requests, address);
+    auto starting = CreateExchange(threads, peer_requests,
+                                   {"127.0.0.1", testing::FindFreePort()});
+    auto known = std::make_shared<discovery::ColdEngines>();
+    auto learned = std::make_shared<discovery::ColdEngines>();
+    const TimePoint now = SteadyClock().Now();
+    discovery::RegistrationRead read;
+    read.engine = "e@1";
+    read.at = now;
+    read.cold_left = std::chrono::seconds(30);
+    known->NoteRegistration(read);
+    std::promise<std::string> changed;
+    threads.Post([&] {
+      const auto limits = std::make_shared<scheduling::EngineRateLimits>(1);
+      informed->ShareRateLimits(limits, [](const std::string&) {});
+      informed->ShareColdEngines(known, [](const std::string&) {});
+      starting->ShareRateLimits(limits, [](const std::string&) {});
+      starting->ShareColdEngines(
+          learned,
+          [&changed](const std::string& engine) { changed.set_value(engine); });
+      starting->AddPeer(address.ToString());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("e@1"), changed.get_future().get());
+    threads.Stop();
+    const discovery::ColdBelief* belief = learned->FindCold("e@1", now);
+    CPPUNIT_ASSERT(belief != nullptr);
+    // Durations are sent in whole milliseconds.
+    CPPUNIT_ASSERT(
+        IsDelayed(now + std::chrono::milliseconds(29999), belief->until));
+  }
+
   void GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce() {
     io::IoThreads threads(1);
     scheduling::ActiveRequestTable requests;
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -15,6 +15,10 @@
 using scheduling::ActiveRequest;
 
 constexpr double kThousandthsPerUnit = 1000.0;
+/// Bounds the effect of a wrong report.
+constexpr int64_t kMaxColdMs = int64_t{10} * 60 * 1000;
+/// Stands for the age of a statement that the engine never made; 10 years.
+constexpr int64_t kNeverStatedMs = int64_t{10} * 365 * 24 * 3600 * 1000;
 
 int32_t MillisUntil(TimePoint now, TimePoint at) {
   return static_cast<int32_t>(std::max<int64_t>(0, ToMilliseconds(at - now)));
@@ -88,7 +92,9 @@
     out.__set_per_second_thousandths(
         std::llround(*report.per_second * kThousandthsPerUnit));
   }
-  out.stated_age_ms = ToMilliseconds(now - report.stated_at);
+  out.stated_age_ms = report.stated_at == TimePoint{}
+                          ? kNeverStatedMs
+                          : ToMilliseconds(now - report.stated_at);
   out.sent = report.sent;
   out.recently_sent = report.recently_sent;
   out.demand_thousandths =
@@ -103,8 +109,10 @@
     report.per_second =
         static_cast<double>(in.per_second_thousandths) / kThousandthsPerUnit;
   }
-  report.stated_at =
-      now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
+  if (in.stated_age_ms < kNeverStatedMs) {
+    report.stated_at =
+        now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
+  }
   report.sent = in.sent;
   report.recently_sent = std::max<int64_t>(in.recently_sent, 0);
   report.demand_per_second =
@@ -112,6 +120,24 @@
   return report;
 }
 
+void AddToWire(const discovery::ColdBelief& belief, TimePoint now,
+               wire::EngineLimit& out) {
+  out.__set_cold_left_ms(ToMilliseconds(belief.until - now));
+  out.__set_cold_age_ms(ToMilliseconds(now - belief.known_at));
+}
+
+std::optional<discovery::ColdBelief> ReadColdBelief(const wire::EngineLimit& in,
+                                                    TimePoint now) {
+  if (!in.__isset.cold_left_ms) return std::nullopt;
+  const auto bounded = [](int64_t millis) {
+    return std::chrono::milliseconds(
+        std::clamp<int64_t>(millis, 0, kMaxColdMs));
+  };
+  return discovery::ColdBelief{now + bounded(in.cold_left_ms),
+                               now - bounded(in.cold_age_ms),
+                               discovery::ColdSource::kPeer};
+}
+
 wire::CrashSuspect ToWire(const quarantine::SuspectRecord& record,
                           TimePoint now) {
   wire::CrashSuspect out;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "peridotshelf/base/clock.h"
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/discovery/cold_engines.h"
 #include "peridotshelf/gateway/peer_exchange.h"
 #include "peridotshelf/quarantine/suspect_record.h"
 #include "peridotshelf/scheduling/active_request_table.h"
@@ -30,6 +32,11 @@
                          TimePoint now);
 scheduling::RateLimitReport FromWire(const wire::EngineLimit& in,
                                      TimePoint now);
+void AddToWire(const discovery::ColdBelief& belief, TimePoint now,
+               wire::EngineLimit& out);
+/// Returns nullopt if the report says nothing of a cold time.
+std::optional<discovery::ColdBelief> ReadColdBelief(const wire::EngineLimit& in,
+                                                    TimePoint now);
 wire::CrashSuspect ToWire(const quarantine::SuspectRecord& record,
                           TimePoint now);
 quarantine::SuspectRecord FromWire(const wire::CrashSuspect& in, TimePoint now);
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -64,6 +64,8 @@
   kCrashCounted = 704,
   kEnginePaused = 705,
   kEnginePauseInvalid = 706,
+  kEngineCold = 707,
+  kEngineColdInvalid = 708,
   kPeerConnected = 800,
   kPeerLost = 801,
   kPeerFrameRejected = 802,
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "peridotshelf/discovery/engine_directory.h"
@@ -23,6 +24,8 @@
 struct GatewayOptions {
   FailureDomain failure_domain;
   scheduling::RetryLimits retry_limits;
+  /// Requests that a cold engine may get beyond its service's limit.
+  scheduling::ColdBound cold_bound;
   /// Time after which an engine releases a reservation that is not renewed.
   Duration reservation_ttl = std::chrono::milliseconds(3500);
   /// Largest body of an engine's response that is not streamed.
@@ -60,6 +63,10 @@
   /// Reports that engines were added or removed, so that the gateway tries
   /// again to place the queued requests.
   void NoteEnginesChanged();
+  /// Reports a registration that was read into the directory. `cold_left` is
+  /// how much longer the engine stays cold, if it says so.
+  void NoteRegistration(const discovery::EngineRecord& record,
+                        std::optional<Duration> cold_left);
   /// Handles one request; the response goes to `responder`.
   void Handle(const http::ServerRequest& request,
               const http::ResponderPtr& responder);
@@ -73,6 +80,8 @@
   /// Returns the number of suspects whose requests are rejected, since engines
   /// crashed under them.
   size_t CountQuarantined() const;
+  /// Returns the number of engines that are cold.
+  size_t CountCold() const;
   /// Ends all running requests as if their deadlines had passed, for a process
   /// that has to exit now.
   void AbortAll();
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -13,11 +13,13 @@
 #include <vector>
 
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/discovery/cold_engines.h"
 #include "peridotshelf/discovery/engine_directory.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/quarantine/crash_quarantine.h"
 #include "peridotshelf/scheduling/active_request_table.h"
 #include "peridotshelf/scheduling/engine_rate_limits.h"
+#include "peridotshelf/scheduling/fleet_view.h"
 
 namespace peridotshelf::gateway {
 
@@ -70,6 +72,11 @@
   Duration transit_time = std::chrono::milliseconds(50);
   /// A peer that sends nothing for this long is considered stopped.
   Duration peer_timeout = std::chrono::milliseconds(3500);
+  /// The requests of a peer that sends nothing for this long, two full reports,
+  /// are not known any more.
+  Duration silence_time = std::chrono::seconds(2);
+  /// Time after the start in which peers may not have reported yet.
+  Duration start_time = std::chrono::seconds(2);
 };
 
 /// Updates `active_request_table` with the requests of peers. All members are
@@ -101,6 +108,11 @@
   void ShareRateLimits(
       std::shared_ptr<scheduling::EngineRateLimits> limits,
       std::function<void(const std::string& engine)> on_change);
+  /// Exchanges until when engines are cold. `on_change` receives the engines
+  /// about which a peer knew something newer.
+  void ShareColdEngines(
+      std::shared_ptr<discovery::ColdEngines> cold_engines,
+      std::function<void(const std::string& engine)> on_change);
   /// Returns the other entries and how late they learn of a request.
   scheduling::LimitSharers LimitSharers() const;
   /// Exchanges what entries know of requests that crash engines.
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -103,6 +103,8 @@
   add("peridotshelf_quarantined_suspects",
       "Prompt parts and requests that are rejected, since engines crashed.",
       [this] { return static_cast<double>(gateway->CountQuarantined()); });
+  add("peridotshelf_cold_engines", "Engines that are cold.",
+      [this] { return static_cast<double>(gateway->CountCold()); });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
@@ -128,6 +130,7 @@
   gateway::GatewayOptions options;
   options.failure_domain = settings.failure_domain;
   options.retry_limits = settings.retry_limits;
+  options.cold_bound = settings.cold_bound;
   if (settings.memory_release_limit > Duration::zero()) {
     options.reservation_ttl = std::chrono::duration_cast<Duration>(
         settings.memory_release_limit * kReservationTtlFraction);
@@ -151,6 +154,10 @@
         gateway->SetConfiguration(newest);
         NoteReadiness();
       };
+  callbacks.on_registration = [this](const discovery::EngineRecord& record,
+                                     std::optional<Duration> cold_left) {
+    gateway->NoteRegistration(record, cold_left);
+  };
   callbacks.on_engines = [this] {
     gateway->NoteEnginesChanged();
     NoteReadiness();
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -261,6 +261,12 @@
     NoteOutdatedEngine(parsed->Key(), "copy");
     return;
   }
+  if (!parsed->has_invalid_cold_left) {
+    m_invalid_cold_entries.erase(record.key);
+  } else if (m_invalid_cold_entries.insert(record.key).second) {
+    events::Log(EventId::kEngineColdInvalid, {{"engine", parsed->Key()}});
+  }
+  m_callbacks.on_registration(*parsed, parsed->cold_left);
   if (is_new || is_leaving) {
     events::Log(
         is_leaving ? EventId::kEngineLeaving : EventId::kEngineRegistered,
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -25,6 +26,10 @@
   /// Called when a newer configuration becomes active.
   std::function<void(std::shared_ptr<const routing::Configuration>)>
       on_configuration;
+  /// Called for each registration that was read into the directory, with how
+  /// much longer the engine stays cold, if it says so.
+  std::function<void(const discovery::EngineRecord&, std::optional<Duration>)>
+      on_registration;
   /// Called when engines register, start leaving or are removed.
   std::function<void()> on_engines;
 };
@@ -107,6 +112,8 @@
   std::mt19937_64 m_random{std::random_device()()};
   /// Keys of the engine entries that are invalid and whose rejection is logged.
   std::set<std::string> m_rejected_entries;
+  /// Keys of the engine entries whose cold time is invalid, which is logged.
+  std::set<std::string> m_invalid_cold_entries;
 };
 
 }  // namespace peridotshelf::program
