--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -106,6 +106,8 @@
   live->route = route;
   live->service = service->service;
   live->priority = route->priority;
+  live->allowed_regions = routing::FindAllowedRegions(*route, team);
+  if (live->allowed_regions) has_homes = true;
   if (team != nullptr) {
     live->team = team->id;
     live->priority = team->priority.value_or(route->priority);
@@ -317,6 +319,11 @@
   for (auto& [service, budget] : m_impl->budgets) budget.SetLimits(limits);
 }
 
+void Gateway::SetRegions(std::map<FailureDomain, std::string> regions) {
+  m_impl->options.regions = std::move(regions);
+  m_impl->ScheduleQueueDrain();
+}
+
 void Gateway::NoteEnginesChanged() {
   m_impl->ForgetGoneLimits();
   m_impl->ScheduleQueueDrain();
--- a/src/gateway/gateway_engines.cc
+++ b/src/gateway/gateway_engines.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
@@ -50,10 +52,24 @@
   ScheduleQueueDrain();
 }
 
+std::vector<const EngineRecord*> Gateway::Impl::FindAllowedEngines(
+    const LiveRequest& live) const {
+  auto allowed = engines.FindReadyEngines(live.service);
+  if (!live.allowed_regions) return allowed;
+  const std::vector<std::string>& regions = *live.allowed_regions;
+  std::erase_if(allowed, [this, &regions](const EngineRecord* record) {
+    const auto region = options.regions.find(record->failure_domain);
+    return region == options.regions.end() ||
+           std::find(regions.begin(), regions.end(), region->second) ==
+               regions.end();
+  });
+  return allowed;
+}
+
 std::vector<const EngineRecord*> Gateway::Impl::FindReadyEngines(
     const LiveRequest& live) {
   const TimePoint now = SteadyClock().Now();
-  auto ready = engines.FindReadyEngines(live.service);
+  auto ready = FindAllowedEngines(live);
   if (now >= last_pause_end) return ready;
   std::erase_if(ready, [this, now](const EngineRecord* record) {
     return now < GetEngineState(record->Key()).paused_until;
@@ -61,29 +77,35 @@
   return ready;
 }
 
-bool Gateway::Impl::RefuseIfEvacuated(const LiveRequestPtr& live) {
-  if (!engines.IsServiceEvacuated(live->service)) return false;
-  GiveUp(live, "evacuated");
-  return true;
+std::optional<std::string_view> Gateway::Impl::FindExclusion(
+    const LiveRequest& live) const {
+  if (engines.IsServiceEvacuated(live.service)) return "evacuated";
+  if (live.allowed_regions && FindAllowedEngines(live).empty()) {
+    return "no_home_engine";
+  }
+  return std::nullopt;
 }
 
-void Gateway::Impl::RefuseEvacuated() {
-  if (!engines.HasEvacuatedDomains()) return;
+void Gateway::Impl::RefuseExcluded() {
+  if (!engines.HasEvacuatedDomains() && !has_homes) return;
   // Looking through the engines for each request would cost too much.
-  std::unordered_map<std::string, bool> is_evacuated;
+  std::map<std::pair<std::string, std::optional<std::vector<std::string>>>,
+           std::optional<std::string_view>>
+      exclusions;
   for (const uint64_t id : queue.SchedulingOrder(SteadyClock().Now())) {
     const auto found = live_requests.find(id);
     if (found == live_requests.end()) continue;
     const LiveRequestPtr live = found->second;
-    const auto [service, is_new] = is_evacuated.try_emplace(live->service);
-    if (is_new) service->second = engines.IsServiceEvacuated(live->service);
-    if (service->second) GiveUp(live, "evacuated");
+    const auto [exclusion, is_new] = exclusions.try_emplace(
+        std::make_pair(live->service, live->allowed_regions));
+    if (is_new) exclusion->second = FindExclusion(*live);
+    if (exclusion->second) GiveUp(live, *exclusion->second);
   }
 }
 
 bool Gateway::Impl::RefuseIfAllPaused(const LiveRequestPtr& live) {
   if (SteadyClock().Now() >= last_pause_end) return false;
-  const auto ready = engines.FindReadyEngines(live->service);
+  const auto ready = FindAllowedEngines(*live);
   if (ready.empty() || !FindReadyEngines(*live).empty()) return false;
   TimePoint first_end = TimePoint::max();
   for (const EngineRecord* record : ready) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -192,12 +192,15 @@
   /// Refuses `live` if its service has ready engines and all of them asked for
   /// a pause. Returns whether it was refused.
   bool RefuseIfAllPaused(const LiveRequestPtr& live);
-  /// Refuses `live` if its service has ready engines and all of them are in
-  /// evacuated failure domains. Returns whether it was refused.
-  bool RefuseIfEvacuated(const LiveRequestPtr& live);
-  /// Refuses the queued requests that have no engine outside evacuated failure
-  /// domains.
-  void RefuseEvacuated();
+  /// Returns the ready engines of the request's service that may receive it: in
+  /// its allowed regions and outside evacuated failure domains.
+  std::vector<const discovery::EngineRecord*> FindAllowedEngines(
+      const LiveRequest& live) const;
+  /// Returns why no engine may receive the request until evacuations or
+  /// registrations change; nullopt if one may, or if the service has none.
+  std::optional<std::string_view> FindExclusion(const LiveRequest& live) const;
+  /// Refuses the queued requests that no engine may receive.
+  void RefuseExcluded();
   /// Keeps requests from engines that said so to a peer.
   void OnPeerLeaving(std::span<const std::string> leaving);
 
@@ -311,6 +314,8 @@
   std::unordered_map<uint64_t, LiveRequestPtr> live_requests;
   scheduling::RequestQueue queue;
   uint64_t next_number = 1;
+  /// Whether some request was restricted to regions.
+  bool has_homes = false;
   bool is_refusing_streams = false;
   bool is_tick_scheduled = false;
   bool is_draining_queue = false;
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -106,7 +106,10 @@
 
 void Gateway::Impl::PlaceOrQueue(const LiveRequestPtr& live) {
   if (RejectIfQuarantined(live)) return;
-  if (RefuseIfEvacuated(live)) return;
+  if (const auto reason = FindExclusion(*live)) {
+    GiveUp(live, *reason);
+    return;
+  }
   if (engines.FindReadyEngines(live->service).empty()) {
     GiveUp(live, "no_engine");
     return;
@@ -359,7 +362,7 @@
     const LiveRequestPtr live = found->second;
     Refuse(live, Duration::zero(), "waited_too_long");
   }
-  RefuseEvacuated();
+  RefuseExcluded();
   int failures = 0;
   for (const uint64_t id : queue.SchedulingOrder(now)) {
     if (failures == kMaxDrainFailures) break;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -55,6 +55,8 @@
   const routing::Route* route = nullptr;
   std::string service;
   TeamId team;
+  /// Only engines in these regions may receive the request; nullopt for any.
+  std::optional<std::vector<std::string>> allowed_regions;
   int32_t priority = 0;
   double value = 1;
   int64_t prompt_tokens = 0;
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,8 @@
 
 struct GatewayOptions {
   FailureDomain failure_domain;
+  /// As for `Gateway::SetRegions`.
+  std::map<FailureDomain, std::string> regions;
   scheduling::RetryLimits retry_limits;
   /// Time after which an engine releases a reservation that is not renewed.
   Duration reservation_ttl = std::chrono::milliseconds(3500);
@@ -57,6 +60,9 @@
   std::shared_ptr<const routing::Configuration> configuration() const;
   /// Applies `limits` immediately; retries already sent count against them.
   void SetRetryLimits(const scheduling::RetryLimits& limits);
+  /// Sets the regions of failure domains, for routes and teams that allow only
+  /// some regions. An engine in another domain is in no region.
+  void SetRegions(std::map<FailureDomain, std::string> regions);
   /// Reports that engines were added or removed, so that the gateway tries
   /// again to place the queued requests.
   void NoteEnginesChanged();
--- a/src/include/peridotshelf/routing/configuration.h
+++ b/src/include/peridotshelf/routing/configuration.h
@@ -50,6 +50,8 @@
   bool is_public = false;
   /// An interrupted stream may continue at another engine.
   bool resumable = false;
+  /// Requests may reach only engines in these regions; empty for any engine.
+  std::vector<std::string> allowed_regions;
   std::vector<WeightedService> services;
 
   /// Returns whether a request may be retried although it may have run before.
@@ -90,6 +92,8 @@
   std::vector<std::string> keys;
   /// Takes precedence over the priority of routes.
   std::optional<int32_t> priority;
+  /// As for a route.
+  std::vector<std::string> allowed_regions{};
 };
 
 /// One version of the routes, services, teams and limits. Immutable.
@@ -151,4 +155,9 @@
 const WeightedService* PickService(const Route& route, double draw,
                                    const std::vector<std::string>& skip = {});
 
+/// Returns the regions whose engines may receive a request, those that both the
+/// route and its team (null if it has none) allow. nullopt: any engine may.
+std::optional<std::vector<std::string>> FindAllowedRegions(const Route& route,
+                                                           const Team* team);
+
 }  // namespace peridotshelf::routing
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -131,6 +131,7 @@
   peers = std::move(*created_peers);
   gateway::GatewayOptions options;
   options.failure_domain = settings.failure_domain;
+  options.regions = settings.regions;
   options.retry_limits = settings.retry_limits;
   if (settings.memory_release_limit > Duration::zero()) {
     options.reservation_ttl = std::chrono::duration_cast<Duration>(
@@ -203,10 +204,12 @@
 }
 
 void GatewayDaemon::ApplySettings(const ProcessSettings& settings) {
-  m_impl->threads.Post(
-      [impl = m_impl.get(), retry_limits = settings.retry_limits] {
-        impl->gateway->SetRetryLimits(retry_limits);
-      });
+  m_impl->threads.Post([impl = m_impl.get(),
+                        retry_limits = settings.retry_limits,
+                        regions = settings.regions] {
+    impl->gateway->SetRetryLimits(retry_limits);
+    impl->gateway->SetRegions(regions);
+  });
 }
 
 void GatewayDaemon::StartLeaving() {
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -18,8 +18,8 @@
   GatewayDaemon(const GatewayDaemon&) = delete;
   GatewayDaemon& operator=(const GatewayDaemon&) = delete;
 
-  /// Applies changed retry limits. Changed addresses take effect only after a
-  /// restart of the process.
+  /// Applies changed retry limits and regions. Changed addresses take effect
+  /// only after a restart of the process.
   void ApplySettings(const deployment::ProcessSettings& settings);
   /// Reports not ready from now on, but continues to serve all requests.
   void StartLeaving();
--- a/src/routing/configuration.cc
+++ b/src/routing/configuration.cc
@@ -86,6 +86,23 @@
   return found == m_team_by_key.end() ? nullptr : &m_teams[found->second];
 }
 
+std::optional<std::vector<std::string>> FindAllowedRegions(const Route& route,
+                                                           const Team* team) {
+  const bool has_route_homes = !route.allowed_regions.empty();
+  const bool has_team_homes = team != nullptr && !team->allowed_regions.empty();
+  if (!has_route_homes && !has_team_homes) return std::nullopt;
+  if (!has_team_homes) return route.allowed_regions;
+  std::vector<std::string> regions = team->allowed_regions;
+  if (has_route_homes) {
+    std::erase_if(regions, [&route](const std::string& region) {
+      return std::find(route.allowed_regions.begin(),
+                       route.allowed_regions.end(),
+                       region) == route.allowed_regions.end();
+    });
+  }
+  return regions;
+}
+
 const WeightedService* PickService(const Route& route, double draw,
                                    const std::vector<std::string>& skip) {
   const auto is_usable = [&](const WeightedService& candidate) {
--- a/src/routing/configuration_test.cc
+++ b/src/routing/configuration_test.cc
@@ -22,9 +22,40 @@
   CPPUNIT_TEST(FindTeam_UnknownKey_ReturnsNull);
   CPPUNIT_TEST(PickService_DifferentDraws_FollowsTheWeights);
   CPPUNIT_TEST(PickService_AllSkipped_ReturnsNull);
+  CPPUNIT_TEST(FindAllowedRegions_NobodyRestricts_IsAny);
+  CPPUNIT_TEST(FindAllowedRegions_RouteOrTeamRestricts_IsItsList);
+  CPPUNIT_TEST(FindAllowedRegions_BothRestrict_IsWhatBothAllow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void FindAllowedRegions_NobodyRestricts_IsAny() {
+    const Team team;
+    CPPUNIT_ASSERT(!FindAllowedRegions(Route(), nullptr));
+    CPPUNIT_ASSERT(!FindAllowedRegions(Route(), &team));
+  }
+  void FindAllowedRegions_RouteOrTeamRestricts_IsItsList() {
+    Route route;
+    Team team;
+    const std::vector<std::string> regions = {"east", "west"};
+    team.allowed_regions = regions;
+    CPPUNIT_ASSERT(FindAllowedRegions(route, &team) == regions);
+    team.allowed_regions.clear();
+    route.allowed_regions = regions;
+    CPPUNIT_ASSERT(FindAllowedRegions(route, &team) == regions);
+    CPPUNIT_ASSERT(FindAllowedRegions(route, nullptr) == regions);
+  }
+  // Guards against an empty intersection that is taken for no restriction.
+  void FindAllowedRegions_BothRestrict_IsWhatBothAllow() {
+    Route route;
+    Team team;
+    route.allowed_regions = {"east", "west"};
+    team.allowed_regions = {"north", "west"};
+    CPPUNIT_ASSERT(FindAllowedRegions(route, &team) ==
+                   std::vector<std::string>({"west"}));
+    team.allowed_regions = {"north"};
+    CPPUNIT_ASSERT(FindAllowedRegions(route, &team) ==
+                   std::vector<std::string>());
+  }
   void FindRoute_SeveralPrefixesMatch_ReturnsTheLongestPrefix() {
     const Configuration configuration =
         Configuration::Builder()
