--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
 
 struct GatewayOptions {
   FailureDomain failure_domain;
+  /// As for `Gateway::SetRegions`.
+  std::map<FailureDomain, std::string> regions;
   scheduling::RetryLimits retry_limits;
   /// Requests that a cold engine may get beyond its service's limit.
   scheduling::ColdBound cold_bound;
@@ -60,6 +63,9 @@
   std::shared_ptr<const routing::Configuration> configuration() const;
   /// Applies `limits` immediately; retries already sent count against them.
   void SetRetryLimits(const scheduling::RetryLimits& limits);
+  /// Sets the regions of failure domains, for routes and teams that allow only
+  /// some regions. An engine in another domain is in no region.
+  void SetRegions(std::map<FailureDomain, std::string> regions);
   /// Reports that engines were added or removed, so that the gateway tries
   /// again to place the queued requests.
   void NoteEnginesChanged();
