--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,10 +1,11 @@
-/// State and operations of the gateway, implemented in ten files: arrival and
-/// end of a request (gateway.cc), whole answers (gateway_answers.cc), placement
-/// of streams (gateway_placement.cc) and of calls (gateway_calls.cc), one
-/// attempt at an engine (gateway_attempt.cc), attempts without progress
-/// (gateway_stalls.cc), engines that limit their requests (gateway_limits.cc),
-/// that are cold (gateway_cold_engines.cc), that leave or ask for a pause
-/// (gateway_engines.cc) and that crash (gateway_crashes.cc).
+/// State and operations of the gateway, implemented in eleven files: arrival
+/// and end of a request (gateway.cc), whole answers (gateway_answers.cc),
+/// placement of streams (gateway_placement.cc) and of calls (gateway_calls.cc),
+/// the queue (gateway_queue.cc), one attempt at an engine (gateway_attempt.cc),
+/// attempts without progress (gateway_stalls.cc), engines that limit their
+/// requests (gateway_limits.cc), that are cold (gateway_cold_engines.cc), that
+/// leave or ask for a pause (gateway_engines.cc) and that crash
+/// (gateway_crashes.cc).
 #pragma once
 
 #include <memory>
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -18,12 +18,6 @@
 /// An engine that refused a reservation has less free memory than reported; it
 /// receives no prompts for this long.
 constexpr Duration kMemoryFullPause = std::chrono::seconds(1);
-/// Minimum time between two attempts to place the queued requests, because
-/// peers report changes often.
-constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
-/// If this many queued requests cannot be placed, the others cannot either and
-/// are not tried.
-constexpr int kMaxDrainFailures = 6;
 
 /// Returns a value from 0 to 1 that is constant for an engine and a seed.
 double ComputePreference(const std::string& engine, uint64_t seed) {
@@ -296,6 +290,9 @@
     active_request.prefill_ms = engine.slowdown_factor * plan.prefill_shard_ms;
     active_request.prefill_end =
         now + FromMillis(engine.load.backlog_ms + active_request.prefill_ms);
+    if (!is_prefill_shard) {
+      active_request.first_event_at = now + FromMillis(plan.first_event_ms);
+    }
     active_request.end =
         is_prefill_shard
             ? now + FromMillis(plan.first_event_ms)
@@ -308,87 +305,4 @@
   for (const size_t index : plan.helpers) put(index, /*is_prefill_shard=*/true);
 }
 
-void Gateway::Impl::QueueOrRefuse(const LiveRequestPtr& live,
-                                  const scheduling::EngineModel& model) {
-  const TimePoint now = SteadyClock().Now();
-  const auto usable = FindUsableEngines(*live);
-  const auto unlimited = RemoveLimited(usable);
-  const double optimistic_first_event_ms =
-      model.PrefillDuration(live->prompt_tokens) / 2 +
-      model.IterationDuration(1, 0);
-  TimePoint latest_useful_start = live->deadline;
-  if (live->route->caller_timeout > Duration::zero()) {
-    latest_useful_start = std::min(latest_useful_start,
-                                   live->arrived + live->route->caller_timeout);
-  }
-  latest_useful_start -= FromMillis(optimistic_first_event_ms);
-  const size_t ahead = queue.CountAhead(live->priority);
-  scheduling::QueueDecision decision;
-  if (unlimited.empty()) {
-    decision.predicted_slot_wait = PredictLimitWait(usable, ahead);
-    decision.should_queue =
-        now + decision.predicted_slot_wait <= latest_useful_start;
-  } else {
-    decision =
-        scheduling::DecideQueueing(MakeCandidates(unlimited, model), ahead,
-                                   latest_useful_start - now, now);
-  }
-  if (!decision.should_queue) {
-    Refuse(live, decision.predicted_slot_wait,
-           unlimited.empty() ? "engine_limit" : "no_place");
-    return;
-  }
-  scheduling::QueuedRequest queued;
-  queued.id = live->number;
-  queued.priority = live->priority;
-  queued.value_density = live->value / optimistic_first_event_ms;
-  queued.arrived = live->arrived;
-  queued.latest_on_time_start = live->arrived + live->route->latency_objective -
-                                FromMillis(optimistic_first_event_ms);
-  queued.latest_useful_start = latest_useful_start;
-  queue.Add(queued);
-  events::Log(EventId::kRequestWaits,
-              {{"request", live->request.id.value()},
-               {"place_in_ms", ToMilliseconds(decision.predicted_slot_wait)},
-               {"ahead", static_cast<int64_t>(queue.size() - 1)}});
-}
-
-void Gateway::Impl::DrainQueue() {
-  if (queue.empty() || std::exchange(is_draining_queue, true)) return;
-  const TimePoint now = SteadyClock().Now();
-  for (const uint64_t id : queue.TakeExpired(now)) {
-    const auto found = live_requests.find(id);
-    if (found == live_requests.end()) continue;
-    const LiveRequestPtr live = found->second;
-    Refuse(live, Duration::zero(), "waited_too_long");
-  }
-  RefuseExcluded();
-  int failures = 0;
-  for (const uint64_t id : queue.SchedulingOrder(now)) {
-    if (failures == kMaxDrainFailures) break;
-    const auto found = live_requests.find(id);
-    if (found == live_requests.end()) {
-      queue.Remove(id);
-      continue;
-    }
-    const LiveRequestPtr live = found->second;
-    if (RefuseIfAllPaused(live)) continue;
-    const scheduling::EngineModel* model = FindModel(*live);
-    if (model == nullptr || !TryStartStream(live, *model)) {
-      ++failures;
-      continue;
-    }
-    queue.Remove(id);
-  }
-  is_draining_queue = false;
-}
-
-void Gateway::Impl::ScheduleQueueDrain() {
-  if (queue.empty() || std::exchange(is_drain_scheduled, true)) return;
-  threads.RunAfter(kDrainInterval, [self = shared_from_this()] {
-    self->is_drain_scheduled = false;
-    self->DrainQueue();
-  });
-}
-
 }  // namespace peridotshelf::gateway
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -58,6 +58,10 @@
   out.is_late = request.missed_objective;
   out.memory_tokens = request.memory_tokens;
   out.read_left_ms = MillisUntil(now, request.prefill_end);
+  if (request.first_event_at) {
+    out.__set_first_event_left_ms(
+        static_cast<int32_t>(ToMilliseconds(*request.first_event_at - now)));
+  }
   out.read_ms = static_cast<int32_t>(std::lround(request.prefill_ms));
   out.end_left_ms = MillisUntil(now, request.end);
   out.max_pause_ms = static_cast<int32_t>(request.max_pause_ms);
@@ -76,6 +80,10 @@
   request.memory_tokens = std::max<int64_t>(in.memory_tokens, 0);
   request.prefill_end = now + std::chrono::milliseconds(in.read_left_ms);
   request.prefill_ms = std::max(in.read_ms, 0);
+  if (in.__isset.first_event_left_ms) {
+    request.first_event_at =
+        now + std::chrono::milliseconds(in.first_event_left_ms);
+  }
   request.end = now + std::chrono::milliseconds(in.end_left_ms);
   request.max_pause_ms = in.max_pause_ms;
   request.caller_timeout_ms = in.patience_ms;
--- a/src/include/peridotshelf/scheduling/active_request_table.h
+++ b/src/include/peridotshelf/scheduling/active_request_table.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,8 @@
   Millis prefill_ms = 0;
   /// Predicted end of the prefill.
   TimePoint prefill_end{};
+  /// Predicted time of the first event; none for a shard.
+  std::optional<TimePoint> first_event_at;
   /// Predicted end of the request.
   TimePoint end{};
 };
@@ -64,6 +67,10 @@
   /// Time until all pending prefills are finished. Prefills that entries
   /// started without knowing of each other's add up.
   Millis backlog_ms = 0;
+  /// How long a first event is overdue; 0 if none is. The engine then does work
+  /// that no entry knows of, such as the prompts of entries that have stopped,
+  /// or has stalled. Its further delay is estimated to be as long.
+  Millis overdue_ms = 0;
   std::vector<DecodingRequest> decoding_requests;
   /// Predicted ends of the requests, unordered.
   std::vector<TimePoint> predicted_ends;
--- a/src/scheduling/active_request_table.cc
+++ b/src/scheduling/active_request_table.cc
@@ -8,6 +8,12 @@
 /// Time after its predicted end for which a peer's request still counts.
 constexpr Duration kPeerOverrun = std::chrono::seconds(2);
 
+/// First events are overdue this long after their predicted time, and after
+/// half of the time that their prefill takes: predictions are exceeded by less
+/// than that unless the engine does other work.
+constexpr Millis kOverdueSlackMs = 250;
+constexpr double kOverduePrefillShare = 0.5;
+
 /// Sums over the pending prefills of one engine.
 struct PrefillSums {
   Millis remaining_ms = 0;
@@ -21,6 +27,15 @@
   return std::clamp(left, 0.0, request.prefill_ms);
 }
 
+/// Returns how long the first event of a request is overdue; 0 if it is not.
+Millis ComputeOverdue(const ActiveRequest& request, TimePoint now) {
+  if (!request.is_prefilling || !request.first_event_at) return 0;
+  const Millis late_ms = ToMillis(now - *request.first_event_at);
+  const Millis slack_ms =
+      kOverdueSlackMs + kOverduePrefillShare * request.prefill_ms;
+  return late_ms > slack_ms ? late_ms : 0;
+}
+
 void AddToLoad(EngineLoad& load, PrefillSums& sums,
                const ActiveRequest& request, TimePoint now) {
   if (request.is_prefilling) {
@@ -28,6 +43,7 @@
     sums.latest_end_ms =
         std::max(sums.latest_end_ms, ToMillis(request.prefill_end - now));
   }
+  load.overdue_ms = std::max(load.overdue_ms, ComputeOverdue(request, now));
   load.memory_tokens += request.memory_tokens;
   if (request.is_prefill_shard) {
     ++load.prefill_shards;
--- a/src/scheduling/stream_placement.cc
+++ b/src/scheduling/stream_placement.cc
@@ -108,7 +108,8 @@
 }
 
 bool HasPendingPrefill(const EngineCandidate& engine) {
-  return engine.load.backlog_ms > kMaxPendingPrefillMs;
+  return engine.load.backlog_ms > kMaxPendingPrefillMs ||
+         engine.load.overdue_ms > 0;
 }
 
 bool CanTakeShard(const EngineCandidate& engine) {
@@ -162,8 +163,9 @@
     // iteration.
     const Millis residual =
         load.running > 0 ? PredictIteration(engine, 0, 0, 0) / 2 : 0;
-    option.ready_ms = residual + engine.slowdown_factor *
-                                     (load.backlog_ms + prefill_shard_ms);
+    option.ready_ms =
+        residual + load.overdue_ms +
+        engine.slowdown_factor * (load.backlog_ms + prefill_shard_ms);
     option.cost = ComputeDelayCost(engine, prefill_shard_ms) +
                   (engine.is_same_domain ? 0 : kRemoteDomainCost) +
                   kPreferenceCost * engine.preference +
--- a/src/wire/gen-cpp/peridotshelf_types.cpp
+++ b/src/wire/gen-cpp/peridotshelf_types.cpp
@@ -4058,6 +4058,11 @@
 void EngineWork::__set_read_ms(const int32_t val) {
   this->read_ms = val;
 }
+
+void EngineWork::__set_first_event_left_ms(const int32_t val) {
+  this->first_event_left_ms = val;
+__isset.first_event_left_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const EngineWork& obj)
 {
   obj.printTo(out);
@@ -4174,6 +4179,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_event_left_ms);
+          this->__isset.first_event_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4235,6 +4248,11 @@
   xfer += oprot->writeI32(this->read_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.first_event_left_ms) {
+    xfer += oprot->writeFieldBegin("first_event_left_ms", ::apache::thrift::protocol::T_I32, 12);
+    xfer += oprot->writeI32(this->first_event_left_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4253,6 +4271,7 @@
   swap(a.value_thousandths, b.value_thousandths);
   swap(a.patience_ms, b.patience_ms);
   swap(a.read_ms, b.read_ms);
+  swap(a.first_event_left_ms, b.first_event_left_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4268,6 +4287,7 @@
   value_thousandths = other84.value_thousandths;
   patience_ms = other84.patience_ms;
   read_ms = other84.read_ms;
+  first_event_left_ms = other84.first_event_left_ms;
   __isset = other84.__isset;
 }
 EngineWork::EngineWork(EngineWork&& other85) noexcept {
@@ -4282,6 +4302,7 @@
   value_thousandths = other85.value_thousandths;
   patience_ms = other85.patience_ms;
   read_ms = other85.read_ms;
+  first_event_left_ms = other85.first_event_left_ms;
   __isset = other85.__isset;
 }
 EngineWork& EngineWork::operator=(const EngineWork& other86) noexcept {
@@ -4296,6 +4317,7 @@
   value_thousandths = other86.value_thousandths;
   patience_ms = other86.patience_ms;
   read_ms = other86.read_ms;
+  first_event_left_ms = other86.first_event_left_ms;
   __isset = other86.__isset;
   return *this;
 }
@@ -4311,6 +4333,7 @@
   value_thousandths = other87.value_thousandths;
   patience_ms = other87.patience_ms;
   read_ms = other87.read_ms;
+  first_event_left_ms = other87.first_event_left_ms;
   __isset = other87.__isset;
   return *this;
 }
@@ -4328,6 +4351,7 @@
   out << ", " << "value_thousandths=" << to_string(value_thousandths);
   out << ", " << "patience_ms=" << to_string(patience_ms);
   out << ", " << "read_ms=" << to_string(read_ms);
+  out << ", " << "first_event_left_ms="; (__isset.first_event_left_ms ? (out << to_string(first_event_left_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/peridotshelf_types.h
+++ b/src/wire/gen-cpp/peridotshelf_types.h
@@ -1591,7 +1591,7 @@
 std::ostream& operator<<(std::ostream& out, const Frame& obj);
 
 typedef struct _EngineWork__isset {
-  _EngineWork__isset() : id(false), reading(false), is_part(false), is_late(false), memory_tokens(false), read_left_ms(false), end_left_ms(false), max_pause_ms(false), value_thousandths(false), patience_ms(false), read_ms(false) {}
+  _EngineWork__isset() : id(false), reading(false), is_part(false), is_late(false), memory_tokens(false), read_left_ms(false), end_left_ms(false), max_pause_ms(false), value_thousandths(false), patience_ms(false), read_ms(false), first_event_left_ms(false) {}
   bool id :1;
   bool reading :1;
   bool is_part :1;
@@ -1603,6 +1603,7 @@
   bool value_thousandths :1;
   bool patience_ms :1;
   bool read_ms :1;
+  bool first_event_left_ms :1;
 } _EngineWork__isset;
 
 class EngineWork : public virtual ::apache::thrift::TBase {
@@ -1623,7 +1624,8 @@
                max_pause_ms(0),
                value_thousandths(0),
                patience_ms(0),
-               read_ms(0) {
+               read_ms(0),
+               first_event_left_ms(0) {
   }
 
   virtual ~EngineWork() noexcept;
@@ -1638,6 +1640,7 @@
   int32_t value_thousandths;
   int32_t patience_ms;
   int32_t read_ms;
+  int32_t first_event_left_ms;
 
   _EngineWork__isset __isset;
 
@@ -1663,6 +1666,8 @@
 
   void __set_read_ms(const int32_t val);
 
+  void __set_first_event_left_ms(const int32_t val);
+
   bool operator == (const EngineWork & rhs) const
   {
     if (!(id == rhs.id))
@@ -1687,6 +1692,10 @@
       return false;
     if (!(read_ms == rhs.read_ms))
       return false;
+    if (__isset.first_event_left_ms != rhs.__isset.first_event_left_ms)
+      return false;
+    else if (__isset.first_event_left_ms && !(first_event_left_ms == rhs.first_event_left_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineWork &rhs) const {
--- a/src/wire/peridotshelf.thrift
+++ b/src/wire/peridotshelf.thrift
@@ -208,6 +208,8 @@
   9: i32 value_thousandths
   10: i32 patience_ms
   11: i32 read_ms             // engine time that the prefill takes by itself
+  12: optional i32 first_event_left_ms  // until the predicted first event,
+                                        // negative after it
 }
 
 // All active requests of the sender at one engine; the list may be empty.
