--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -4,8 +4,8 @@
 /// the queue (gateway_queue.cc), one attempt at an engine (gateway_attempt.cc),
 /// attempts without progress (gateway_stalls.cc), engines that limit their
 /// requests (gateway_limits.cc), that are cold (gateway_cold_engines.cc), that
-/// leave or ask for a pause (gateway_engines.cc) and that crash
-/// (gateway_crashes.cc).
+/// leave, ask for a pause or may not receive a request (gateway_engines.cc) and
+/// that crash (gateway_crashes.cc).
 #pragma once
 
 #include <memory>
