--- a/testsuite/common/gateway_fleet.py
+++ b/testsuite/common/gateway_fleet.py
@@ -23,12 +23,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(program, seed, gateways, has_direct_engines=False):
+async def running_fleet(program, seed, gateways, has_direct_engines=False,
+                        service_fields=None):
     """Starts a fleet, waits until its gateways are ready, and stops it."""
     with tempfile.TemporaryDirectory() as folder:
         net = f"127.{1 + os.getpid() % 250}.{seed}"
         fleet = fleets.Fleet(os.path.abspath(program), folder, net, gateways,
                              fleets.STREAM_OBJECTIVE_S, has_direct_engines)
+        fleet.service_fields = service_fields or {}
         watchers = []
         try:
             await fleet.start()
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -186,12 +186,12 @@
         ip, port = self.link.target
         return f"{ip}:{port}"
 
-    async def register(self, is_leaving=False):
+    async def register(self, is_leaving=False, cold_left_s=None):
         slots = (engine.MODEL_SLOTS if self.kind == "model"
                  else engine.PLAIN_SLOTS)
         await self.fleet.put_engine(self.id, platform_messages.engine_entry(
             self.service, self.address(), f"zone-{self.number % 2}",
-            is_leaving, slots))
+            is_leaving, slots, cold_left_s))
 
     async def set_fault(self, mode):
         try:
@@ -226,6 +226,7 @@
         self.program = program
         self.gateway_count = gateways
         self.has_direct_engines = has_direct_engines
+        self.service_fields = {}  # more fields of each service
         self.gateways, self.engines, self.store_links = [], [], []
 
     async def start(self):
@@ -333,7 +334,7 @@
         speeds = {name: speed if kind == "model" else None
                   for name, (kind, _) in SERVICES.items()}
         return platform_messages.configuration(version, routes, speeds, TEAM,
-                                               API_KEY)
+                                               API_KEY, self.service_fields)
 
     async def publish(self, page_service):
         """Publishes a version; the lock keeps the records in version order."""
