--- a/src/discovery/cold_engines.cc
+++ b/src/discovery/cold_engines.cc
@@ -1,6 +1,7 @@
 #include "peridotshelf/discovery/cold_engines.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotshelf::discovery {
 namespace {
@@ -43,7 +44,7 @@
 bool ColdEngines::NoteRegistration(const RegistrationRead& read) {
   Incarnation& known = m_incarnations[std::string(read.engine)];
   std::optional<ColdBelief> newest = ReadBelief(read, known);
-  known.is_known = true;
+  const bool was_known = std::exchange(known.is_known, true);
   known.last_noted_at = read.at;
   const std::optional<ColdBelief> before = known.belief;
   if (newest && before && read.is_copy) {
@@ -51,9 +52,11 @@
   }
   known.belief = newest;
   if (!newest || newest->until <= read.at) return false;
-  return !before || before->until <= read.at ||
-         newest->until - before->until > kStatementSlack ||
-         before->until - newest->until > kStatementSlack;
+  const bool is_changed = !before || before->until <= read.at ||
+                          newest->until - before->until > kStatementSlack ||
+                          before->until - newest->until > kStatementSlack;
+  if (is_changed) known.belief->is_news = was_known;
+  return is_changed;
 }
 
 bool ColdEngines::NotePeer(const std::string& engine,
@@ -64,7 +67,8 @@
     return false;
   }
   known.last_noted_at = std::max(known.last_noted_at, belief.known_at);
-  known.belief = {belief.until, belief.known_at, ColdSource::kPeer};
+  known.belief = {belief.until, belief.known_at, ColdSource::kPeer,
+                  /*is_news=*/false};
   return true;
 }
 
--- a/src/discovery/cold_engines_test.cc
+++ b/src/discovery/cold_engines_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(NoteRegistration_ServiceWithoutColdTime_AssumesNothing);
   CPPUNIT_TEST(NoteRegistration_Copy_DoesNotEndTheColdTime);
   CPPUNIT_TEST(NoteRegistration_SameStatementAgain_IsNoNews);
+  CPPUNIT_TEST(NoteRegistration_ColdAgain_IsNewsForPeers);
+  CPPUNIT_TEST(NoteRegistration_NewEngine_IsNoNewsForPeers);
   CPPUNIT_TEST(NotePeer_NewerSource_ReplacesTheBelief);
   CPPUNIT_TEST(NotePeer_OlderSource_IsIgnored);
   CPPUNIT_TEST(NotePeer_BeforeTheRegistrationIsRead_IsKept);
@@ -118,6 +120,19 @@
     CPPUNIT_ASSERT(!Note(kNow + milliseconds(900), milliseconds(2100)));
     CPPUNIT_ASSERT(Note(kNow + seconds(1), seconds(5)));
   }
+  void NoteRegistration_ColdAgain_IsNewsForPeers() {
+    Note(kNow, seconds(0));
+    Note(kNow + seconds(10), seconds(3));
+    CPPUNIT_ASSERT(Find(kNow + seconds(10))->is_news);
+    Note(kNow + seconds(11), seconds(2));
+    CPPUNIT_ASSERT(!Find(kNow + seconds(11))->is_news);
+  }
+  // Guards against reports on each new engine by each entry: a new engine
+  // changes the digest, so that all entries read its registration.
+  void NoteRegistration_NewEngine_IsNoNewsForPeers() {
+    Note(kNow, seconds(3));
+    CPPUNIT_ASSERT(!Find(kNow)->is_news);
+  }
   void NotePeer_NewerSource_ReplacesTheBelief() {
     Note(kNow, seconds(0));
     const TimePoint later = kNow + seconds(1);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -309,6 +309,7 @@
   m_impl->configuration = std::move(configuration);
   // The configuration may have changed the engine speeds.
   m_impl->models.clear();
+  m_impl->ApplyEarlyRegistrations();
   m_impl->ApplyColdLimits();
 }
 
--- a/src/gateway/gateway_cold_engines.cc
+++ b/src/gateway/gateway_cold_engines.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string_view>
+#include <utility>
 
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
@@ -45,23 +46,38 @@
 
 void Gateway::Impl::NoteRegistration(const EngineRecord& record,
                                      std::optional<Duration> cold_left) {
-  const std::string key = record.Key();
-  const routing::Service* service =
-      configuration ? configuration->FindService(record.service) : nullptr;
   discovery::RegistrationRead read;
-  read.engine = key;
   read.cold_left = cold_left;
   read.started_unix_ms = record.started_unix_ms;
   read.at = SteadyClock().Now();
   read.unix_ms = UnixMilliseconds();
   read.is_first_read = engines.is_first_read();
   read.is_copy = engines.is_reading_copy();
+  if (configuration) {
+    ApplyRegistration(record, read);
+  } else {
+    early_registrations.emplace_back(record, read);
+  }
+}
+
+void Gateway::Impl::ApplyEarlyRegistrations() {
+  for (const auto& [record, read] : std::exchange(early_registrations, {})) {
+    ApplyRegistration(record, read);
+  }
+}
+
+void Gateway::Impl::ApplyRegistration(const EngineRecord& record,
+                                      discovery::RegistrationRead read) {
+  const std::string key = record.Key();
+  const routing::Service* service = configuration->FindService(record.service);
+  read.engine = key;
   if (LimitsColdEngines(service)) read.cold_time = service->cold_time;
-  const bool is_news = cold_engines->NoteRegistration(read);
+  const bool is_changed = cold_engines->NoteRegistration(read);
   const bool is_limited = ApplyColdLimit(record);
-  if (!is_news) return;
+  if (!is_changed) return;
   LogCold(key);
-  if (is_limited) peers.NoteChange(key);
+  const ColdBelief* cold = cold_engines->FindCold(key, SteadyClock().Now());
+  if (is_limited && cold != nullptr && cold->is_news) peers.NoteChange(key);
 }
 
 void Gateway::Impl::OnPeerCold(const std::string& engine) {
--- a/src/gateway/gateway_cold_engines_test.cc
+++ b/src/gateway/gateway_cold_engines_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Call_ColdTimeOver_IsServed);
   CPPUNIT_TEST(Call_ServiceWithoutColdLimit_IsServed);
   CPPUNIT_TEST(Call_NewEngineAfterTheFirstRead_IsAssumedCold);
+  CPPUNIT_TEST(Call_RegistrationReadBeforeTheConfiguration_IsCold);
   CPPUNIT_TEST(Stream_ColdEngineNearItsLimit_OthersGetTheRequests);
   CPPUNIT_TEST(Stream_AllEnginesColdAtTheirLimit_WaitsForTheWindow);
   CPPUNIT_TEST(Stream_ColdEngineHasNotAnswered_GetsTwoRequests);
@@ -84,6 +85,24 @@
     SendAll("/call/x", 10, {});
     CPPUNIT_ASSERT_EQUAL(size_t{kColdLimit}, EngineAt(0).Count());
   }
+  // Guards against a gateway that starts together with the engines and takes
+  // them for warm, since it reads them first.
+  void Call_RegistrationReadBeforeTheConfiguration_IsCold() {
+    AddEngine(&RespondOk);
+    RunOnLoop([&] {
+      discovery::EngineRecord record = *m_directory->Find("engine-0");
+      record.started_unix_ms =
+          std::chrono::duration_cast<milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count();
+      m_directory->BeginRead(SteadyClock().Now());
+      m_directory->Update(record);
+      m_gateway->NoteRegistration(record, std::nullopt);
+    });
+    Configure(kColdLimit);
+    SendAll("/call/x", 10, {});
+    CPPUNIT_ASSERT_EQUAL(size_t{kColdLimit}, EngineAt(0).Count());
+  }
   void Stream_ColdEngineNearItsLimit_OthersGetTheRequests() {
     AddEngine(&StreamOk, "models");
     AddEngine(&StreamOk, "models");
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -189,6 +189,11 @@
   // Engines that are cold.
   void NoteRegistration(const discovery::EngineRecord& record,
                         std::optional<Duration> cold_left);
+  /// Applies the registrations that were read before the first configuration,
+  /// which states how long engines are cold after their start.
+  void ApplyEarlyRegistrations();
+  void ApplyRegistration(const discovery::EngineRecord& record,
+                         discovery::RegistrationRead read);
   /// Applies what a peer knows about `engine`.
   void OnPeerCold(const std::string& engine);
   void LogCold(const std::string& engine);
@@ -313,6 +318,9 @@
   std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
   /// Shared with the exchange.
   std::shared_ptr<discovery::ColdEngines> cold_engines;
+  /// Read before the first configuration.
+  std::vector<std::pair<discovery::EngineRecord, discovery::RegistrationRead>>
+      early_registrations;
   /// Shared with the exchange.
   std::shared_ptr<quarantine::CrashQuarantine> crash_quarantine;
   Reservations reservations;
--- a/src/gateway/peer_exchange_limits.cc
+++ b/src/gateway/peer_exchange_limits.cc
@@ -46,8 +46,8 @@
   if (cold_engines) {
     for (std::string& engine : cold_engines->FindAllCold(now)) {
       const ColdBelief* cold = cold_engines->FindCold(engine, now);
-      const bool is_news = cold->source != ColdSource::kPeer &&
-                           now - cold->known_at < kColdNewsTime;
+      const bool is_news =
+          cold->is_news && now - cold->known_at < kColdNewsTime;
       if (is_news || cold_report == ColdReport::kAll) {
         engines.insert(std::move(engine));
       }
--- a/src/include/peridotshelf/discovery/cold_engines.h
+++ b/src/include/peridotshelf/discovery/cold_engines.h
@@ -22,6 +22,9 @@
   /// When the source was read.
   TimePoint known_at{};
   ColdSource source = ColdSource::kRegistration;
+  /// Peers may not read it soon: a known engine turned cold again, which
+  /// changes no digest.
+  bool is_news = false;
 };
 
 /// One read of an engine's registration.
@@ -53,9 +56,8 @@
 /// thread-safe.
 class ColdEngines {
  public:
-  /// Applies one read. Returns whether peers should be told: the engine turned
-  /// cold, or its cold time moved by more than reads of the same statement
-  /// differ.
+  /// Applies one read. Returns whether the engine turned cold, or its cold time
+  /// moved by more than reads of the same statement differ.
   bool NoteRegistration(const RegistrationRead& read);
   /// Applies a peer's belief. Returns whether the belief changed.
   bool NotePeer(const std::string& engine, const ColdBelief& belief);
