--- a/src/gateway/peer_exchange_limits.cc
+++ b/src/gateway/peer_exchange_limits.cc
@@ -87,6 +87,7 @@
   sharers.peers = heard.live;
   sharers.report_delay = options.batch_delay + options.transit_time;
   sharers.silent_peers = fleet_view.CountSilent(heard, now);
+  sharers.fleet_peers = heard.heard + sharers.silent_peers;
   sharers.is_starting = fleet_view.IsStarting(heard, now);
   return sharers;
 }
--- a/src/include/peridotshelf/scheduling/engine_rate_limits.h
+++ b/src/include/peridotshelf/scheduling/engine_rate_limits.h
@@ -36,8 +36,10 @@
   size_t peers = 0;
   /// Time until all of them know of a request that this entry sends.
   Duration report_delay{};
-  /// Other entries that were not heard of lately but may still send, live or
-  /// not.
+  /// Number of other entries that may send, live or not; counts only if it is
+  /// higher than `peers`.
+  size_t fleet_peers = 0;
+  /// Those of them that were not heard of lately.
   size_t silent_peers = 0;
   /// This entry does not know yet whether there are others.
   bool is_starting = false;
@@ -157,6 +159,7 @@
     ColdLimit limit;
     /// Requests are refused until then.
     TimePoint next_try_at{};
+    TimePoint last_try_at{};
   };
   struct Engine {
     std::optional<Cold> cold;
--- a/src/scheduling/cold_rate_limits.cc
+++ b/src/scheduling/cold_rate_limits.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "peridotshelf/scheduling/engine_rate_limits.h"
 
@@ -40,17 +41,19 @@
   return std::min(root * root, limit.per_second);
 }
 
+/// Returns the number of entries that may send, this one included.
+double CountEntries(const LimitSharers& sharers) {
+  return 1 + static_cast<double>(std::max(sharers.peers, sharers.fleet_peers));
+}
+
 /// Returns the part of a limit that belongs to the entries that this one hears.
 double ShareOfGroup(const LimitSharers& sharers) {
   if (sharers.is_starting) return kStartingShare;
-  const double entries =
-      1 + static_cast<double>(std::max(sharers.peers, sharers.silent_peers));
-  return 1 - static_cast<double>(sharers.silent_peers) / entries;
+  return 1 - static_cast<double>(sharers.silent_peers) / CountEntries(sharers);
 }
 
 bool IsAlone(const LimitSharers& sharers) {
-  return sharers.peers == 0 && sharers.silent_peers == 0 &&
-         !sharers.is_starting;
+  return sharers.peers == 0 && sharers.fleet_peers == 0 && !sharers.is_starting;
 }
 
 template <class Sends>
@@ -121,8 +124,7 @@
   if (IsAlone(sharers)) {
     return count < std::max(1.0, std::floor(cold.limit.per_second));
   }
-  const auto entries =
-      1 + static_cast<double>(std::max(sharers.peers, sharers.silent_peers));
+  const double entries = CountEntries(sharers);
   const Duration delay = sharers.report_delay;
   const double allowed = TargetCount(cold.limit) * ShareOfGroup(sharers);
   const double left = allowed - count;
@@ -140,9 +142,12 @@
     const auto contenders =
         1 + static_cast<double>(limited.CountPeersWithDemand(now));
     probability = left / contenders;
+    // Less than one request in a window is earned by the time that passes.
+    const Duration earned_in =
+        std::min(kColdWindow, now - std::exchange(cold.last_try_at, now));
     if (part < 1) {
-      probability =
-          std::min(probability, part / std::max(limited.demand.At(now), 1.0));
+      probability = std::min(
+          probability, part * ToSeconds(earned_in) / ToSeconds(kColdWindow));
     }
     tries_in_delay = left * limited.LocalShare(now);
   }
--- a/src/scheduling/cold_rate_limits_test.cc
+++ b/src/scheduling/cold_rate_limits_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(TryAdmit_LargeFleets_KeepTheBoundAndUseTheLimit);
   CPPUNIT_TEST(TryAdmit_LostDatagrams_KeepTheBoundAndUseTheLimit);
   CPPUNIT_TEST(TryAdmit_EntriesCutOff_KeepTheBound);
+  CPPUNIT_TEST(TryAdmit_SeparatedGroups_UseTheirParts);
   CPPUNIT_TEST(TryAdmit_EntriesStart_KeepTheBound);
   CPPUNIT_TEST(TryAdmit_AllEntriesStart_KeepTheBound);
   CPPUNIT_TEST(TryAdmit_ColdAgain_KeepsTheBoundAndUsesTheLimit);
@@ -108,6 +109,18 @@
     events.cut_off = 195;
     CheckColdFleet(390, Demand::kRush, /*seed=*/1, events, Check::kBoundOnly);
   }
+  // Guards against groups that use next to nothing since each takes the other's
+  // entries for more than the fleet has.
+  void TryAdmit_SeparatedGroups_UseTheirParts() {
+    FleetEvents events = kLongCold;
+    events.cut_until = 12;
+    for (const size_t entries : {26, 100, 390}) {
+      events.cut_off = entries / 2;
+      LimitedFleet fleet(entries, kLimit, Demand::kRush, /*seed=*/1, events);
+      fleet.Run(12);
+      CPPUNIT_ASSERT(fleet.UsedBetween(4, 12) >= 0.5);
+    }
+  }
   void TryAdmit_EntriesStart_KeepTheBound() {
     FleetEvents events = kLongCold;
     events.start_at = 4;
--- a/src/scheduling/limited_fleet.h
+++ b/src/scheduling/limited_fleet.h
@@ -188,6 +188,7 @@
     sharers.peers = peers.live;
     sharers.report_delay = kBatchDelay + kTransit;
     sharers.silent_peers = m_views[entry].CountSilent(peers, m_now);
+    sharers.fleet_peers = peers.heard + sharers.silent_peers;
     sharers.is_starting = m_views[entry].IsStarting(peers, m_now);
     return sharers;
   }
