--- a/src/gateway/gateway_cold_engines_test.cc
+++ b/src/gateway/gateway_cold_engines_test.cc
@@ -134,6 +134,7 @@
     Configure(/*cold_per_second=*/100);
     TurnCold(0, seconds(30));
     std::vector<std::future<std::optional<std::string>>> calls;
+    calls.reserve(4);
     for (int i = 0; i < 4; ++i) {
       calls.push_back(StartCall("/model/x", kShortPrompt));
     }
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(SetRecordsProgress_BeforeFirstRead_ReachesPeerWithoutReads);
   CPPUNIT_TEST(ShareRateLimits_PeerGreets_LearnsTheLimit);
   CPPUNIT_TEST(ShareColdEngines_PeerGreets_LearnsTheColdTime);
+  CPPUNIT_TEST(ShareColdEngines_KnownEngineColdAgain_IsReportedOnce);
   CPPUNIT_TEST(ReportLeaving_PeerStartsLater_LearnsTheEngine);
   CPPUNIT_TEST(ShareSuspects_PeerStartsLater_LearnsTheQuarantine);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
@@ -186,6 +187,51 @@
         IsDelayed(now + std::chrono::milliseconds(29999), belief->until));
   }
 
+  // Guards against peers that learn of it only with their next read, and
+  // against a report that is passed on from peer to peer.
+  void ShareColdEngines_KnownEngineColdAgain_IsReportedOnce() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    auto informed = CreateExchange(threads, requests, address);
+    auto other = CreateExchange(threads, peer_requests,
+                                {"127.0.0.1", testing::FindFreePort()});
+    auto known = std::make_shared<discovery::ColdEngines>();
+    auto learned = std::make_shared<discovery::ColdEngines>();
+    std::promise<void> changed;
+    std::atomic<int> passed_on = 0;
+    const auto limits = std::make_shared<scheduling::EngineRateLimits>(1);
+    threads.Post([&] {
+      informed->ShareRateLimits(limits, [](const std::string&) {});
+      informed->ShareColdEngines(known,
+                                 [&](const std::string&) { ++passed_on; });
+      other->ShareRateLimits(limits, [](const std::string&) {});
+      other->ShareColdEngines(learned, [&](const std::string& engine) {
+        // Requests at the engine are reported with what is known of it.
+        other->NoteChange(engine);
+        changed.set_value();
+      });
+      // Greets at once, so that both know each other.
+      other->AddPeer(address.ToString());
+    });
+    threads.RunAfter(milliseconds(100), [&] {
+      discovery::RegistrationRead read;
+      read.engine = "e@1";
+      read.at = SteadyClock().Now();
+      read.cold_left = Duration::zero();
+      known->NoteRegistration(read);
+      read.cold_left = seconds(30);
+      known->NoteRegistration(read);
+      informed->NoteChange("e@1");
+    });
+    changed.get_future().get();
+    std::this_thread::sleep_for(milliseconds(100));
+    threads.Stop();
+    CPPUNIT_ASSERT(learned->FindCold("e@1", SteadyClock().Now()) != nullptr);
+    CPPUNIT_ASSERT_EQUAL(0, passed_on.load());
+  }
+
   void GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce() {
     io::IoThreads threads(1);
     scheduling::ActiveRequestTable requests;
--- a/src/scheduling/cold_rate_limits.cc
+++ b/src/scheduling/cold_rate_limits.cc
@@ -88,7 +88,7 @@
 void EngineRateLimits::SetColdLimit(const std::string& engine,
                                     const ColdLimit& limit) {
   Engine& limited = m_engines[engine];
-  if (!limited.cold) limited.cold.emplace();
+  if (!limited.cold) limited.cold = Cold();
   limited.cold->limit = limit;
 }
 
