--- a/src/gateway/peer_exchange_limits.cc
+++ b/src/gateway/peer_exchange_limits.cc
@@ -46,8 +46,8 @@
   if (cold_engines) {
     for (std::string& engine : cold_engines->FindAllCold(now)) {
       const ColdBelief* cold = cold_engines->FindCold(engine, now);
-      const bool is_news = cold->source != ColdSource::kPeer &&
-                           now - cold->known_at < kColdNewsTime;
+      const bool is_news =
+          cold->is_news && now - cold->known_at < kColdNewsTime;
       if (is_news || cold_report == ColdReport::kAll) {
         engines.insert(std::move(engine));
       }
@@ -87,6 +87,7 @@
   sharers.peers = heard.live;
   sharers.report_delay = options.batch_delay + options.transit_time;
   sharers.silent_peers = fleet_view.CountSilent(heard, now);
+  sharers.fleet_peers = heard.heard + sharers.silent_peers;
   sharers.is_starting = fleet_view.IsStarting(heard, now);
   return sharers;
 }
