--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,6 +14,8 @@
 /// Timeout of a request if neither its caller nor its route sets one.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/// A tick that is later than this shows that this process did not run.
+constexpr Duration kMaxTickDelay = std::chrono::milliseconds(300);
 /// Number of prompt tokens that add as much value as the fixed value of a
 /// request. The response to a long prompt is worth more, because it represents
 /// more of the caller's work.
@@ -251,6 +253,7 @@
 
 void Gateway::Impl::ScheduleTick() {
   if (std::exchange(is_tick_scheduled, true)) return;
+  tick_due = SteadyClock().Now() + kTickInterval;
   threads.RunAfter(kTickInterval,
                    [self = shared_from_this()] { self->Tick(); });
 }
@@ -258,6 +261,11 @@
 void Gateway::Impl::Tick() {
   is_tick_scheduled = false;
   const TimePoint now = SteadyClock().Now();
+  if (now - tick_due > kMaxTickDelay) {
+    ExcludeOwnPause(now - tick_due);
+    ScheduleTick();
+    return;
+  }
   std::vector<LiveRequestPtr> stalled;
   for (const auto& [number, live] : live_requests) {
     if (!live->attempt) continue;
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -54,6 +54,7 @@
   Attempt& attempt = *live->attempt;
   attempt.sent_at = now;
   attempt.last_progress = now;
+  attempt.own_pause = {};
   if (live->sent_attempts++ > 0) retries_sent.WithoutLabel().Add();
   EngineCall call;
   call.address = attempt.address;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -262,6 +262,9 @@
   /// current engine may have run it.
   bool CanRetry(const LiveRequest& live, TimePoint now);
   bool IsStalled(const LiveRequest& live, TimePoint now);
+  /// Leaves out of account that nothing was read for `pause`, in which this
+  /// process did not run: what engines sent then is still to be read.
+  void ExcludeOwnPause(Duration pause);
   /// Returns whether helper engines hold memory for an attempt whose primary
   /// engine has been unresponsive for so long that it has probably failed.
   static bool HoldsStaleReservation(const LiveRequest& live, TimePoint now);
@@ -308,6 +311,7 @@
   uint64_t next_number = 1;
   bool is_refusing_streams = false;
   bool is_refusing_requests = false;
+  TimePoint tick_due{};
   bool is_tick_scheduled = false;
   bool is_draining_queue = false;
   bool is_drain_scheduled = false;
--- a/src/gateway/gateway_stalls.cc
+++ b/src/gateway/gateway_stalls.cc
@@ -50,12 +50,23 @@
   if (!live.IsStream()) {
     const double timeout_ms =
         kFirstAttemptShare * MillisBetween(attempt.sent_at, live.deadline);
-    return MillisBetween(attempt.sent_at, now) > timeout_ms;
+    return MillisBetween(attempt.sent_at, now - attempt.own_pause) > timeout_ms;
   }
   return idle_time >
          ComputeStallTimeout(live, attempt.predicted_first_event_ms);
 }
 
+void Gateway::Impl::ExcludeOwnPause(Duration pause) {
+  const TimePoint now = SteadyClock().Now();
+  for (const auto& [number, live] : live_requests) {
+    if (!live->attempt) continue;
+    Attempt& attempt = *live->attempt;
+    const Duration idle_time = now - attempt.last_progress;
+    attempt.last_progress += std::min(pause, idle_time);
+    attempt.own_pause += std::min(pause, now - attempt.sent_at);
+  }
+}
+
 bool Gateway::Impl::HoldsStaleReservation(const LiveRequest& live,
                                           TimePoint now) {
   const Attempt& attempt = *live.attempt;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -43,6 +43,8 @@
   bool has_event = false;
   TimePoint first_event_at{};
   TimePoint last_progress{};
+  /// Time since it was sent in which this process did not run.
+  Duration own_pause{};
   TimePoint last_event_at{};
 };
 
