--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -150,8 +150,6 @@
   }
   const uint64_t number = attempt.number;
   const auto events = attempt.events.Feed(data);
-  // Bytes that never complete an event are no progress.
-  if (!events.empty()) attempt.last_progress = SteadyClock().Now();
   // An event may end the attempt and destroy its splitter.
   for (const std::string& event : events) {
     if (!live->attempt || live->attempt->number != number) return;
@@ -238,6 +236,8 @@
       return;
     }
   }
+  // Neither bytes that complete no event nor repeated events are progress.
+  attempt.last_progress = now;
   if (!attempt.has_event) {
     NoteFirstEvent(*live, now);
   } else {
