--- a/src/wire/channel_test.cc
+++ b/src/wire/channel_test.cc
@@ -6,7 +6,9 @@
 #include <thread>
 
 #include "peridotshelf/testing/free_port.h"
+#include "peridotshelf/testing/raw_server.h"
 #include "peridotshelf/testing/test.h"
+#include "peridotshelf/wire/codec.h"
 #include "wire/open_attempts.h"
 
 namespace peridotshelf::wire {
@@ -99,14 +101,66 @@
   }
 };
 
+/// Says that it is idle, also after `request_sent`, and then nothing more.
+void SayIdleThenNothing(testing::RawConnection& connection,
+                        const std::shared_future<void>& request_sent) {
+  Frame hello;
+  hello.__set_hello({});
+  hello.hello.protocol_version = kProtocolVersion;
+  Frame heartbeat;
+  heartbeat.__set_heartbeat({});
+  heartbeat.heartbeat.next_ms = 2000;
+  connection.Write(Encode(hello) + Encode(heartbeat));
+  request_sent.wait();
+  connection.Write(Encode(heartbeat));
+  connection.WaitForEnd();
+}
+
 class ChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChannelTest);
   CPPUNIT_TEST(Peer_UnresponsiveAfterAttempt_IsDroppedWithinTimeout);
+  CPPUNIT_TEST(Peer_SilentAfterLateIdleHeartbeat_IsDroppedWithinTimeout);
   CPPUNIT_TEST(Version_ChangedDuringShortAttempts_IsReceived);
   CPPUNIT_TEST(Bytes_OfControlAndRequests_AreCountedSeparately);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a request that waits for many times the receive timeout on a
+  // silent connection: a heartbeat that its peer sent while idle, and that came
+  // after the request was sent, counted as a reply and allowed the long
+  // interval.
+  void Peer_SilentAfterLateIdleHeartbeat_IsDroppedWithinTimeout() {
+    std::promise<void> sent;
+    const std::shared_future<void> request_sent = sent.get_future().share();
+    const testing::RawServer server([&](testing::RawConnection& connection) {
+      SayIdleThenNothing(connection, request_sent);
+    });
+    const std::string address = server.Address();
+    const size_t colon = address.find(':');
+    ChannelOptions options;
+    options.heartbeat_interval = std::chrono::milliseconds(20);
+    options.idle_heartbeat_interval = std::chrono::seconds(2);
+    options.receive_timeout = std::chrono::milliseconds(300);
+    io::IoThreads threads(1);
+    TestPeer client;
+    Connect(threads,
+            {address.substr(0, colon),
+             static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))},
+            options, client.MakeHelloSource(), client.MakeCallbacks());
+    client.opened.get_future().get()->Send(MakeReserveFrame("a"));
+    std::promise<void> reserve_sent;
+    // The frame is queued in a task of the channel.
+    threads.RunAfter(std::chrono::milliseconds(20),
+                     [&] { reserve_sent.set_value(); });
+    reserve_sent.get_future().get();
+    sent.set_value();
+    auto closed = client.closed.get_future();
+    const bool is_dropped =
+        closed.wait_for(std::chrono::seconds(5)) == std::future_status::ready;
+    threads.Stop();
+    CPPUNIT_ASSERT(is_dropped);
+    CPPUNIT_ASSERT_EQUAL(std::string("peer is unresponsive"), closed.get());
+  }
   // Guards against a request that waits too long for an unresponsive peer. The
   // idle heartbeat interval that the listener announces gives the client a
   // receive timeout of 18 s. Then the listener's threads stop while the
--- a/src/wire/tcp_channel.h
+++ b/src/wire/tcp_channel.h
@@ -172,6 +172,7 @@
     const bool was_in_use = m_attempts.in_use();
     m_attempts.Apply(change);
     const bool in_use = m_attempts.in_use();
+    if (sent && change.opens) m_has_opened_attempts = true;
     if (m_ended || in_use == was_in_use) return;
     const TimePoint now = std::chrono::steady_clock::now();
     if (sent && in_use) m_reply_deadline = now + m_options.receive_timeout;
@@ -183,6 +184,17 @@
     if (m_next_check - now > m_options.heartbeat_interval / 2) ScheduleCheck();
   }
 
+  /// Called for each heartbeat. One that announces a longer interval was sent
+  /// before the peer received this end's open attempt, and is no reply to it.
+  void ExpectReplyIfInUse() {
+    if (!m_has_opened_attempts || !m_attempts.in_use() ||
+        m_peer_heartbeat_interval <= m_options.heartbeat_interval) {
+      return;
+    }
+    m_reply_deadline =
+        std::chrono::steady_clock::now() + m_options.receive_timeout;
+  }
+
   /// Reads the available bytes: many small frames or a part of a large one.
   void Read() {
     const size_t read_size = std::max(kReadBytes, m_missing_bytes);
@@ -232,6 +244,7 @@
     if (frame.__isset.heartbeat && frame.heartbeat.next_ms > 0) {
       m_peer_heartbeat_interval = std::min<Duration>(
           std::chrono::milliseconds(frame.heartbeat.next_ms), kMaxPeerInterval);
+      ExpectReplyIfInUse();
     }
     if (const auto change = FindAttemptChange(frame))
       Apply(*change, /*sent=*/false);
@@ -336,6 +349,8 @@
   /// When the timer runs `Check`.
   TimePoint m_next_check{};
   OpenAttempts m_attempts;
+  /// Attempts are opened by this end, not by its peer.
+  bool m_has_opened_attempts = false;
   bool m_is_open = false;
   bool m_ended = false;
 };
