--- a/src/include/peridotshelf/scheduling/sliding_window_retry_budget.h
+++ b/src/include/peridotshelf/scheduling/sliding_window_retry_budget.h
@@ -33,8 +33,12 @@
   bool TrySpend(TimePoint now, size_t entries);
   /// Returns the number of retries that remain at `now`.
   double Remaining(TimePoint now, size_t entries);
+  /// Returns the share of the allowed retries that remains at `now`; 0 if none
+  /// are allowed.
+  double RemainingShare(TimePoint now, size_t entries);
 
  private:
+  double Allowed(size_t entries) const;
   void Expire(TimePoint now);
 
   RetryLimits m_limits;
--- a/src/scheduling/sliding_window_retry_budget.cc
+++ b/src/scheduling/sliding_window_retry_budget.cc
@@ -26,13 +26,21 @@
   m_requests.push_back(now);
 }
 
+double SlidingWindowRetryBudget::Allowed(size_t entries) const {
+  return kUsableShare *
+         (m_limits.ratio * static_cast<double>(m_requests.size()) +
+          m_limits.slack / static_cast<double>(std::max<size_t>(entries, 1)));
+}
+
 double SlidingWindowRetryBudget::Remaining(TimePoint now, size_t entries) {
   Expire(now);
-  const double allowed =
-      kUsableShare *
-      (m_limits.ratio * static_cast<double>(m_requests.size()) +
-       m_limits.slack / static_cast<double>(std::max<size_t>(entries, 1)));
-  return allowed - static_cast<double>(m_retries.size());
+  return Allowed(entries) - static_cast<double>(m_retries.size());
+}
+
+double SlidingWindowRetryBudget::RemainingShare(TimePoint now, size_t entries) {
+  const double remaining = Remaining(now, entries);
+  const double allowed = Allowed(entries);
+  return allowed > 0 ? std::max(remaining, 0.0) / allowed : 0;
 }
 
 bool SlidingWindowRetryBudget::TrySpend(TimePoint now, size_t entries) {
