--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -25,6 +25,8 @@
     EventInfo{EventId::kQuarantineStarted, "quarantine_started",
               Level::kWarning},
     EventInfo{EventId::kQuarantineEnded, "quarantine_ended", Level::kInfo},
+    EventInfo{EventId::kHedgeSent, "hedge_sent", Level::kInfo},
+    EventInfo{EventId::kHedgeEnded, "hedge_ended", Level::kInfo},
     EventInfo{EventId::kReservationGranted, "reservation_granted",
               Level::kDebug},
     EventInfo{EventId::kReservationRefused, "reservation_refused",
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -196,7 +196,7 @@
 void Gateway::Impl::OnDeadline(const LiveRequestPtr& live) {
   if (live->is_done) return;
   const bool may_have_run = live->possible_runs > 0 || live->IsAtEngine();
-  EndAttempt(*live);
+  EndAttempts(*live);
   if (live->is_head_sent) {
     live->responder->Abort();
     Finish(live, 0, "stream_cut");
@@ -210,7 +210,7 @@
 
 void Gateway::Impl::OnDisconnect(const LiveRequestPtr& live) {
   if (live->is_done) return;
-  EndAttempt(*live);
+  EndAttempts(*live);
   Finish(live, 0, "caller_left");
 }
 
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -9,15 +9,12 @@
 namespace {
 
 using events::EventId;
-using scheduling::ActiveRequest;
 
 /// Connect timeout: a few round trips between failure domains.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
 /// Attempts allowed beyond `max_attempts` if earlier attempts are guaranteed
 /// not to have run the request.
 constexpr int32_t kExtraAttempts = 2;
-/// Weight of the newest call in the moving average of a server's call duration.
-constexpr double kCallTimeWeight = 0.2;
 
 /// Returns the key of the attempt's helper engine at `address`, if it has one.
 std::optional<std::string> FindHelper(const Attempt& attempt,
@@ -56,7 +53,11 @@
   Attempt& attempt = *live->attempt;
   attempt.sent_at = now;
   attempt.last_progress = now;
-  if (live->sent_attempts++ > 0) retries_sent.WithoutLabel().Add();
+  if (live->sent_attempts++ > 0) {
+    retries_sent.WithoutLabel().Add();
+  } else if (hedging.IsEnabled()) {
+    hedging.NoteRequest(live->service, now);
+  }
   EngineCall call;
   call.address = attempt.address;
   call.engine_id = attempt.engine_id;
@@ -76,7 +77,7 @@
                      number = attempt.number](auto action) {
     self->threads.Post([self, weak, number, action = std::move(action)] {
       const auto held = weak.lock();
-      if (!held || !held->attempt || held->attempt->number != number) return;
+      if (!held || !held->Select(number)) return;
       action(*self, held);
     });
   };
@@ -100,6 +101,7 @@
     });
   };
   attempt.call = client.Start(std::move(request), std::move(callbacks));
+  ScheduleHedge(live);
 }
 
 void Gateway::Impl::OnHead(const LiveRequestPtr& live,
@@ -160,65 +162,6 @@
   }
 }
 
-void Gateway::Impl::NoteFirstEvent(LiveRequest& live, TimePoint now) {
-  Attempt& attempt = *live.attempt;
-  attempt.has_event = true;
-  attempt.first_event_at = now;
-  attempt.last_event_at = now;
-  if (!live.first_event_ms) {
-    live.first_event_ms = MillisBetween(live.arrived, now);
-    live.predicted_first_event_ms = attempt.predicted_first_event_ms;
-  }
-  const double actual = MillisBetween(attempt.sent_at, now);
-  if (attempt.predicted_first_event_ms > 0) {
-    const double ratio = actual / attempt.predicted_first_event_ms;
-    GetEngineState(attempt.engine_key).health.NoteSlowdown(ratio, now);
-    first_event_ratio.WithoutLabel().Observe(ratio);
-  }
-  first_event_seconds.With(live.route->name)
-      .Observe(MillisBetween(live.arrived, now) / 1000);
-  if (ActiveRequest* active_request =
-          active_request_table.Find(attempt.engine_key, attempt.number)) {
-    active_request->is_prefilling = false;
-    active_request->end = now + FromMillis(attempt.predicted_decode_ms);
-    peers.NoteChange(attempt.engine_key);
-  }
-  // Prefill shards with reserved memory keep it until the end.
-  if (attempt.reservation.empty()) RemovePrefillShards(attempt);
-}
-
-void Gateway::Impl::RemovePrefillShards(const Attempt& attempt) {
-  for (const std::string& helper : attempt.helper_keys) {
-    active_request_table.Remove(helper, attempt.number);
-    peers.NoteChange(helper);
-  }
-}
-
-void Gateway::Impl::NotePause(LiveRequest& live, TimePoint now) {
-  Attempt& attempt = *live.attempt;
-  const Duration pause = now - attempt.last_event_at;
-  attempt.last_event_at = now;
-  live.longest_pause_ms =
-      std::max(live.longest_pause_ms, scheduling::ToMillis(pause));
-  if (live.route->max_pause <= Duration::zero() ||
-      pause <= live.route->max_pause) {
-    return;
-  }
-  ActiveRequest* active_request =
-      active_request_table.Find(attempt.engine_key, attempt.number);
-  if (active_request == nullptr ||
-      std::exchange(active_request->missed_objective, true))
-    return;
-  const auto load =
-      active_request_table.ComputeLoad(attempt.engine_key, now - pause);
-  events::Log(EventId::kStreamPaused,
-              {{"request", live.request.id.value()},
-               {"engine", attempt.engine_key},
-               {"pause_ms", ToMilliseconds(pause)},
-               {"known_reading_ms", std::lround(load.backlog_ms)},
-               {"running", load.running}});
-}
-
 void Gateway::Impl::OnEvent(const LiveRequestPtr& live,
                             std::string_view event) {
   const TimePoint now = SteadyClock().Now();
@@ -236,6 +179,7 @@
     }
   }
   if (!attempt.has_event) {
+    SettleHedge(*live);
     NoteFirstEvent(*live, now);
   } else {
     NotePause(*live, now);
@@ -294,38 +238,45 @@
 
 void Gateway::Impl::Complete(const LiveRequestPtr& live) {
   const TimePoint now = SteadyClock().Now();
+  if (!live->attempt->has_event) SettleHedge(*live);
   Attempt& attempt = *live->attempt;
   EngineState& state = GetEngineState(attempt.engine_key);
   state.health.NoteSuccess(now);
   NoteCompleted(*live);
   const int status = attempt.head->status;
   if (live->is_head_sent) {
-    EndAttempt(*live);
+    EndAttempts(*live);
     live->responder->EndStream();
   } else {
-    const double duration_ms = MillisBetween(attempt.sent_at, now);
-    state.call_ms =
-        state.call_ms == 0
-            ? duration_ms
-            : state.call_ms + kCallTimeWeight * (duration_ms - state.call_ms);
+    state.NoteCallTime(MillisBetween(attempt.sent_at, now));
     AnswerHead head = std::move(*attempt.head);
     std::string body = std::move(attempt.body);
-    EndAttempt(*live);
+    EndAttempts(*live);
     live->responder->Reply(head.status, std::move(head.headers),
                            std::move(body));
   }
   Finish(live, status, http::IsSuccess(status) ? "served" : "engine_failure");
 }
 
-void Gateway::Impl::EndAttempt(LiveRequest& live) {
-  if (!live.attempt) return;
-  Attempt& attempt = *live.attempt;
+void Gateway::Impl::Release(const LiveRequest& live, const Attempt& attempt) {
   if (attempt.call) client.Cancel(*attempt.call);
   active_request_table.Remove(attempt.engine_key, attempt.number);
   peers.NoteChange(attempt.engine_key);
   RemovePrefillShards(attempt);
   if (!attempt.reservation.empty()) reservations.Release(attempt.reservation);
-  live.attempt.reset();
+  NoteEngineTime(live, attempt);
+}
+
+void Gateway::Impl::EndAttempt(LiveRequest& live) {
+  if (!live.attempt) return;
+  Release(live, *live.attempt);
+  live.attempt = std::exchange(live.other_attempt, std::nullopt);
+  if (live.attempt) SetLastEngine(live, live.attempt->engine_key);
+}
+
+void Gateway::Impl::EndAttempts(LiveRequest& live) {
+  while (live.attempt) EndAttempt(live);
+  EndHedge(live, "cancelled");
 }
 
 void Gateway::Impl::Fail(const LiveRequestPtr& live, FailureCause cause,
@@ -368,7 +319,15 @@
                {"sends", live->sent_attempts},
                {"after_ms", ToMilliseconds(now - live->arrived)}});
   if (!not_run) ++live->possible_runs;
+  if (live->hedge && live->hedge->number == attempt.number) {
+    EndHedge(*live, "failed");
+  }
   EndAttempt(*live);
+  if (live->attempt) {
+    // The other attempt of a hedged request goes on; it may still answer.
+    ScheduleQueueDrain();
+    return;
+  }
   const bool can_run_again =
       live->possible_runs == 0 || live->route->IsRetryable();
   const bool has_attempts_left =
--- a/src/gateway/gateway_calls.cc
+++ b/src/gateway/gateway_calls.cc
@@ -32,7 +32,6 @@
 }
 
 bool Gateway::Impl::TryStartCall(const LiveRequestPtr& live) {
-  const TimePoint now = SteadyClock().Now();
   const auto usable = FindUsableEngines(*live);
   auto records = RemoveLimited(usable);
   auto servers = MakeServiceCandidates(records);
@@ -45,23 +44,35 @@
   const auto chosen = scheduling::PlaceCall(servers);
   if (!chosen) return false;
   StartAttempt(live, *records[*chosen]);
+  StartCall(live, servers[*chosen]);
+  return true;
+}
+
+void Gateway::Impl::StartCall(const LiveRequestPtr& live,
+                              const scheduling::ServiceCandidate& server) {
+  const TimePoint now = SteadyClock().Now();
+  Attempt& attempt = *live->attempt;
+  attempt.predicted_answer_ms = PredictCall(server);
   ActiveRequest active_request;
-  active_request.id = live->attempt->number;
+  active_request.id = attempt.number;
   active_request.is_prefilling = false;
-  active_request.end =
-      now + FromMillis(std::max(servers[*chosen].call_ms, 1.0) * 2);
-  active_request_table.Put(live->attempt->engine_key, active_request);
-  CountAgainstLimit(live->attempt->engine_key);
-  peers.NoteStart(live->attempt->engine_key);
+  active_request.end = now + FromMillis(std::max(server.call_ms, 1.0) * 2);
+  active_request_table.Put(attempt.engine_key, active_request);
+  CountAgainstLimit(attempt.engine_key);
+  peers.NoteStart(attempt.engine_key);
   events::Log(EventId::kRequestPlaced,
               {{"request", live->request.id.value()},
-               {"engine", live->attempt->engine_key},
-               {"running", servers[*chosen].running},
-               {"call_ms", servers[*chosen].call_ms},
-               {"success_rate", servers[*chosen].success_rate},
+               {"engine", attempt.engine_key},
+               {"running", server.running},
+               {"call_ms", server.call_ms},
+               {"success_rate", server.success_rate},
                {"engines_age_ms", ToMilliseconds(engines.ComputeAge(now))}});
   Send(live);
-  return true;
+}
+
+double Gateway::Impl::PredictCall(const scheduling::ServiceCandidate& server) {
+  return server.call_ms *
+         (1 + static_cast<double>(server.running) / server.slots);
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -104,22 +104,19 @@
 void Gateway::Impl::CompleteIfWhole(const LiveRequestPtr& live) {
   Attempt& attempt = *live->attempt;
   attempt.is_confirming = true;
-  ProbeAddress(
-      threads, attempt.address, {.timeout = kProbeTimeout},
-      [self = shared_from_this(), weak = std::weak_ptr(live),
-       number = attempt.number](ProbeVerdict verdict) {
-        const auto held = weak.lock();
-        if (!held || !held->attempt || held->attempt->number != number) {
-          return;
-        }
-        if (verdict != ProbeVerdict::kRefused) {
-          self->Complete(held);
-          return;
-        }
-        self->ProbeAfterBreak(*held);
-        self->Fail(held, FailureCause::kBroken,
-                   "the engine ended with an answer without length");
-      });
+  ProbeAddress(threads, attempt.address, {.timeout = kProbeTimeout},
+               [self = shared_from_this(), weak = std::weak_ptr(live),
+                number = attempt.number](ProbeVerdict verdict) {
+                 const auto held = weak.lock();
+                 if (!held || !held->Select(number)) return;
+                 if (verdict != ProbeVerdict::kRefused) {
+                   self->Complete(held);
+                   return;
+                 }
+                 self->ProbeAfterBreak(*held);
+                 self->Fail(held, FailureCause::kBroken,
+                            "the engine ended with an answer without length");
+               });
 }
 
 void Gateway::Impl::OnProbed(const std::string& engine,
@@ -283,7 +280,7 @@
   for (const LiveRequestPtr& live : rejected) {
     if (live->is_done) continue;
     const bool may_have_run = live->IsAtEngine();
-    EndAttempt(*live);
+    EndAttempts(*live);
     queue.Remove(live->number);
     if (may_have_run) {
       ++live->possible_runs;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -47,6 +47,9 @@
     if (const auto tokens = from.FindHeader("Tokens")) {
       request.prompt = PromptSize{std::stoll(std::string(*tokens)), 100};
     }
+    if (const auto after = from.FindHeader("Resume")) {
+      request.resume_after = std::stoll(std::string(*after));
+    }
     request.headers.push_back({"Id", request.id.value()});
     return request;
   };
@@ -190,11 +193,10 @@
     exchange.local_address = {"127.0.0.1", testing::FindFreePort()};
     m_peers = std::move(
         *PeerExchange::Create(*m_threads, *m_active_request_table, exchange));
-    GatewayOptions options;
-    options.retry_limits.slack = 100;
+    m_options.retry_limits.slack = 100;
     m_gateway = std::make_unique<Gateway>(*m_threads, *m_client, TestCodec(),
                                           *m_directory, *m_active_request_table,
-                                          *m_peers, *m_registry, options);
+                                          *m_peers, *m_registry, m_options);
     m_port = testing::FindFreePort();
     m_front = std::move(*http::FrontServer::Create(
         *m_threads, "127.0.0.1", m_port,
@@ -402,6 +404,8 @@
     return response;
   }
 
+  /// Options of the gateway; changed before `setUp`.
+  GatewayOptions m_options;
   std::unique_ptr<io::IoThreads> m_threads;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<http::Client> m_callers_client;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,9 +1,11 @@
-/// State and operations of the gateway, implemented in eight files: arrival and
+/// State and operations of the gateway, implemented in ten files: arrival and
 /// end of a request (gateway.cc), placement of streams (gateway_placement.cc)
 /// and of calls (gateway_calls.cc), one attempt at an engine
-/// (gateway_attempt.cc), attempts without progress (gateway_stalls.cc), engines
-/// that limit their requests (gateway_limits.cc), that leave or ask for a pause
-/// (gateway_engines.cc) and that crash (gateway_crashes.cc).
+/// (gateway_attempt.cc), second attempts of slow requests (gateway_hedges.cc),
+/// attempts with progress (gateway_progress.cc) and without
+/// (gateway_stalls.cc), engines that limit their requests (gateway_limits.cc),
+/// that leave or ask for a pause (gateway_engines.cc) and that crash
+/// (gateway_crashes.cc).
 #pragma once
 
 #include <memory>
@@ -17,10 +19,12 @@
 
 #include "engine_probe.h"
 #include "failure.h"
+#include "hedge_plan.h"
 #include "live_request.h"
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/quarantine/crash_quarantine.h"
 #include "peridotshelf/scheduling/engine_health.h"
+#include "peridotshelf/scheduling/hedging.h"
 #include "peridotshelf/scheduling/request_queue.h"
 #include "peridotshelf/scheduling/service_placement.h"
 #include "peridotshelf/scheduling/stream_placement.h"
@@ -46,9 +50,16 @@
 /// State of one incarnation of an engine; a restarted engine gets a new state.
 struct EngineState {
   scheduling::EngineHealth health;
+  /// Moving average of the durations of calls; 0 if none has ended.
   double call_ms = 0;
   /// The engine wants no requests from this entry until then.
   TimePoint paused_until{};
+
+  void NoteCallTime(double duration_ms) {
+    constexpr double kNewestWeight = 0.2;
+    call_ms = call_ms == 0 ? duration_ms
+                           : call_ms + kNewestWeight * (duration_ms - call_ms);
+  }
 };
 
 /// An attempt whose connection broke before its response was complete.
@@ -81,6 +92,7 @@
         active_request_table(request_table),
         peers(exchange),
         options(gateway_options),
+        hedging(gateway_options.hedging),
         rate_limits(std::make_shared<scheduling::EngineRateLimits>(
             std::random_device()())),
         crash_quarantine(std::make_shared<quarantine::CrashQuarantine>(
@@ -110,6 +122,12 @@
             {"peridotshelf_first_event_prediction_ratio",
              "Time to a stream's first event over the time predicted.", ""},
             metrics::GeometricBounds(0.1, 20, 1.3))),
+        hedges(hedging.IsEnabled()
+                   ? &registry.AddCounter({"peridotshelf_hedges_total",
+                                           "Second attempts of slow requests, "
+                                           "and those not sent, by outcome.",
+                                           "outcome"})
+                   : nullptr),
         random(std::random_device()()),
         preference_seed(random()) {}
 
@@ -134,6 +152,11 @@
   bool TryStartStreamOn(
       const std::vector<const discovery::EngineRecord*>& records,
       const LiveRequestPtr& live, const scheduling::EngineModel& model);
+  /// Sends the stream to the engines of `plan`; its attempt was started.
+  void StartStream(const LiveRequestPtr& live,
+                   const std::vector<const discovery::EngineRecord*>& records,
+                   const std::vector<scheduling::EngineCandidate>& candidates,
+                   const scheduling::StreamPlan& plan);
   /// Returns the plan to start the stream now on `candidates`; nullopt if it
   /// should wait.
   static std::optional<scheduling::StreamPlan> MakePlan(
@@ -143,6 +166,11 @@
   /// now.
   bool CanMoveToAnotherEngine(const LiveRequest& live);
   bool TryStartCall(const LiveRequestPtr& live);
+  /// Sends the call to `server`; its attempt was started.
+  void StartCall(const LiveRequestPtr& live,
+                 const scheduling::ServiceCandidate& server);
+  /// Returns the predicted duration of one more call; 0 if unknown.
+  static double PredictCall(const scheduling::ServiceCandidate& server);
   std::vector<scheduling::ServiceCandidate> MakeServiceCandidates(
       const std::vector<const discovery::EngineRecord*>& records);
   void QueueOrRefuse(const LiveRequestPtr& live,
@@ -238,7 +266,13 @@
   void Fail(const LiveRequestPtr& live, FailureCause cause,
             std::string_view detail, std::string_view failed_engine = {});
   void GiveUp(const LiveRequestPtr& live, std::string_view reason);
+  /// Ends the current attempt. The other one of a hedged request takes its
+  /// place.
   void EndAttempt(LiveRequest& live);
+  /// Ends all attempts of the request.
+  void EndAttempts(LiveRequest& live);
+  /// Closes the connection of the attempt and gives back what it holds.
+  void Release(const LiveRequest& live, const Attempt& attempt);
   /// Removes the prefill shards of the attempt from the active request table.
   void RemovePrefillShards(const Attempt& attempt);
   /// Returns the placement requirements of the request.
@@ -255,6 +289,36 @@
       LiveRequest& live, const scheduling::StreamPlan& plan,
       const std::vector<scheduling::EngineCandidate>& candidates);
 
+  // Hedged requests.
+  /// Considers a hedge once the request takes unusually long.
+  void ScheduleHedge(const LiveRequestPtr& live);
+  void ConsiderHedgeAfter(const LiveRequestPtr& live, Duration delay);
+  void ConsiderHedge(const LiveRequestPtr& live, TimePoint now);
+  /// Returns the engine that would answer first; none if no engine may take the
+  /// request now.
+  std::optional<HedgePlan> PlanHedge(const LiveRequest& live);
+  std::vector<const discovery::EngineRecord*> FindHedgeEngines(
+      const LiveRequest& live);
+  std::optional<HedgePlan> PlanStreamHedge(
+      const LiveRequest& live, const scheduling::EngineModel& model);
+  std::optional<HedgePlan> PlanCallHedge(const LiveRequest& live);
+  scheduling::HedgeVerdict DecideHedge(const LiveRequest& live,
+                                       const std::optional<HedgePlan>& plan,
+                                       TimePoint now);
+  void SendHedge(const LiveRequestPtr& live, const HedgePlan& plan);
+  /// Keeps the current attempt, whose answer has begun or is whole, and ends
+  /// the other one.
+  void SettleHedge(LiveRequest& live);
+  /// Records that the other attempt was slower.
+  void NoteLoser(LiveRequest& live, TimePoint now);
+  /// Reports the outcome of a hedge, unless it was reported before.
+  void EndHedge(LiveRequest& live, std::string_view outcome);
+  void CountDeniedHedge(LiveRequest& live, scheduling::HedgeVerdict verdict);
+  /// Counts the time that an attempt occupied its engine.
+  void NoteEngineTime(const LiveRequest& live, const Attempt& attempt);
+  /// Makes `engine` the last one of those tried.
+  static void SetLastEngine(LiveRequest& live, const std::string& engine);
+
   void Tick();
   void ScheduleTick();
   /// Returns whether the request may be sent to another engine although the
@@ -277,6 +341,7 @@
   scheduling::ActiveRequestTable& active_request_table;
   PeerExchange& peers;
   GatewayOptions options;
+  scheduling::HedgePolicy hedging;
   /// Shared with the exchange.
   std::shared_ptr<scheduling::EngineRateLimits> rate_limits;
   /// Shared with the exchange.
@@ -288,6 +353,8 @@
   metrics::Family<metrics::Counter>& engine_crashes;
   metrics::Family<metrics::Histogram>& first_event_seconds;
   metrics::Family<metrics::Histogram>& first_event_ratio;
+  /// Null if hedging is off.
+  metrics::Family<metrics::Counter>* hedges;
   std::mt19937_64 random;
   /// Makes the engine preferences differ between entries.
   uint64_t preference_seed;
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -178,26 +178,35 @@
   const auto plan = MakePlan(*live, candidates);
   if (!plan) return false;
   StartAttempt(live, *records[plan->primary]);
+  StartStream(live, records, candidates, *plan);
+  return true;
+}
+
+void Gateway::Impl::StartStream(
+    const LiveRequestPtr& live,
+    const std::vector<const discovery::EngineRecord*>& records,
+    const std::vector<EngineCandidate>& candidates,
+    const scheduling::StreamPlan& plan) {
   Attempt& attempt = *live->attempt;
-  attempt.predicted_first_event_ms = plan->first_event_ms;
-  attempt.uncontended_first_event_ms = plan->uncontended_first_event_ms;
-  attempt.predicted_decode_ms = plan->decode_ms;
-  if (plan->reserve_tokens > 0) {
+  attempt.predicted_first_event_ms = plan.first_event_ms;
+  attempt.uncontended_first_event_ms = plan.uncontended_first_event_ms;
+  attempt.predicted_decode_ms = plan.decode_ms;
+  attempt.predicted_answer_ms = plan.first_event_ms;
+  if (plan.reserve_tokens > 0) {
     attempt.reservation =
         live->request.id.value() + "-" + std::to_string(attempt.number);
   }
-  for (const size_t index : plan->helpers) {
+  for (const size_t index : plan.helpers) {
     attempt.helper_keys.push_back(candidates[index].engine);
     attempt.helpers.push_back({records[index]->address, attempt.reservation});
   }
-  AddActiveRequests(*live, *plan, candidates);
-  LogPlacement(*live, *plan, candidates[plan->primary]);
+  AddActiveRequests(*live, plan, candidates);
+  LogPlacement(*live, plan, candidates[plan.primary]);
   if (attempt.reservation.empty()) {
     Send(live);
   } else {
-    ReserveThenSend(live, plan->reserve_tokens);
+    ReserveThenSend(live, plan.reserve_tokens);
   }
-  return true;
 }
 
 void Gateway::Impl::LogPlacement(const LiveRequest& live,
@@ -255,7 +264,7 @@
           self->memory_full_until[address] = answered + kMemoryFullPause;
         }
         const auto held = weak.lock();
-        if (!held || !held->attempt || held->attempt->number != number) return;
+        if (!held || !held->Select(number)) return;
         if (!refused_addresses.empty()) {
           self->Fail(held, FailureCause::kNoMemory,
                      "a helper engine refused the reservation");
--- a/src/gateway/gateway_stalls.cc
+++ b/src/gateway/gateway_stalls.cc
@@ -21,8 +21,9 @@
 
 /// Returns how long a stream may go without events, given the predicted time to
 /// first token.
-Duration ComputeStallTimeout(const LiveRequest& live, double predicted_ms) {
-  if (!live.attempt->has_event) {
+Duration ComputeStallTimeout(const LiveRequest& live, const Attempt& attempt,
+                             double predicted_ms) {
+  if (!attempt.has_event) {
     return kFirstEventStallTimeout +
            FromMillis(kFirstEventOverrun * predicted_ms);
   }
@@ -31,29 +32,35 @@
   return std::min(kMaxStallTimeout, FromMillis(millis));
 }
 
+/// Returns whether the attempt has made no progress for its stall timeout.
+bool IsSilent(const LiveRequest& live, const Attempt& attempt, TimePoint now) {
+  if (!attempt.call) return false;
+  if (!live.IsStream()) {
+    const double timeout_ms =
+        kFirstAttemptShare * MillisBetween(attempt.sent_at, live.deadline);
+    return MillisBetween(attempt.sent_at, now) > timeout_ms;
+  }
+  return now - attempt.last_progress >
+         ComputeStallTimeout(live, attempt, attempt.predicted_first_event_ms);
+}
+
 }  // namespace
 
 bool Gateway::Impl::CanRetry(const LiveRequest& live, TimePoint now) {
   if (!live.route->IsRetryable()) return false;
-  if (live.possible_runs + 1 >= live.route->max_attempts) return false;
+  const int32_t running = live.other_attempt ? 2 : 1;
+  if (live.possible_runs + running >= live.route->max_attempts) return false;
   if (FindReadyEngines(live).size() < 2) return false;
   return budgets.at(live.service).Remaining(now, peers.CountLiveEntries()) >= 1;
 }
 
 bool Gateway::Impl::IsStalled(const LiveRequest& live, TimePoint now) {
-  const Attempt& attempt = *live.attempt;
-  if (!attempt.call) return false;
+  if (!live.attempt->call) return false;
   // A lack of data alone does not end an attempt, because the engine may still
   // be working.
   if (!CanRetry(live, now)) return false;
-  const Duration idle_time = now - attempt.last_progress;
-  if (!live.IsStream()) {
-    const double timeout_ms =
-        kFirstAttemptShare * MillisBetween(attempt.sent_at, live.deadline);
-    return MillisBetween(attempt.sent_at, now) > timeout_ms;
-  }
-  return idle_time >
-         ComputeStallTimeout(live, attempt.predicted_first_event_ms);
+  if (!IsSilent(live, *live.attempt, now)) return false;
+  return !live.other_attempt || IsSilent(live, *live.other_attempt, now);
 }
 
 bool Gateway::Impl::HoldsStaleReservation(const LiveRequest& live,
@@ -61,7 +68,7 @@
   const Attempt& attempt = *live.attempt;
   if (!attempt.call || attempt.reservation.empty()) return false;
   return now - attempt.last_progress >
-         ComputeStallTimeout(live, attempt.uncontended_first_event_ms);
+         ComputeStallTimeout(live, attempt, attempt.uncontended_first_event_ms);
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "peridotshelf/gateway/messages.h"
@@ -34,6 +35,11 @@
   /// the meantime.
   double uncontended_first_event_ms = 0;
   double predicted_decode_ms = 0;
+  /// Predicted time to the first event of a stream, or to the whole answer of a
+  /// call; 0 if unknown.
+  double predicted_answer_ms = 0;
+  /// A second attempt, sent while the first one runs.
+  bool is_hedge = false;
   std::optional<AnswerHead> head;
   /// Body of a response that is not streamed.
   std::string body;
@@ -44,6 +50,15 @@
   TimePoint first_event_at{};
   TimePoint last_progress{};
   TimePoint last_event_at{};
+
+  bool IsAtEngine() const { return call || is_confirming; }
+};
+
+/// A hedge that has neither won nor lost nor failed yet.
+struct OpenHedge {
+  uint64_t number = 0;
+  std::string engine_key;
+  TimePoint sent_at{};
 };
 
 /// State of one request.
@@ -71,7 +86,16 @@
   /// Number of attempts sent to engines.
   int32_t sent_attempts = 0;
   std::vector<std::string> tried_engines;
+  /// The attempt that is being processed.
   std::optional<Attempt> attempt;
+  /// Set while a hedge and the attempt before it both run; `attempt` is then
+  /// the one of the two that was processed last.
+  std::optional<Attempt> other_attempt;
+  std::optional<OpenHedge> hedge;
+  /// Whether a hedge was sent. A request is hedged once.
+  bool was_hedged = false;
+  /// Whether it was counted that a hedge was due and not sent.
+  bool is_denied_hedge_counted = false;
   /// Whether the response head was sent to the caller.
   bool is_head_sent = false;
   /// Time from arrival to the first event; nullopt until then.
@@ -88,7 +112,16 @@
 
   /// Returns whether an engine may run the request, or have run it, now.
   bool IsAtEngine() const {
-    return attempt && (attempt->call || attempt->is_confirming);
+    return (attempt && attempt->IsAtEngine()) ||
+           (other_attempt && other_attempt->IsAtEngine());
+  }
+  /// Makes the running attempt `number` the one that is being processed.
+  /// Returns whether there is one.
+  bool Select(uint64_t attempt_number) {
+    if (attempt && attempt->number == attempt_number) return true;
+    if (!other_attempt || other_attempt->number != attempt_number) return false;
+    std::swap(attempt, other_attempt);
+    return true;
   }
   bool IsStream() const {
     return route->retry_safety == routing::RetrySafety::kStream;
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -30,6 +30,8 @@
   kStreamPaused = 208,
   kQuarantineStarted = 209,
   kQuarantineEnded = 210,
+  kHedgeSent = 211,
+  kHedgeEnded = 212,
   kReservationGranted = 300,
   kReservationRefused = 301,
   kAttemptStarted = 302,
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "peridotshelf/metrics/registry.h"
 #include "peridotshelf/routing/configuration.h"
 #include "peridotshelf/scheduling/active_request_table.h"
+#include "peridotshelf/scheduling/hedging.h"
 #include "peridotshelf/scheduling/sliding_window_retry_budget.h"
 
 namespace peridotshelf::gateway {
@@ -23,6 +24,8 @@
 struct GatewayOptions {
   FailureDomain failure_domain;
   scheduling::RetryLimits retry_limits;
+  /// Off by default.
+  scheduling::HedgeOptions hedging;
   /// Time after which an engine releases a reservation that is not renewed.
   Duration reservation_ttl = std::chrono::milliseconds(3500);
   /// Largest body of an engine's response that is not streamed.
--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -65,6 +65,16 @@
   }
 }
 
+scheduling::HedgeOptions MakeHedgeOptions(
+    const settings::GatewaySettings& settings) {
+  scheduling::HedgeOptions::Builder builder;
+  builder.SetRequestShare(settings.hedge_requests);
+  if (settings.hedge_engine_time > 0) {
+    builder.SetEngineTimeShare(settings.hedge_engine_time);
+  }
+  return builder.Build();
+}
+
 }  // namespace
 
 ExitCode RunGateway(Arguments args) {
@@ -79,7 +89,7 @@
   }
   const StopSignal signals = StopSignal::WithReload();
   events::StartLogging(parsed->log_level, "gateway:" + settings->host.value());
-  auto daemon = GatewayDaemon::Create(*settings);
+  auto daemon = GatewayDaemon::Create(*settings, MakeHedgeOptions(*parsed));
   if (!daemon) {
     std::cerr << "peridotshelf: " << daemon.error().detail << "\n";
     return ExitCode::kCannotListen;
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -25,8 +25,10 @@
 }  // namespace
 
 struct GatewayDaemon::Impl {
-  explicit Impl(ProcessSettings process_settings)
+  Impl(ProcessSettings process_settings,
+       const scheduling::HedgeOptions& hedge_options)
       : settings(std::move(process_settings)),
+        hedging(hedge_options),
         engines(settings.registrations) {}
 
   ~Impl() {
@@ -43,6 +45,7 @@
                        http::Responder& responder);
 
   ProcessSettings settings;
+  scheduling::HedgeOptions hedging;
   io::IoThreads threads{1};
   http::Client client;
   metrics::Registry registry;
@@ -128,6 +131,7 @@
   gateway::GatewayOptions options;
   options.failure_domain = settings.failure_domain;
   options.retry_limits = settings.retry_limits;
+  options.hedging = hedging;
   if (settings.memory_release_limit > Duration::zero()) {
     options.reservation_ttl = std::chrono::duration_cast<Duration>(
         settings.memory_release_limit * kReservationTtlFraction);
@@ -190,8 +194,8 @@
 GatewayDaemon::~GatewayDaemon() = default;
 
 Result<std::unique_ptr<GatewayDaemon>> GatewayDaemon::Create(
-    const ProcessSettings& settings) {
-  auto impl = std::make_unique<Impl>(settings);
+    const ProcessSettings& settings, const scheduling::HedgeOptions& hedging) {
+  auto impl = std::make_unique<Impl>(settings, hedging);
   const auto started = impl->Start();
   if (!started) return tl::unexpected<Error>(started.error());
   return std::unique_ptr<GatewayDaemon>(new GatewayDaemon(std::move(impl)));
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/scheduling/hedging.h"
 #include "platform/settings_file.h"
 
 namespace peridotshelf::program {
@@ -13,7 +14,8 @@
  public:
   /// Returns kInternal if listening on an address fails.
   static Result<std::unique_ptr<GatewayDaemon>> Create(
-      const deployment::ProcessSettings& settings);
+      const deployment::ProcessSettings& settings,
+      const scheduling::HedgeOptions& hedging);
   ~GatewayDaemon();
   GatewayDaemon(const GatewayDaemon&) = delete;
   GatewayDaemon& operator=(const GatewayDaemon&) = delete;
