--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using events::EventId;
-using scheduling::ActiveRequest;
 
 /// Connect timeout: a few round trips between failure domains.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
@@ -55,7 +54,11 @@
   attempt.sent_at = now;
   attempt.last_progress = now;
   attempt.own_pause = {};
-  if (live->sent_attempts++ > 0) retries_sent.WithoutLabel().Add();
+  if (live->sent_attempts++ > 0) {
+    retries_sent.WithoutLabel().Add();
+  } else if (hedging.IsEnabled()) {
+    hedging.NoteRequest(live->service, now);
+  }
   EngineCall call;
   call.address = attempt.address;
   call.engine_id = attempt.engine_id;
@@ -75,7 +78,7 @@
                      number = attempt.number](auto action) {
     self->threads.Post([self, weak, number, action = std::move(action)] {
       const auto held = weak.lock();
-      if (!held || !held->attempt || held->attempt->number != number) return;
+      if (!held || !held->Select(number)) return;
       action(*self, held);
     });
   };
@@ -99,6 +102,7 @@
     });
   };
   attempt.call = client.Start(std::move(request), std::move(callbacks));
+  ScheduleHedge(live);
 }
 
 void Gateway::Impl::OnHead(const LiveRequestPtr& live,
@@ -161,65 +165,6 @@
   }
 }
 
-void Gateway::Impl::NoteFirstEvent(LiveRequest& live, TimePoint now) {
-  Attempt& attempt = *live.attempt;
-  attempt.has_event = true;
-  attempt.first_event_at = now;
-  attempt.last_event_at = now;
-  if (!live.first_event_ms) {
-    live.first_event_ms = MillisBetween(live.arrived, now);
-    live.predicted_first_event_ms = attempt.predicted_first_event_ms;
-  }
-  const double actual = MillisBetween(attempt.sent_at, now);
-  if (attempt.predicted_first_event_ms > 0) {
-    const double ratio = actual / attempt.predicted_first_event_ms;
-    GetEngineState(attempt.engine_key).health.NoteSlowdown(ratio, now);
-    first_event_ratio.WithoutLabel().Observe(ratio);
-  }
-  first_event_seconds.With(live.route->name)
-      .Observe(MillisBetween(live.arrived, now) / 1000);
-  if (ActiveRequest* active_request =
-          active_request_table.Find(attempt.engine_key, attempt.number)) {
-    active_request->is_prefilling = false;
-    active_request->end = now + FromMillis(attempt.predicted_decode_ms);
-    peers.NoteChange(attempt.engine_key);
-  }
-  // Prefill shards with reserved memory keep it until the end.
-  if (attempt.reservation.empty()) RemovePrefillShards(attempt);
-}
-
-void Gateway::Impl::RemovePrefillShards(const Attempt& attempt) {
-  for (const std::string& helper : attempt.helper_keys) {
-    active_request_table.Remove(helper, attempt.number);
-    peers.NoteChange(helper);
-  }
-}
-
-void Gateway::Impl::NotePause(LiveRequest& live, TimePoint now) {
-  Attempt& attempt = *live.attempt;
-  const Duration pause = now - attempt.last_event_at;
-  attempt.last_event_at = now;
-  live.longest_pause_ms =
-      std::max(live.longest_pause_ms, scheduling::ToMillis(pause));
-  if (live.route->max_pause <= Duration::zero() ||
-      pause <= live.route->max_pause) {
-    return;
-  }
-  ActiveRequest* active_request =
-      active_request_table.Find(attempt.engine_key, attempt.number);
-  if (active_request == nullptr ||
-      std::exchange(active_request->missed_objective, true))
-    return;
-  const auto load =
-      active_request_table.ComputeLoad(attempt.engine_key, now - pause);
-  events::Log(EventId::kStreamPaused,
-              {{"request", live.request.id.value()},
-               {"engine", attempt.engine_key},
-               {"pause_ms", ToMilliseconds(pause)},
-               {"known_reading_ms", std::lround(load.backlog_ms)},
-               {"running", load.running}});
-}
-
 void Gateway::Impl::OnEvent(const LiveRequestPtr& live,
                             std::string_view event) {
   const TimePoint now = SteadyClock().Now();
@@ -239,6 +184,7 @@
   // Neither bytes that complete no event nor repeated events are progress.
   attempt.last_progress = now;
   if (!attempt.has_event) {
+    SettleHedge(*live);
     NoteFirstEvent(*live, now);
   } else {
     NotePause(*live, now);
@@ -298,15 +244,25 @@
   Complete(live);
 }
 
-void Gateway::Impl::EndAttempt(LiveRequest& live) {
-  if (!live.attempt) return;
-  Attempt& attempt = *live.attempt;
+void Gateway::Impl::Release(const LiveRequest& live, const Attempt& attempt) {
   if (attempt.call) client.Cancel(*attempt.call);
   active_request_table.Remove(attempt.engine_key, attempt.number);
   peers.NoteChange(attempt.engine_key);
   RemovePrefillShards(attempt);
   if (!attempt.reservation.empty()) reservations.Release(attempt.reservation);
-  live.attempt.reset();
+  NoteEngineTime(live, attempt);
+}
+
+void Gateway::Impl::EndAttempt(LiveRequest& live) {
+  if (!live.attempt) return;
+  Release(live, *live.attempt);
+  live.attempt = std::exchange(live.other_attempt, std::nullopt);
+  if (live.attempt) SetLastEngine(live, live.attempt->engine_key);
+}
+
+void Gateway::Impl::EndAttempts(LiveRequest& live) {
+  while (live.attempt) EndAttempt(live);
+  EndHedge(live, "cancelled");
 }
 
 void Gateway::Impl::Fail(const LiveRequestPtr& live, FailureCause cause,
@@ -349,7 +305,15 @@
                {"sends", live->sent_attempts},
                {"after_ms", ToMilliseconds(now - live->arrived)}});
   if (!not_run) ++live->possible_runs;
+  if (live->hedge && live->hedge->number == attempt.number) {
+    EndHedge(*live, "failed");
+  }
   EndAttempt(*live);
+  if (live->attempt) {
+    // The other attempt of a hedged request goes on; it may still answer.
+    ScheduleQueueDrain();
+    return;
+  }
   const bool can_run_again =
       live->possible_runs == 0 || live->route->IsRetryable();
   const bool has_attempts_left =
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "peridotshelf/metrics/registry.h"
 #include "peridotshelf/routing/configuration.h"
 #include "peridotshelf/scheduling/active_request_table.h"
+#include "peridotshelf/scheduling/hedging.h"
 #include "peridotshelf/scheduling/sliding_window_retry_budget.h"
 
 namespace peridotshelf::gateway {
@@ -29,6 +30,8 @@
   scheduling::RetryLimits retry_limits;
   /// Requests that a cold engine may get beyond its service's limit.
   scheduling::ColdBound cold_bound;
+  /// Off by default.
+  scheduling::HedgeOptions hedging;
   /// Time after which an engine releases a reservation that is not renewed.
   Duration reservation_ttl = std::chrono::milliseconds(3500);
   /// Largest body of an engine's response that is not streamed.
