--- a/src/gateway/gateway_domains_fixture.h
+++ b/src/gateway/gateway_domains_fixture.h
@@ -43,8 +43,10 @@
     RunOnLoop([&] { SetEvacuated(names); });
   }
   void WaitForQueue() {
+    const TimePoint deadline = SteadyClock().Now() + seconds(10);
     size_t queued = 0;
     while (queued == 0) {
+      CPPUNIT_ASSERT(SteadyClock().Now() < deadline);
       std::this_thread::sleep_for(milliseconds(1));
       RunOnLoop([&] { queued = m_gateway->CountQueued(); });
     }
--- a/testsuite/homes/run.py
+++ b/testsuite/homes/run.py
@@ -68,13 +68,24 @@
             len(reached) == (len(statuses) if expected_regions else 0))
 
 
+def check_reasons(fleet):
+    """All refusals were for the region without engines."""
+    reasons = 0
+    for gateway in fleet.gateways:
+        with open(gateway.log, encoding="utf-8") as file:
+            reasons += sum('"reason":"no_home_engine"' in line for line in file)
+    print(f"{reasons} refusals state that no engine is in an allowed region")
+    return reasons == PROBES * len(fleet.gateways)
+
+
 async def main(program):
     async with gateway_fleet.running_fleet(program, SEED, GATEWAYS) as fleet:
         results = [
             await check(fleet, ["west"], {"west"}, 200),
             await check(fleet, ["east", "north"], {"east"}, 200),
             await check(fleet, ["north"], set(), 503),
-            await check(fleet, [], {"east", "west"}, 200)]
+            await check(fleet, [], {"east", "west"}, 200),
+            check_reasons(fleet)]
     return all(results)
 
 
