--- a/src/scheduling/cold_rate_limits_test.cc
+++ b/src/scheduling/cold_rate_limits_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(TryAdmit_SeparatedGroups_UseTheirParts);
   CPPUNIT_TEST(TryAdmit_EntriesStart_KeepTheBound);
   CPPUNIT_TEST(TryAdmit_AllEntriesStart_KeepTheBound);
+  CPPUNIT_TEST(TryAdmit_NobodyHeardSinceTheStart_UsesLittle);
   CPPUNIT_TEST(TryAdmit_ColdAgain_KeepsTheBoundAndUsesTheLimit);
   CPPUNIT_TEST(TryAdmit_FarBelowTheLimitInSmallFleet_AdmitsAll);
   CPPUNIT_TEST(TryAdmit_ColdTimeOver_AdmitsAll);
@@ -139,6 +140,19 @@
                      Check::kBoundOnly);
     }
   }
+  // Guards against an entry that takes itself for alone as it starts.
+  void TryAdmit_NobodyHeardSinceTheStart_UsesLittle() {
+    LimitSharers sharers{0, milliseconds(70)};
+    sharers.is_starting = true;
+    m_limits.SetColdLimit(kEngine, {kLimit, {}, kNow + seconds(3)});
+    int admitted = 0;
+    for (TimePoint at = kNow; at < kNow + seconds(2); at += milliseconds(10)) {
+      if (!m_limits.TryAdmit(kEngine, sharers, at)) continue;
+      m_limits.NoteSent(kEngine, at);
+      ++admitted;
+    }
+    CPPUNIT_ASSERT(admitted <= 2);
+  }
   void TryAdmit_ColdAgain_KeepsTheBoundAndUsesTheLimit() {
     FleetEvents events;
     events.cold = {{0, 3}, {3, 6}, {6, 9}};
