--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -88,7 +88,7 @@
 }
 
 void PeerExchange::Impl::SendReport(const std::vector<std::string>& engines,
-                                    bool complete) {
+                                    bool complete, Peer* only_peer) {
   size_t begin = 0;
   do {
     const size_t end = std::min(engines.size(), begin + kMaxEnginesPerDatagram);
@@ -101,10 +101,15 @@
     if (begin == 0) AddLeaving(load);
     if (begin == 0 && (complete || are_evacuations_new)) AddEvacuations(load);
     if (complete && begin == 0) AddAllLimits(load, ColdReport::kNews);
-    SendToLive(Encode(load));
+    const std::string bytes = Encode(load);
+    if (only_peer == nullptr) {
+      SendToLive(bytes);
+    } else {
+      SendTo(*only_peer, bytes);
+    }
     begin = end;
   } while (begin < engines.size());
-  are_evacuations_new = false;
+  if (only_peer == nullptr) are_evacuations_new = false;
 }
 
 void PeerExchange::Impl::ScheduleFlush() {
@@ -211,6 +216,10 @@
     AddEvacuations(reply);
     reply.departed_engines = progress.departed_engines;
     SendTo(peer, Encode(reply));
+    // Until it knows the requests of its peers, an entry that starts would
+    // place its own at the engines that they use.
+    SendReport(active_request_table.EnginesWithLocalRequests(),
+               /*complete=*/true, &peer);
     SendQuarantined(peer);
   }
   ApplyLimits(address, *load);
--- a/src/gateway/peer_exchange_impl.h
+++ b/src/gateway/peer_exchange_impl.h
@@ -93,7 +93,9 @@
   void SendTo(Peer& peer, const std::string& bytes);
   void SendToLive(const std::string& bytes);
   size_t CountLivePeers() const;
-  void SendReport(const std::vector<std::string>& engines, bool complete);
+  /// Sends the requests at `engines` to `only_peer`, or to all live peers.
+  void SendReport(const std::vector<std::string>& engines, bool complete,
+                  Peer* only_peer = nullptr);
   wire::EntryLoad MakeReport();
   void AddEngineRequests(wire::EntryLoad& load,
                          const std::string& engine) const;
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(ShareColdEngines_PeerGreets_LearnsTheColdTime);
   CPPUNIT_TEST(ShareColdEngines_KnownEngineColdAgain_IsReportedOnce);
   CPPUNIT_TEST(ReportLeaving_PeerStartsLater_LearnsTheEngine);
+  CPPUNIT_TEST(AddPeer_PeerHasRequests_LearnsThemAtOnce);
   CPPUNIT_TEST(ShareSuspects_PeerStartsLater_LearnsTheQuarantine);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
   CPPUNIT_TEST(NoteStart_FleetOfManyEntries_ReachesEachAtOnce);
@@ -83,6 +84,43 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e@1"), learned.get_future().get());
     threads.Stop();
   }
+  // Guards against an entry that starts and places at engines that others use,
+  // until their next full reports.
+  void AddPeer_PeerHasRequests_LearnsThemAtOnce() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    constexpr size_t kEngines = 150;
+    scheduling::ActiveRequest request;
+    request.end = SteadyClock().Now() + seconds(60);
+    for (size_t i = 0; i < kEngines; ++i) {
+      requests.Put("e" + std::to_string(i), request);
+    }
+    const PeerAddress address{"127.0.0.1", testing::FindFreePort()};
+    auto informed = CreateExchange(threads, requests, address);
+    auto starting = CreateExchange(threads, peer_requests,
+                                   {"127.0.0.1", testing::FindFreePort()});
+    const auto count_known = [&] {
+      std::promise<size_t> known;
+      threads.Post([&] {
+        size_t engines = 0;
+        for (size_t i = 0; i < kEngines; ++i) {
+          const auto load = peer_requests.ComputeLoad("e" + std::to_string(i),
+                                                      SteadyClock().Now());
+          engines += static_cast<size_t>(load.running);
+        }
+        known.set_value(engines);
+      });
+      return known.get_future().get();
+    };
+    threads.Post([&] { starting->AddPeer(address.ToString()); });
+    const TimePoint deadline = SteadyClock().Now() + seconds(5);
+    while (count_known() < kEngines && SteadyClock().Now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    CPPUNIT_ASSERT_EQUAL(kEngines, count_known());
+    threads.Stop();
+  }
   // Guards against an entry that was restarted and sends what crashes engines.
   void ShareSuspects_PeerStartsLater_LearnsTheQuarantine() {
     io::IoThreads threads(1);
