--- a/src/http/front_connection_test.cc
+++ b/src/http/front_connection_test.cc
@@ -144,7 +144,7 @@
       CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
       CPPUNIT_ASSERT(CountText(answer, "Connection: close") == 1);
     }
-    CPPUNIT_ASSERT_THROW(RawCaller late(m_port), std::exception);
+    CPPUNIT_ASSERT_THROW(RawCaller late(m_port), std::system_error);
   }
 
   // Guards against requests that were read in part and are cut by a planned
--- a/src/include/peridotshelf/scheduling/hedging.h
+++ b/src/include/peridotshelf/scheduling/hedging.h
@@ -52,7 +52,7 @@
   Builder& SetRequestShare(double share);
   /// Limits `share` to 0 to `kMaxHedgeShare`.
   Builder& SetEngineTimeShare(double share);
-  Builder& SetWindow(Duration window);
+  Builder& SetWindow(Duration length);
   Builder& SetMinSamples(size_t samples);
   HedgeOptions Build() const;
 
--- a/src/peridotshelf/store_follower_peers.cc
+++ b/src/peridotshelf/store_follower_peers.cc
@@ -2,7 +2,6 @@
 #include <utility>
 
 #include "peridotshelf/discovery/shared_polling.h"
-#include "peridotshelf/events/log.h"
 #include "peridotshelf/store_follower.h"
 
 namespace peridotshelf::program {
@@ -12,7 +11,6 @@
 using discovery::KeyedRecord;
 using discovery::MakeConfigurationTiming;
 using discovery::MakeRegistrationTiming;
-using events::EventId;
 
 /// A peer's read is no older than this if the store serves it.
 constexpr Duration kRecentRead = std::chrono::seconds(1);
--- a/src/scheduling/hedging.cc
+++ b/src/scheduling/hedging.cc
@@ -52,8 +52,8 @@
   return *this;
 }
 
-HedgeOptions::Builder& HedgeOptions::Builder::SetWindow(Duration window) {
-  m_options.window = window;
+HedgeOptions::Builder& HedgeOptions::Builder::SetWindow(Duration length) {
+  m_options.window = length;
   return *this;
 }
 
