--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -1,6 +1,8 @@
-"""An engine that answers each request with a stream of events, or with a short body.
+"""An engine that answers each request with a stream of events, or, for paths that begin
+with /call/, with a short body after a time of work.
 
 python3 engine.py PORT ID HISTORY [--events N] [--interval MS] [--framing chunked|none]
+                                  [--work MS]
 
 What it runs is appended to HISTORY as JSON lines. The framing `none` sends neither a
 length nor chunks and ends an answer with its connection. SIGTERM makes it exit at once,
@@ -48,24 +50,40 @@
         finally:
             writer.close()
 
+    @staticmethod
+    def write_whole(writer, head, body):
+        lines = ["HTTP/1.1 200 OK", *head, f"Content-Length: {len(body)}",
+                 "Connection: close"]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+
     async def answer(self, line, headers, body, writer):
         request = headers.get("x-request-id", "")
         head = [f"X-Request-Id: {request}"]
         if headers.get("x-expect-instance", self.options.id) != self.options.id:
             writer.write(("HTTP/1.1 421 -\r\n" + "\r\n".join(head) +
                           "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-                         .encode())
+                         .encode("latin-1"))
+            return
+        if " /peridotshelf/order " in line:
+            # Memory for every reservation; orders are not what a case checks.
+            self.write_whole(writer, [], b'{"free":1000000}')
             return
         self.log("run", request=request, line=line,
                  resume_after=headers.get("last-event-id"),
                  body_bytes=len(body))
-        head += [f"X-Server-Stamp: {self.options.id}.{request}",
-                 "Content-Type: text/event-stream", "Connection: close"]
+        head.append(f"X-Server-Stamp: {self.options.id}.{request}")
+        if " /call/" in line:
+            await asyncio.sleep(self.options.work / 1000)
+            self.write_whole(writer, head, f"{request} done\n".encode())
+            await writer.drain()
+            self.log("end", request=request)
+            return
+        head += ["Content-Type: text/event-stream", "Connection: close"]
         is_chunked = self.options.framing == "chunked"
         if is_chunked:
             head.append("Transfer-Encoding: chunked")
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(head) +
-                      "\r\n\r\n").encode())
+                      "\r\n\r\n").encode("latin-1"))
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.options.events + 1):
             event = f"id: {number}\ndata: {request} {number}\n\n".encode()
@@ -87,6 +105,7 @@
     parser.add_argument("history")
     parser.add_argument("--events", type=int, default=40)
     parser.add_argument("--interval", type=float, default=150)
+    parser.add_argument("--work", type=float, default=30)
     parser.add_argument("--framing", default="chunked")
     engine = Engine(parser.parse_args())
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
