Log how it was decided that an answer without length is whole

Callers got cut answers that looked complete, and the logs named none of them: an answer that ended with its connection left no trace of its framing, nor of what decided that it was whole. Event 213 and the metric peridotshelf_answer_end_checks_total record the engine, the verdict and how much had arrived. This distinguishes the incident's hypotheses: a cut answer without length has a line with a verdict, joined runs have lines of failed attempts, and a late second answer has neither.

Behaviour is unchanged.

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -237,9 +237,12 @@
          "the stream ended without an event or inside one");
     return;
   }
-  if (attempt.head->ends_with_connection && ShouldRun(*live)) {
-    CompleteIfWhole(live);
-    return;
+  if (attempt.head->ends_with_connection) {
+    if (ShouldRun(*live)) {
+      CompleteIfWhole(live);
+      return;
+    }
+    NoteAnswerEnd(*live, "leaving");
   }
   Complete(live);
 }
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -107,6 +107,7 @@
                 number = attempt.number](ProbeVerdict verdict) {
                  const auto held = weak.lock();
                  if (!held || !held->Select(number)) return;
+                 self->NoteAnswerEnd(*held, ToString(verdict));
                  if (verdict != ProbeVerdict::kRefused) {
                    self->Complete(held);
                    return;
@@ -117,6 +118,21 @@
                });
 }
 
+void Gateway::Impl::NoteAnswerEnd(const LiveRequest& live,
+                                  std::string_view verdict) {
+  const Attempt& attempt = *live.attempt;
+  answer_end_checks.With(verdict).Add();
+  events::Log(
+      EventId::kAnswerEndChecked,
+      {{"request", live.request.id.value()},
+       {"engine", attempt.engine_key},
+       {"verdict", std::string(verdict)},
+       {"status", attempt.head->status},
+       {"body_bytes", static_cast<int64_t>(attempt.body.size())},
+       {"last_event", live.last_event_number.value_or(-1)},
+       {"try_ms", ToMilliseconds(SteadyClock().Now() - attempt.sent_at)}});
+}
+
 void Gateway::Impl::OnProbed(const std::string& engine,
                              std::optional<ProbeVerdict> verdict) {
   const auto node = broken_attempts.extract(engine);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -120,6 +120,10 @@
         engine_crashes(registry.AddCounter(
             {"peridotshelf_engine_crashes_total",
              "Engines that ended while they ran requests of this entry.", ""})),
+        answer_end_checks(registry.AddCounter(
+            {"peridotshelf_answer_end_checks_total",
+             "Answers that ended with their connection, by what was found.",
+             "verdict"})),
         first_event_seconds(registry.AddHistogram(
             {"peridotshelf_time_to_first_token_seconds",
              "From arrival to the first event, by route.", "route"},
@@ -280,6 +284,9 @@
   /// Completes an answer that ended with its connection, unless the engine
   /// ended with it, too.
   void CompleteIfWhole(const LiveRequestPtr& live);
+  /// Records how it was decided whether the answer of the current attempt,
+  /// which ended with its connection, is whole.
+  void NoteAnswerEnd(const LiveRequest& live, std::string_view verdict);
   void NoteCrash(const std::string& engine, const BrokenAttempts& broken);
   /// Logs the suspects of a crash with the most crashes.
   void LogCounts(const std::string& engine,
@@ -405,6 +412,7 @@
   metrics::Family<metrics::Counter>& failed_attempts;
   metrics::Family<metrics::Counter>& retries_sent;
   metrics::Family<metrics::Counter>& engine_crashes;
+  metrics::Family<metrics::Counter>& answer_end_checks;
   metrics::Family<metrics::Histogram>& first_event_seconds;
   metrics::Family<metrics::Histogram>& first_event_ratio;
   /// Null if hedging is off.
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -32,6 +32,7 @@
   kQuarantineEnded = 210,
   kHedgeSent = 211,
   kHedgeEnded = 212,
+  kAnswerEndChecked = 213,
   kReservationGranted = 300,
   kReservationRefused = 301,
   kAttemptStarted = 302,
