--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -17,6 +17,8 @@
 ANSWER_SLACK_S = 1.0
 PROMPT_TOKENS = (2_000, 2_000, 2_000, 40_000, 150_000, 320_000)
 OUTPUT_TOKENS = 400
+PATHS = ("/chat/", "/chat/", "/page/", "/post/")
+STREAM_PATHS = ("/chat/", "/talk/")
 
 
 @dataclasses.dataclass
@@ -35,6 +37,10 @@
     answer_error: str = ""  # why the answer is wrong; empty if it is right
     is_cut_off: bool = False  # the connection ended before the full answer
 
+    @property
+    def is_stream(self):
+        return self.path in STREAM_PATHS
+
 
 class Connection:
     def __init__(self, gateway, reader, writer):
@@ -42,16 +48,20 @@
 
 
 class Callers:
-    def __init__(self, fleet, random, prompt_tokens=PROMPT_TOKENS):
-        """`prompt_tokens` are the lengths of the prompts, each as likely."""
+    def __init__(self, fleet, random, prompt_tokens=PROMPT_TOKENS,
+                 output_tokens=OUTPUT_TOKENS, paths=PATHS,
+                 caller_count=CALLER_COUNT):
+        """`prompt_tokens` are the lengths of the prompts, `paths` those of the
+        requests, each as likely."""
         self.fleet, self.random = fleet, random
-        self.prompt_tokens = prompt_tokens
+        self.prompt_tokens, self.output_tokens = prompt_tokens, output_tokens
+        self.paths, self.caller_count = paths, caller_count
         self.records = []
 
     async def run(self, stop_event):
         """Sends requests until `stop_event` is set."""
         await asyncio.gather(*(self.run_caller(stop_event)
-                               for _ in range(CALLER_COUNT)))
+                               for _ in range(self.caller_count)))
 
     async def run_caller(self, stop_event):
         connection = None
@@ -85,7 +95,7 @@
 
     async def send(self, connection):
         """Sends a request; returns whether the connection can be reused."""
-        path = self.random.choice(["/chat/", "/chat/", "/page/", "/post/"])
+        path = self.random.choice(self.paths)
         body = self.random.randbytes(200)
         request_id = uuid.UUID(int=self.random.getrandbits(128)).hex[:16]
         target = f"{path}{self.random.randrange(100)}?x=1"
@@ -93,8 +103,9 @@
             request_id, path, connection.gateway.number, time.time(),
             hashlib.sha256(body).hexdigest(), target)
         prompt = None
-        if path == "/chat/":
-            prompt = (self.random.choice(self.prompt_tokens), OUTPUT_TOKENS)
+        if record.is_stream:
+            prompt = (self.random.choice(self.prompt_tokens),
+                      self.output_tokens)
         head = platform_messages.request_head(
             target, fleets.HTTP_HOST, request_id, fleets.REQUEST_TIMEOUT_S,
             fleets.API_KEY, len(body), prompt)
@@ -119,7 +130,8 @@
             raise ConnectionError("closed before the answer")
         record.status = head.status
         record.engine = platform_messages.find_signing_engine(head.headers)
-        if head.headers.get("transfer-encoding") == "chunked":
+        if record.is_stream and \
+                head.headers.get("transfer-encoding") == "chunked":
             await self.read_event_stream(reader, record)
         else:
             answer = await http_messages.read_body(reader, head)
@@ -131,8 +143,7 @@
         record.is_complete = True
         return head.headers.get("connection", "").lower() != "close"
 
-    @staticmethod
-    async def read_event_stream(reader, record):
+    async def read_event_stream(self, reader, record):
         buffer, events_read = b"", 0
         while chunk := await http_messages.read_chunk(reader):
             buffer += chunk
@@ -142,6 +153,6 @@
                 if event + b"\n\n" != engine.make_event_bytes(record.request,
                                                         events_read):
                     record.answer_error = f"event {events_read} is {event!r}"
-        if buffer or events_read != engine.count_events(OUTPUT_TOKENS):
+        if buffer or events_read != engine.count_events(self.output_tokens):
             record.answer_error = record.answer_error or \
                 f"complete after {events_read} events"
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -89,8 +89,10 @@
 class Child:
     """A process started by this run; signalled by its process id."""
 
-    def __init__(self, arguments, log, env=None):
+    def __init__(self, arguments, log, env=None, descriptors=()):
+        """The process inherits `descriptors`."""
         self.arguments, self.log, self.env = arguments, log, env
+        self.descriptors = descriptors
         self.process = None
         self.exit_expected = False
         self.start()
@@ -100,7 +102,8 @@
         self.started_at = time.time()
         with open(self.log, "ab") as out:
             self.process = subprocess.Popen(self.arguments, stdout=out,
-                                            stderr=out, env=self.env)
+                                            stderr=out, env=self.env,
+                                            pass_fds=self.descriptors)
 
     def signal(self, number):
         if self.process.poll() is None:
