Take an answer without length as whole only if its process runs on

Cause: an answer with neither length nor chunks ends with its connection, and the system closes the connections of a process that is killed as it closes those of one that is done. The gateway took such an answer as whole unless connecting to the engine's address was refused. It is not refused where the listening socket outlives the process, where a path accepts connections meanwhile, or where the engine is back before a gateway that stood still asks.

Now the gateway asks the engine after the end which process answers. The answer is whole if the process states the start that its registration has, or, where no start is stated, if an idle connection that was opened before the request is still open; the id alone is no proof, since an engine may start again under its id. Otherwise the attempt has failed: repeatable calls and resumable streams go to another engine, others end with 502 or are cut. Idle connections are opened only at engines of services that were seen to send such answers. Answers that end at one engine at the same time share a query.

--- a/src/gateway/engine_probe.cc
+++ b/src/gateway/engine_probe.cc
@@ -3,10 +3,11 @@
 #include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <cstdlib>
 #include <memory>
 #include <utility>
 
+#include "engine_address.h"
+
 namespace peridotshelf::gateway {
 namespace {
 
@@ -92,6 +93,8 @@
       return "refused";
     case ProbeVerdict::kListening:
       return "listening";
+    case ProbeVerdict::kReplaced:
+      return "replaced";
     case ProbeVerdict::kNoAnswer:
       return "no_answer";
   }
@@ -101,15 +104,11 @@
 void ProbeAddress(io::IoThreads& threads, const std::string& address,
                   const ProbeTimes& times,
                   std::function<void(ProbeVerdict)> on_verdict) {
-  const size_t colon = address.rfind(':');
-  asio::error_code error;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-  const bool has_address = !error && colon != std::string::npos;
-  const int port = has_address ? std::atoi(address.c_str() + colon + 1) : 0;
-  const auto probe = std::make_shared<Probe>(
-      threads, tcp::endpoint(ip, static_cast<uint16_t>(port)),
-      times.min_connection_life, std::move(on_verdict));
-  if (!has_address) {
+  const auto endpoint = ParseAddress(address);
+  const auto probe =
+      std::make_shared<Probe>(threads, endpoint.value_or(tcp::endpoint()),
+                              times.min_connection_life, std::move(on_verdict));
+  if (!endpoint) {
     threads.Post([probe] { probe->Finish(ProbeVerdict::kNoAnswer); });
     return;
   }
--- a/src/gateway/engine_probe.h
+++ b/src/gateway/engine_probe.h
@@ -15,6 +15,7 @@
 enum class ProbeVerdict {
   kRefused,    ///< The host answers, and no process listens at the address.
   kListening,  ///< A process accepts connections and keeps them.
+  kReplaced,   ///< Another process than before answers at the address.
   kNoAnswer,   ///< Neither within the timeout, or the network failed.
 };
 
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -43,6 +43,7 @@
   attempt.number = next_number++;
   attempt.engine_key = engine.Key();
   attempt.engine_id = engine.id;
+  attempt.engine_started_unix_ms = engine.started_unix_ms;
   attempt.address = engine.address;
   live->tried_engines.push_back(attempt.engine_key);
   live->attempt = std::move(attempt);
@@ -101,6 +102,7 @@
       self.OnDone(held, outcome);
     });
   };
+  OpenIdleConnection(*live, attempt);
   attempt.call = client.Start(std::move(request), std::move(callbacks));
   ScheduleHedge(live);
 }
@@ -140,6 +142,7 @@
          "body");
     return;
   }
+  if (head.ends_with_connection) NoteWithoutLength(*live);
   live->attempt->head = std::move(head);
 }
 
@@ -215,6 +218,26 @@
          "the connection ended without a response");
     return;
   }
+  const bool is_event_stream =
+      live->IsStream() && http::IsSuccess(attempt.head->status);
+  // A stream that broke after its last event has none left to resume.
+  const bool has_no_event = !attempt.has_event && !live->last_event_number;
+  if (is_event_stream &&
+      (attempt.events.HasIncompleteEvent() || has_no_event)) {
+    ProbeAfterBreak(*live);
+    Fail(live, FailureCause::kBroken,
+         "the stream ended without an event or inside one");
+    return;
+  }
+  if (attempt.head->ends_with_connection) {
+    CheckAnswerEnd(live);
+  } else {
+    FinishAnswer(live);
+  }
+}
+
+void Gateway::Impl::FinishAnswer(const LiveRequestPtr& live) {
+  Attempt& attempt = *live->attempt;
   const int status = attempt.head->status;
   // An error answer cannot continue a stream whose caller has events already.
   const bool is_stream_rejected =
@@ -226,24 +249,6 @@
          "status " + std::to_string(status));
     return;
   }
-  const bool is_event_stream = live->IsStream() && http::IsSuccess(status);
-  // A stream that broke after its last event has none left to resume.
-  const bool may_have_no_event =
-      live->last_event_number && !attempt.head->ends_with_connection;
-  if (is_event_stream && (attempt.events.HasIncompleteEvent() ||
-                          (!attempt.has_event && !may_have_no_event))) {
-    ProbeAfterBreak(*live);
-    Fail(live, FailureCause::kBroken,
-         "the stream ended without an event or inside one");
-    return;
-  }
-  if (attempt.head->ends_with_connection) {
-    if (ShouldRun(*live)) {
-      CompleteIfWhole(live);
-      return;
-    }
-    NoteAnswerEnd(*live, "leaving");
-  }
   Complete(live);
 }
 
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -74,7 +74,8 @@
   return engines.IsReady(live.attempt->engine_key);
 }
 
-void Gateway::Impl::ProbeAfterBreak(LiveRequest& live) {
+void Gateway::Impl::ProbeAfterBreak(LiveRequest& live,
+                                    std::optional<ProbeVerdict> found) {
   const Attempt& attempt = *live.attempt;
   const TimePoint now = SteadyClock().Now();
   live.has_broken = true;
@@ -87,10 +88,11 @@
   if (!is_new) return;
   broken->second.service = live.service;
   broken->second.broken_at = now;
-  if (!ShouldRun(live)) {
+  if (found || !ShouldRun(live)) {
     // The connections that break with this one are still to be reported.
-    threads.Post([self = shared_from_this(), engine = attempt.engine_key] {
-      self->OnProbed(engine, std::nullopt);
+    threads.Post([self = shared_from_this(), engine = attempt.engine_key,
+                  verdict = ShouldRun(live) ? found : std::nullopt] {
+      self->OnProbed(engine, verdict);
     });
     return;
   }
@@ -99,40 +101,6 @@
                    ProbeVerdict verdict) { self->OnProbed(engine, verdict); });
 }
 
-void Gateway::Impl::CompleteIfWhole(const LiveRequestPtr& live) {
-  Attempt& attempt = *live->attempt;
-  attempt.is_confirming = true;
-  ProbeAddress(threads, attempt.address, {.timeout = kProbeTimeout},
-               [self = shared_from_this(), weak = std::weak_ptr(live),
-                number = attempt.number](ProbeVerdict verdict) {
-                 const auto held = weak.lock();
-                 if (!held || !held->Select(number)) return;
-                 self->NoteAnswerEnd(*held, ToString(verdict));
-                 if (verdict != ProbeVerdict::kRefused) {
-                   self->Complete(held);
-                   return;
-                 }
-                 self->ProbeAfterBreak(*held);
-                 self->Fail(held, FailureCause::kBroken,
-                            "the engine ended with an answer without length");
-               });
-}
-
-void Gateway::Impl::NoteAnswerEnd(const LiveRequest& live,
-                                  std::string_view verdict) {
-  const Attempt& attempt = *live.attempt;
-  answer_end_checks.With(verdict).Add();
-  events::Log(
-      EventId::kAnswerEndChecked,
-      {{"request", live.request.id.value()},
-       {"engine", attempt.engine_key},
-       {"verdict", std::string(verdict)},
-       {"status", attempt.head->status},
-       {"body_bytes", static_cast<int64_t>(attempt.body.size())},
-       {"last_event", live.last_event_number.value_or(-1)},
-       {"try_ms", ToMilliseconds(SteadyClock().Now() - attempt.sent_at)}});
-}
-
 void Gateway::Impl::OnProbed(const std::string& engine,
                              std::optional<ProbeVerdict> verdict) {
   const auto node = broken_attempts.extract(engine);
@@ -162,7 +130,7 @@
        {"without_event", without_event},
        {"requests", JoinKeys(requests)},
        {"prompt_parts", JoinKeys(parts)}});
-  if (verdict == ProbeVerdict::kRefused) {
+  if (verdict == ProbeVerdict::kRefused || verdict == ProbeVerdict::kReplaced) {
     NoteCrash(engine, node.mapped());
   }
 }
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -79,6 +79,7 @@
     head.matches_request = id == request.id.value();
     head.names_another_request = id && !head.matches_request;
     head.is_signed = from.FindHeader("Signature").has_value();
+    head.ends_with_connection = from.FindHeader("Until-Close").has_value();
     head.headers = {{"Signature", "s"}};
     ReadEngineState(from.headers, head);
     if (const auto limit = from.FindHeader("Limit")) {
@@ -92,6 +93,23 @@
     ReadEngineState(headers, head);
     return head;
   };
+  codec.write_identity_query = [](const std::string& address,
+                                  const std::string& engine_id) {
+    http::ClientRequest out;
+    out.url = "http://" + address + "/identity?id=" + engine_id;
+    return out;
+  };
+  codec.read_identity = [](const std::string& engine_id,
+                           const http::ClientResponseHead& head,
+                           std::string_view /*body*/) {
+    EngineIdentity identity;
+    const auto other = head.FindHeader("Engine");
+    identity.is_other_engine = other && *other != engine_id;
+    if (const auto start = head.FindHeader("Started")) {
+      identity.started_unix_ms = std::stoll(std::string(*start));
+    }
+    return identity;
+  };
   codec.write_reserve = [](const std::string& address, const std::string& id,
                            int64_t tokens, Duration /*ttl*/) {
     http::ClientRequest out;
@@ -234,13 +252,14 @@
   }
 
   void Register(const std::string& id, const std::string& address,
-                const std::string& service) {
+                const std::string& service, int64_t started_unix_ms = 0) {
     RunOnLoop([&] {
       discovery::EngineRecord record;
       record.id = id;
       record.service = service;
       record.address = address;
       record.slots = 4;
+      record.started_unix_ms = started_unix_ms;
       m_directory->Update(record);
     });
   }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,4 +1,4 @@
-/// State and operations of the gateway, implemented in thirteen files: arrival
+/// State and operations of the gateway, implemented in fourteen files: arrival
 /// and end of a request (gateway.cc), whole answers (gateway_answers.cc),
 /// placement of streams (gateway_placement.cc) and of calls (gateway_calls.cc),
 /// the queue (gateway_queue.cc), one attempt at an engine (gateway_attempt.cc),
@@ -6,7 +6,8 @@
 /// (gateway_progress.cc) and without (gateway_stalls.cc), engines that limit
 /// their requests (gateway_limits.cc), that are cold (gateway_cold_engines.cc),
 /// that leave, ask for a pause or may not receive a request
-/// (gateway_engines.cc) and that crash (gateway_crashes.cc).
+/// (gateway_engines.cc) and that crash (gateway_crashes.cc), and answers that
+/// end with their connection (gateway_answer_end.cc).
 #pragma once
 
 #include <memory>
@@ -18,6 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "answer_end.h"
 #include "engine_probe.h"
 #include "failure.h"
 #include "hedge_plan.h"
@@ -120,7 +122,7 @@
         engine_crashes(registry.AddCounter(
             {"peridotshelf_engine_crashes_total",
              "Engines that ended while they ran requests of this entry.", ""})),
-        answer_end_checks(registry.AddCounter(
+        ended_answers(registry.AddCounter(
             {"peridotshelf_answer_end_checks_total",
              "Answers that ended with their connection, by what was found.",
              "verdict"})),
@@ -139,7 +141,8 @@
                                            "outcome"})
                    : nullptr),
         random(std::random_device()()),
-        preference_seed(random()) {}
+        preference_seed(random()),
+        idle_connections(io) {}
 
   // Arrival and end.
   void Handle(const http::ServerRequest& in,
@@ -275,18 +278,13 @@
 
   // Engines that crash.
   /// Finds out whether the engine ended with the connection of the current
-  /// attempt.
-  void ProbeAfterBreak(LiveRequest& live);
+  /// attempt, unless that was `found` already.
+  void ProbeAfterBreak(LiveRequest& live,
+                       std::optional<ProbeVerdict> found = std::nullopt);
   /// Returns whether the engine of the attempt should be running.
   bool ShouldRun(const LiveRequest& live) const;
   /// `verdict` is none if the engine was leaving and not probed.
   void OnProbed(const std::string& engine, std::optional<ProbeVerdict> verdict);
-  /// Completes an answer that ended with its connection, unless the engine
-  /// ended with it, too.
-  void CompleteIfWhole(const LiveRequestPtr& live);
-  /// Records how it was decided whether the answer of the current attempt,
-  /// which ended with its connection, is whole.
-  void NoteAnswerEnd(const LiveRequest& live, std::string_view verdict);
   void NoteCrash(const std::string& engine, const BrokenAttempts& broken);
   /// Logs the suspects of a crash with the most crashes.
   void LogCounts(const std::string& engine,
@@ -303,6 +301,32 @@
   void NoteCompleted(const LiveRequest& live);
   void ScheduleReview();
 
+  // Answers that end with their connection.
+  /// Records that the service sends answers without length.
+  void NoteWithoutLength(const LiveRequest& live);
+  /// Opens an idle connection to the engine of `attempt`, which is about to be
+  /// sent, if that may be needed to tell where its answer ends.
+  void OpenIdleConnection(const LiveRequest& live, Attempt& attempt);
+  /// Asks the engine which process answers. Passes on none if it does not say
+  /// so in time.
+  void QueryEngine(
+      const EngineProcess& process,
+      std::function<void(std::optional<EngineIdentity>)> on_answer);
+  /// Finishes the answer of the current attempt if it is shown to be whole.
+  /// Otherwise the attempt has failed.
+  void CheckAnswerEnd(const LiveRequestPtr& live);
+  /// Sends the query for the ended answers of the engine of `live`.
+  void StartAnswerEndCheck(const LiveRequest& live);
+  void OnAnswerEndQueried(const std::string& engine,
+                          const std::optional<EngineIdentity>& identity);
+  AnswerEnd ProveAnswerEnd(const LiveRequest& live,
+                           const std::optional<EngineIdentity>& identity) const;
+  void DecideAnswerEnd(const LiveRequestPtr& live,
+                       const std::optional<EngineIdentity>& identity);
+  void NoteAnswerEnd(const LiveRequest& live, AnswerEnd end);
+  /// Handles an answer that is whole.
+  void FinishAnswer(const LiveRequestPtr& live);
+
   // One attempt.
   void StartAttempt(const LiveRequestPtr& live,
                     const discovery::EngineRecord& engine);
@@ -412,7 +436,7 @@
   metrics::Family<metrics::Counter>& failed_attempts;
   metrics::Family<metrics::Counter>& retries_sent;
   metrics::Family<metrics::Counter>& engine_crashes;
-  metrics::Family<metrics::Counter>& answer_end_checks;
+  metrics::Family<metrics::Counter>& ended_answers;
   metrics::Family<metrics::Histogram>& first_event_seconds;
   metrics::Family<metrics::Histogram>& first_event_ratio;
   /// Null if hedging is off.
@@ -427,6 +451,11 @@
   TimePoint last_pause_end{};
   /// Keyed by engine address.
   std::unordered_map<std::string, TimePoint> memory_full_until;
+  IdleConnections idle_connections;
+  /// Keyed by service name.
+  std::unordered_map<std::string, ServiceWithoutLength> without_length;
+  /// By engine key.
+  std::unordered_map<std::string, AnswerEndCheck> answer_end_checks;
   /// Attempts that broke at engines that are being probed, by engine key.
   std::unordered_map<std::string, BrokenAttempts> broken_attempts;
   /// Keyed by service name.
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "idle_connections.h"
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/http/server.h"
@@ -22,7 +23,11 @@
   uint64_t number = 0;
   std::string engine_key;
   std::string engine_id;
+  /// Stated start of the engine's process as Unix time in ms; 0 if not stated.
+  int64_t engine_started_unix_ms = 0;
   std::string address;
+  /// Idle connection that was opened before the request was sent; 0 if none.
+  IdleConnections::Id idle_connection = 0;
   /// Keys of the helper engines, which run prefill shards.
   std::vector<std::string> helper_keys;
   std::vector<HelperRef> helpers;
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -104,6 +104,14 @@
   bool is_encoded = false;
 };
 
+/// What the process that answers at an engine's address says of itself.
+struct EngineIdentity {
+  /// It belongs to another engine.
+  bool is_other_engine = false;
+  /// When the process started, as Unix time in ms; none if not stated.
+  std::optional<int64_t> started_unix_ms;
+};
+
 /// Converts between the gateway's types and the deployment's HTTP messages.
 struct MessageCodec {
   /// Returns `kInvalidField` if a header that the gateway needs is malformed.
@@ -116,6 +124,17 @@
   /// Reads what an engine says of itself in the answer to a reservation.
   std::function<AnswerHead(int status, std::span<const http::Header>)>
       read_order_answer;
+  /// Creates a request, which no engine runs, to the engine `engine_id` at
+  /// `address`, whose answer says which process answers.
+  std::function<http::ClientRequest(const std::string& address,
+                                    const std::string& engine_id)>
+      write_identity_query;
+  /// Reads the answer to the identity query for `engine_id`. The body may be
+  /// incomplete or absent.
+  std::function<EngineIdentity(const std::string& engine_id,
+                               const http::ClientResponseHead& head,
+                               std::string_view body)>
+      read_identity;
   /// Creates a request that reserves memory at the engine at `address` under
   /// `id`, or extends the reservation.
   std::function<http::ClientRequest(const std::string& address,
--- a/src/include/peridotshelf/testing/raw_server.h
+++ b/src/include/peridotshelf/testing/raw_server.h
@@ -46,6 +46,8 @@
   /// "IP:PORT".
   std::string Address() const;
   int CountConnections() const { return m_accepted; }
+  /// Ends all connections, as the end of a process does, and goes on listening.
+  void CloseConnections();
 
  private:
   void Accept();
--- a/src/testing/raw_server.cc
+++ b/src/testing/raw_server.cc
@@ -83,13 +83,15 @@
   shutdown(m_listener, SHUT_RDWR);
   m_acceptor.join();
   close(m_listener);
-  {
-    const std::scoped_lock lock(m_mutex);
-    for (const int open : m_open) shutdown(open, SHUT_RDWR);
-  }
+  CloseConnections();
   for (std::thread& session : m_sessions) session.join();
 }
 
+void RawServer::CloseConnections() {
+  const std::scoped_lock lock(m_mutex);
+  for (const int open : m_open) shutdown(open, SHUT_RDWR);
+}
+
 std::string RawServer::Address() const {
   return "127.0.0.1:" + std::to_string(m_port);
 }
