Count an engine that is back at once as crashed

A request that crashes engines was not recognized where something listens at an engine's address again by the time that the gateway probes it: a supervisor kept the listening socket, or the engine was back within the probe. The crash then counted as a broken connection, so no request was quarantined.

An engine that states no start is still taken as running.

--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -97,8 +97,23 @@
     return;
   }
   ProbeAddress(threads, attempt.address, {.timeout = kProbeTimeout},
-               [self = shared_from_this(), engine = attempt.engine_key](
-                   ProbeVerdict verdict) { self->OnProbed(engine, verdict); });
+               [self = shared_from_this(),
+                process = ProcessOf(attempt)](ProbeVerdict verdict) {
+                 if (verdict == ProbeVerdict::kListening) {
+                   self->FindReplacement(process);
+                 } else {
+                   self->OnProbed(process.engine_key, verdict);
+                 }
+               });
+}
+
+void Gateway::Impl::FindReplacement(const EngineProcess& process) {
+  QueryEngine(process, [self = shared_from_this(), process](
+                           const std::optional<EngineIdentity>& identity) {
+    const bool is_replaced = identity && process.IsReplacedBy(*identity);
+    self->OnProbed(process.engine_key, is_replaced ? ProbeVerdict::kReplaced
+                                                   : ProbeVerdict::kListening);
+  });
 }
 
 void Gateway::Impl::OnProbed(const std::string& engine,
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -293,6 +293,11 @@
 
   static void ServeEngine(FakeEngine& engine, const ServerRequest& request,
                           const ResponderPtr& responder) {
+    // Not one of the requests that engines run and tests count.
+    if (request.path == "/identity") {
+      responder->Reply(200, {}, "");
+      return;
+    }
     std::function<void(const ServerRequest&, const ResponderPtr&)> handler;
     {
       std::scoped_lock lock(engine.mutex);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -281,6 +281,8 @@
   /// attempt, unless that was `found` already.
   void ProbeAfterBreak(LiveRequest& live,
                        std::optional<ProbeVerdict> found = std::nullopt);
+  /// Reports a probed process that listens, or another one in its place.
+  void FindReplacement(const EngineProcess& process);
   /// Returns whether the engine of the attempt should be running.
   bool ShouldRun(const LiveRequest& live) const;
   /// `verdict` is none if the engine was leaving and not probed.
