Reject registrations with an invalid field or id

Callers got 503 and slow answers while sound engines were idle: an entry of another writer among those of the engines was used as an engine.

Cause: the parser checked what it needed and took the rest as it came. A field of another type was zero or absent (`slots`, `coldLeftMs`, `seq`, `version`), a number out of range was cast (`born` over 2^63, `slots` 1e300), the port was read with atoi, the address and the id (sent in a header) were not checked, and bytes after a NUL were not seen. After an outage or a restore, an engine whose entry had turned odd was kept for the grace period of missing engines.

`EngineDirectory::Reject` removes the engine at once, also after an outage: its entry is there, so it has not lapsed. It is not taken to have left, so it is used again as soon as its entry is sound.

Event 708 is retired.

--- a/src/discovery/engine_directory.cc
+++ b/src/discovery/engine_directory.cc
@@ -102,6 +102,21 @@
   return missing;
 }
 
+std::optional<MissingEngine> EngineDirectory::Reject(const std::string& id) {
+  m_outdated.erase(id);
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) return std::nullopt;
+  m_digest.reset();
+  MissingEngine missing{found->second.record.Key()};
+  // An older copy may still have a leaving engine as ready.
+  if (found->second.record.state == EngineState::kLeaving) {
+    Erase(id);
+  } else {
+    m_entries.erase(found);
+  }
+  return missing;
+}
+
 std::vector<MissingEngine> EngineDirectory::KeepOnly(
     const std::vector<std::string>& ids, TimePoint now) {
   std::vector<std::string> missing;
--- a/src/discovery/engine_directory_test.cc
+++ b/src/discovery/engine_directory_test.cc
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(NotePeerReads_PeerHadTheSameOutage_LeavesTheGrace);
   CPPUNIT_TEST(Remove_AfterOutageWithoutLapses_RemovesTheEngineAtOnce);
   CPPUNIT_TEST(Remove_LeavingEngineAfterOutage_RemovesItAtOnce);
+  CPPUNIT_TEST(Reject_InReadThatEndsAnOutage_RemovesTheEngineAtOnce);
+  CPPUNIT_TEST(Reject_EngineRegistersSoundAgain_IsReadyEverywhere);
+  CPPUNIT_TEST(Reject_LeavingEngine_StaysDeparted);
   CPPUNIT_TEST(NotePeerReads_PeerHasSameEngines_LowersTheAge);
   CPPUNIT_TEST(NotePeerReads_PeerHasOtherEngines_LeavesTheAge);
   CPPUNIT_TEST(Update_CopyHasLeavingEngineAsReady_KeepsItLeaving);
@@ -154,6 +157,33 @@
     m_directory.Remove("a", kRecovered);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_directory.size());
   }
+  // Guards against requests, after an outage, to an engine whose registration
+  // another writer replaced.
+  void Reject_InReadThatEndsAnOutage_RemovesTheEngineAtOnce() {
+    SimulateRegistryOutage(kOutage);
+    const auto missing = m_directory.Reject("a");
+    CPPUNIT_ASSERT(missing && !missing->is_kept);
+    CPPUNIT_ASSERT(m_directory.FindReadyEngines("s").empty());
+    CPPUNIT_ASSERT(!m_directory.Reject("a"));
+  }
+  void Reject_EngineRegistersSoundAgain_IsReadyEverywhere() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a"));
+    m_directory.Reject("a");
+    CPPUNIT_ASSERT(m_directory.FindDeparted().empty());
+    m_directory.NoteRestored();
+    m_directory.BeginRead(kNow + seconds(1));
+    CPPUNIT_ASSERT(m_directory.Update(MakeEngine("a")));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_directory.FindReadyEngines("s").size());
+  }
+  void Reject_LeavingEngine_StaysDeparted() {
+    m_directory.BeginRead(kNow);
+    m_directory.Update(MakeEngine("a", EngineState::kLeaving));
+    m_directory.Reject("a");
+    m_directory.NoteRestored();
+    m_directory.BeginRead(kNow + seconds(1));
+    CPPUNIT_ASSERT(!m_directory.Update(MakeEngine("a")));
+  }
   void NotePeerReads_PeerHasSameEngines_LowersTheAge() {
     m_directory.BeginRead(kNow);
     m_directory.Update(MakeEngine("a"));
--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -75,8 +75,6 @@
     EventInfo{EventId::kEnginePauseInvalid, "engine_pause_invalid",
               Level::kWarning},
     EventInfo{EventId::kEngineCold, "engine_cold", Level::kInfo},
-    EventInfo{EventId::kEngineColdInvalid, "engine_cold_invalid",
-              Level::kWarning},
     EventInfo{EventId::kPeerConnected, "peer_connected", Level::kInfo},
     EventInfo{EventId::kPeerLost, "peer_lost", Level::kWarning},
     EventInfo{EventId::kPeerFrameRejected, "peer_frame_rejected",
--- a/src/include/peridotshelf/discovery/engine_directory.h
+++ b/src/include/peridotshelf/discovery/engine_directory.h
@@ -105,9 +105,13 @@
   /// Adds or replaces a registration. Returns false if it is outdated: a copy
   /// has the engine although it has left.
   bool Update(const EngineRecord& record);
-  /// Handles a registration of `id` that is gone or no longer valid. Returns
-  /// the engine unless it was unknown or already missing.
+  /// Handles a registration of `id` that is gone. Returns the engine unless it
+  /// was unknown or already missing.
   std::optional<MissingEngine> Remove(const std::string& id, TimePoint now);
+  /// Handles a registration of `id` that cannot be read: the engine gets no
+  /// requests until it registers anew, whether or not there was an outage, and
+  /// is not taken to have left. Returns it unless it was unknown.
+  std::optional<MissingEngine> Reject(const std::string& id);
   /// Handles a complete read of the registrations: removes all but `ids`.
   /// Returns the removed engines.
   std::vector<MissingEngine> KeepOnly(const std::vector<std::string>& ids,
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -69,7 +69,6 @@
   kEnginePaused = 705,
   kEnginePauseInvalid = 706,
   kEngineCold = 707,
-  kEngineColdInvalid = 708,
   kPeerConnected = 800,
   kPeerLost = 801,
   kPeerFrameRejected = 802,
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -208,6 +208,9 @@
     ids.push_back(record.key);
     ApplyEngine(record);
   }
+  std::erase_if(m_rejected_entries, [&ids](const auto& rejected) {
+    return std::find(ids.begin(), ids.end(), rejected.first) == ids.end();
+  });
   for (const auto& engine : m_engines.KeepOnly(ids, now)) {
     NoteMissingEngine(engine, "not_listed");
   }
@@ -250,6 +253,7 @@
 
 void StoreFollower::ApplyEngine(const KeyedRecord& record) {
   if (!record.value) {
+    m_rejected_entries.erase(record.key);
     RemoveEngine(record.key, "removed");
     return;
   }
@@ -257,11 +261,7 @@
   const auto parsed =
       deployment::ParseEngineRegistration(record.key, *record.value);
   if (!parsed) {
-    if (m_rejected_entries.insert(record.key).second) {
-      events::Log(EventId::kEngineEntryRejected,
-                  {{"id", record.key}, {"reason", parsed.error().detail}});
-    }
-    RemoveEngine(record.key, "not_valid");
+    RejectEngine(record.key, parsed.error());
     return;
   }
   m_rejected_entries.erase(record.key);
@@ -272,11 +272,6 @@
     NoteOutdatedEngine(parsed->Key(), "copy");
     return;
   }
-  if (!parsed->has_invalid_cold_left) {
-    m_invalid_cold_entries.erase(record.key);
-  } else if (m_invalid_cold_entries.insert(record.key).second) {
-    events::Log(EventId::kEngineColdInvalid, {{"engine", parsed->Key()}});
-  }
   m_callbacks.on_registration(*parsed, parsed->cold_left);
   if (is_new || is_leaving) {
     events::Log(
@@ -287,6 +282,18 @@
   }
 }
 
+void StoreFollower::RejectEngine(const std::string& id, const Error& error) {
+  std::string& reason = m_rejected_entries[id];
+  if (reason != error.detail) {
+    reason = error.detail;
+    events::Log(EventId::kEngineEntryRejected,
+                {{"id", id}, {"reason", reason}});
+  }
+  if (const auto engine = m_engines.Reject(id)) {
+    NoteMissingEngine(*engine, "not_valid");
+  }
+}
+
 void StoreFollower::NoteOutdatedEngine(const std::string& engine,
                                        const char* source) {
   events::Log(EventId::kEngineOutdated,
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +81,8 @@
   void ScheduleHoldEnd();
   void ApplyEngine(const KeyedRecord& record);
   void ApplyAllEngines(const std::vector<KeyedRecord>& records);
+  /// Handles an engine entry that cannot be read.
+  void RejectEngine(const std::string& id, const Error& error);
   /// Removes the engine `id`, whose registration is gone for `reason`.
   void RemoveEngine(const std::string& id, const char* reason);
   /// Logs an engine that has left although its registration is there, by
@@ -149,10 +151,9 @@
   bool m_are_engines_due = false;
   int64_t m_announced_epoch = 0;
   std::mt19937_64 m_random{std::random_device()()};
-  /// Keys of the engine entries that are invalid and whose rejection is logged.
-  std::set<std::string> m_rejected_entries;
-  /// Keys of the engine entries whose cold time is invalid, which is logged.
-  std::set<std::string> m_invalid_cold_entries;
+  /// Keys of the engine entries that are invalid, with the reason that was
+  /// logged last.
+  std::map<std::string, std::string> m_rejected_entries;
 };
 
 }  // namespace peridotshelf::program
