Try further engines after attempts that reached none

Cause: a request may be sent `attempts` + 2 times, whatever became of the sends, and each repeat spends the service's retry budget. Connections that are refused, and addresses at which another engine answers 421, used up both, although the request provably did not run; without a connection it did not even arrive.

Change: an attempt whose engine is not at its address does not count while an engine that is available and was not tried yet is left. The number of further attempts is thus bounded by the engines. Attempts that a full engine rejects count as before, so that one request does not visit all engines of a service that is overloaded.

--- a/src/gateway/failure.cc
+++ b/src/gateway/failure.cc
@@ -38,6 +38,16 @@
          cause == FailureCause::kNoMemory || cause == FailureCause::kEngineLeft;
 }
 
+bool IsEngineMissing(FailureCause cause) {
+  return cause == FailureCause::kUnreachable ||
+         cause == FailureCause::kOtherEngine;
+}
+
+bool MayHaveArrived(FailureCause cause) {
+  return cause != FailureCause::kUnreachable &&
+         cause != FailureCause::kNoMemory && cause != FailureCause::kEngineLeft;
+}
+
 bool PromisesNotRun(int status) {
   return status == http::kRequestTimeout || status == http::kMisdirected ||
          status == http::kTooManyRequests || status == http::kUnavailable;
--- a/src/gateway/failure.h
+++ b/src/gateway/failure.h
@@ -27,6 +27,13 @@
 /// request.
 bool GuaranteesNotRun(FailureCause cause);
 
+/// Returns whether the failure shows that the engine was not at its address.
+bool IsEngineMissing(FailureCause cause);
+
+/// Returns whether the request may have reached an engine. Only then is the
+/// next attempt a repeat for the engines.
+bool MayHaveArrived(FailureCause cause);
+
 /// Returns whether an answer with this status tells its caller that the request
 /// has not run and will not.
 bool PromisesNotRun(int status);
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -305,6 +305,9 @@
                {"sends", live->sent_attempts},
                {"after_ms", ToMilliseconds(now - live->arrived)}});
   if (!not_run) ++live->possible_runs;
+  if (IsEngineMissing(cause) && HasUntriedAvailableEngine(*live)) {
+    ++live->misdirected_attempts;
+  }
   if (live->hedge && live->hedge->number == attempt.number) {
     EndHedge(*live, "failed");
   }
@@ -318,7 +321,8 @@
       live->possible_runs == 0 || live->route->IsRetryable();
   const bool has_attempts_left =
       live->possible_runs < live->route->max_attempts &&
-      live->sent_attempts < live->route->max_attempts + kExtraAttempts;
+      live->sent_attempts - live->misdirected_attempts <
+          live->route->max_attempts + kExtraAttempts;
   const bool may_crash_next =
       cause == FailureCause::kBroken &&
       crash_quarantine->IsNearQuarantine(live->suspects);
@@ -327,10 +331,9 @@
     GiveUp(live, ToString(cause));
     return;
   }
-  const bool was_sent =
-      cause != FailureCause::kNoMemory && cause != FailureCause::kEngineLeft;
   auto& budget = budgets.at(live->service);
-  if (was_sent && !budget.TrySpend(now, peers.CountLiveEntries())) {
+  if (MayHaveArrived(cause) &&
+      !budget.TrySpend(now, peers.CountLiveEntries())) {
     GiveUp(live, "repeat_budget");
     return;
   }
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -74,6 +74,7 @@
     AnswerHead head;
     head.status = from.status;
     head.is_not_run = from.FindHeader("Not-Run").has_value();
+    head.is_other_engine = from.FindHeader("Other-Engine").has_value();
     head.failed_address = from.FindHeader("Failed").value_or("");
     const auto id = from.FindHeader("Id");
     head.matches_request = id == request.id.value();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -185,6 +185,7 @@
       const LiveRequest& live);
   std::vector<const discovery::EngineRecord*> FindUntriedEngines(
       const LiveRequest& live);
+  bool HasUntriedAvailableEngine(const LiveRequest& live);
   std::vector<scheduling::EngineCandidate> MakeCandidates(
       const std::vector<const discovery::EngineRecord*>& records,
       const scheduling::EngineModel& model);
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -57,6 +57,16 @@
   return untried;
 }
 
+bool Gateway::Impl::HasUntriedAvailableEngine(const LiveRequest& live) {
+  const TimePoint now = SteadyClock().Now();
+  const auto untried = FindUntriedEngines(live);
+  return std::any_of(
+      untried.begin(), untried.end(),
+      [this, now](const discovery::EngineRecord* record) {
+        return GetEngineState(record->Key()).health.IsAvailable(now);
+      });
+}
+
 std::vector<const discovery::EngineRecord*> Gateway::Impl::FindUsableEngines(
     const LiveRequest& live) {
   const TimePoint now = SteadyClock().Now();
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -89,6 +89,9 @@
   int32_t possible_runs = 0;
   /// Number of attempts sent to engines.
   int32_t sent_attempts = 0;
+  /// Of these, the attempts whose engine was not at its address while another
+  /// one was left to try.
+  int32_t misdirected_attempts = 0;
   std::vector<std::string> tried_engines;
   /// The attempt that is being processed.
   std::optional<Attempt> attempt;
