Bound what one datagram of a peer can state

A datagram of an entry with an odd number could stop a gateway from reading the registrations again: an age of 2^63 ms overflowed the clock and the last read lay in the future. Numbers of requests and tokens were added up without a bound.

What remains: positions, epochs and versions of a datagram are taken as they are, and a sender is not authenticated.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -186,7 +186,7 @@
 void PeerExchange::Impl::HandleDatagram(std::string_view bytes) {
   const std::string address =
       sender.address().to_string() + ":" + std::to_string(sender.port());
-  const auto load = Decode(bytes);
+  auto load = Decode(bytes);
   if (!load) {
     events::Log(EventId::kPeerFrameRejected,
                 {{"peer", address}, {"reason", load.error().detail}});
@@ -224,10 +224,13 @@
   }
   ApplyLimits(address, *load);
   ApplySuspects(*load);
+  std::erase_if(load->leaving_engines,
+                [](const auto& key) { return !IsEngineKey(key); });
   on_peer_leaving(load->leaving_engines);
   ApplyEvacuations(*load);
   if (load->complete) active_request_table.RemovePeer(address);
   for (const wire::EngineWorks& engine_requests : load->engines) {
+    if (!IsEngineKey(engine_requests.engine)) continue;
     std::vector<ActiveRequest> decoded;
     decoded.reserve(engine_requests.works.size());
     for (const wire::EngineWork& request : engine_requests.works) {
@@ -270,15 +273,21 @@
 PeerExchange::~PeerExchange() { m_impl->is_stopped = true; }
 
 void PeerExchange::AddPeer(const std::string& address) {
-  if (address == m_impl->options.local_address.ToString()) return;
-  const size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return;
-  asio::error_code error;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-  if (error || m_impl->peers.contains(address)) return;
-  const int port = std::atoi(address.c_str() + colon + 1);
-  Peer& peer = m_impl->peers[address];
-  peer.endpoint = udp::endpoint(ip, static_cast<uint16_t>(port));
+  const auto parsed = ParsePeerAddress(address);
+  if (!parsed) {
+    events::Log(EventId::kPeerFrameRejected,
+                {{"peer", address}, {"reason", "not the address of an entry"}});
+    return;
+  }
+  // Datagrams come from the address in its usual form.
+  const std::string known = parsed->ToString();
+  if (known == m_impl->options.local_address.ToString() ||
+      m_impl->peers.contains(known)) {
+    return;
+  }
+  Peer& peer = m_impl->peers[known];
+  peer.endpoint =
+      udp::endpoint(asio::ip::make_address(parsed->ip), parsed->port);
   wire::EntryLoad greeting = m_impl->MakeReport();
   greeting.wants_reply = true;
   m_impl->SendTo(peer, Encode(greeting));
--- a/src/gateway/peer_exchange_limits.cc
+++ b/src/gateway/peer_exchange_limits.cc
@@ -63,6 +63,7 @@
   if (!rate_limits) return;
   const TimePoint now = SteadyClock().Now();
   for (const wire::EngineLimit& limit : load.limits) {
+    if (!IsEngineKey(limit.engine)) continue;
     const auto cold = ReadColdBelief(limit, now);
     if (cold && cold_engines && cold_engines->NotePeer(limit.engine, *cold)) {
       on_cold_change(limit.engine);
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -4,7 +4,10 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <asio/ip/address.hpp>
+#include <charconv>
 #include <cmath>
+#include <iterator>
 #include <memory>
 
 namespace peridotshelf::gateway {
@@ -20,6 +23,28 @@
 /// Stands for the age of a statement that the engine never made; 10 years.
 constexpr int64_t kNeverStatedMs = int64_t{10} * 365 * 24 * 3600 * 1000;
 
+/// Longest time in a datagram: what it states beyond is no time of a running
+/// process and would overflow the clock. 10 years.
+constexpr int64_t kMaxMillis = kNeverStatedMs;
+/// Bound what one datagram adds to sums.
+constexpr int64_t kMaxMemoryTokens = int64_t{1} << 40;
+constexpr int64_t kMaxRequests = int64_t{1} << 40;
+constexpr int64_t kMaxThousandths = int64_t{1} << 50;
+/// An engine's id has at most 128 bytes, its start at most 20.
+constexpr size_t kMaxEngineKeyBytes = 149;
+
+/// Returns the time `millis` before `now`; a time to come counts as now.
+TimePoint Before(TimePoint now, int64_t millis) {
+  return now -
+         std::chrono::milliseconds(std::clamp<int64_t>(millis, 0, kMaxMillis));
+}
+
+double ToUnits(int64_t thousandths) {
+  return static_cast<double>(
+             std::clamp<int64_t>(thousandths, 0, kMaxThousandths)) /
+         kThousandthsPerUnit;
+}
+
 int32_t MillisUntil(TimePoint now, TimePoint at) {
   return static_cast<int32_t>(std::max<int64_t>(0, ToMilliseconds(at - now)));
 }
@@ -33,6 +58,31 @@
   return buffer->getBufferAsString();
 }
 
+bool IsEngineKey(std::string_view key) {
+  return !key.empty() && key.size() <= kMaxEngineKeyBytes &&
+         std::all_of(key.begin(), key.end(), [](unsigned char byte) {
+           return byte > 0x20 && byte < 0x7F;
+         });
+}
+
+std::optional<PeerAddress> ParsePeerAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  PeerAddress address;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data() + colon + 1, end, address.port);
+  if (error != std::errc() || stop != end || address.port == 0) {
+    return std::nullopt;
+  }
+  asio::error_code ip_error;
+  const auto ip =
+      asio::ip::make_address(std::string(text.substr(0, colon)), ip_error);
+  if (ip_error || ip.is_unspecified() || ip.is_multicast()) return std::nullopt;
+  address.ip = ip.to_string();
+  return address;
+}
+
 Result<wire::EntryLoad> Decode(std::string_view bytes) {
   try {
     std::string copy(bytes);
@@ -77,7 +127,8 @@
   request.is_prefilling = in.reading;
   request.is_prefill_shard = in.is_part;
   request.missed_objective = in.is_late;
-  request.memory_tokens = std::max<int64_t>(in.memory_tokens, 0);
+  request.memory_tokens =
+      std::clamp<int64_t>(in.memory_tokens, 0, kMaxMemoryTokens);
   request.prefill_end = now + std::chrono::milliseconds(in.read_left_ms);
   request.prefill_ms = std::max(in.read_ms, 0);
   if (in.__isset.first_event_left_ms) {
@@ -114,17 +165,14 @@
                                      TimePoint now) {
   scheduling::RateLimitReport report;
   if (in.__isset.per_second_thousandths) {
-    report.per_second =
-        static_cast<double>(in.per_second_thousandths) / kThousandthsPerUnit;
+    report.per_second = ToUnits(in.per_second_thousandths);
   }
   if (in.stated_age_ms < kNeverStatedMs) {
-    report.stated_at =
-        now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
+    report.stated_at = Before(now, in.stated_age_ms);
   }
-  report.sent = in.sent;
-  report.recently_sent = std::max<int64_t>(in.recently_sent, 0);
-  report.demand_per_second =
-      static_cast<double>(in.demand_thousandths) / kThousandthsPerUnit;
+  report.sent = std::clamp<int64_t>(in.sent, 0, kMaxRequests);
+  report.recently_sent = std::clamp<int64_t>(in.recently_sent, 0, kMaxRequests);
+  report.demand_per_second = ToUnits(in.demand_thousandths);
   return report;
 }
 
@@ -174,9 +222,6 @@
 
 quarantine::SuspectRecord FromWire(const wire::CrashSuspect& in,
                                    TimePoint now) {
-  const auto ago = [now](int64_t millis) {
-    return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
-  };
   quarantine::SuspectRecord record;
   record.id = static_cast<quarantine::SuspectId>(in.id);
   record.service = static_cast<uint64_t>(in.service_hash);
@@ -187,16 +232,17 @@
   for (const wire::CrashSighting& sighting : in.sightings) {
     record.sightings.push_back({static_cast<uint64_t>(sighting.engine),
                                 static_cast<uint64_t>(sighting.request),
-                                ago(sighting.sent_age_ms),
-                                ago(sighting.crash_age_ms)});
+                                Before(now, sighting.sent_age_ms),
+                                Before(now, sighting.crash_age_ms)});
   }
   if (in.__isset.completed_age_ms) {
-    record.completed_at = ago(in.completed_age_ms);
+    record.completed_at = Before(now, in.completed_age_ms);
   }
   if (in.__isset.quarantine_level) {
     record.quarantine = {
-        in.quarantine_level, ago(in.quarantine_age_ms),
-        now + std::chrono::milliseconds(in.quarantine_left_ms)};
+        in.quarantine_level, Before(now, in.quarantine_age_ms),
+        now + std::chrono::milliseconds(
+                  std::clamp(in.quarantine_left_ms, -kMaxMillis, kMaxMillis))};
   }
   return record;
 }
@@ -239,18 +285,16 @@
   progress.configuration_version = load.config_version;
   progress.engines_digest = load.engines_digest;
   progress.engines_position = {load.engines_epoch, load.engines_offset};
-  progress.departed_engines = load.departed_engines;
-  const auto before_now = [now](int64_t millis) {
-    return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
-  };
+  std::copy_if(load.departed_engines.begin(), load.departed_engines.end(),
+               std::back_inserter(progress.departed_engines), &IsEngineKey);
   if (load.__isset.operator_read) {
     const wire::TopicRead& read = load.operator_read;
     progress.operator_read = {{read.epoch, read.offset},
-                              before_now(read.age_ms)};
+                              Before(now, read.age_ms)};
   }
   if (load.__isset.engines_age_ms && load.__isset.engines_available_ms) {
-    progress.registry_reads = {before_now(load.engines_available_ms),
-                               before_now(load.engines_age_ms)};
+    progress.registry_reads = {Before(now, load.engines_available_ms),
+                               Before(now, load.engines_age_ms)};
   }
   return progress;
 }
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -23,6 +23,13 @@
 /// Returns kProtocol if `bytes` are no datagram of an entry.
 Result<wire::EntryLoad> Decode(std::string_view bytes);
 
+/// Returns whether `key` can be the key of a registered engine. Reports on
+/// others are ignored, since entries of an older version may send them.
+bool IsEngineKey(std::string_view key);
+/// Returns the address in the text "IP:PORT" that an entry announced, or
+/// nullopt if no process can have it.
+std::optional<PeerAddress> ParsePeerAddress(std::string_view text);
+
 /// Times are sent as durations from `now`, since entries' clocks differ.
 wire::EngineWork ToWire(const scheduling::ActiveRequest& request,
                         TimePoint now);
--- a/testsuite/odd_entries/run.py
+++ b/testsuite/odd_entries/run.py
@@ -38,6 +38,10 @@
     async def start(self):
         self.server = await asyncio.start_server(self.accept, self.ip, self.port)
 
+    async def stop(self):
+        self.server.close()
+        await self.server.wait_closed()
+
     async def accept(self, _reader, writer):
         self.connections += 1
         writer.close()
@@ -167,6 +171,7 @@
         sent_before, served_before = calls.sent, calls.served
         checks.append(await check_started_gateway(fleet))
         checks.append(await check_replacement(fleet, calls, hosts[1]))
+        await trap.stop()
         ended = sum(gateway.has_exited_unexpectedly()
                     for gateway in fleet.gateways)
         print(f"{served_before} of {sent_before} requests were served beside odd "
