Take a refusal as proof only if it names the request

Callers could be told "not run, try again" (503) for an unrepeatable request that an engine had run, and the request could run at a second engine, if a faulty engine wrote an earlier refusal without an id before its answer.

Cause: an answer with "not run", or of another engine (421), counted as proof unless it named another request. One that names none passed, with any status.

An answer now proves that its engine did not run the request only if it carries the request's id (or the request has none) and, apart from 421, has a status that engines refuse with: 400, 408, 421, 429, 503. Any other one is a broken answer, after which an unrepeatable request ends with 502. A success or a 500 that says "not run" is treated as what its status says.

The scripted engines of the fixture sent refusals without an id, which real engines do not; they now echo it. What these tests check is unchanged.

--- a/src/gateway/failure.cc
+++ b/src/gateway/failure.cc
@@ -43,4 +43,12 @@
          status == http::kTooManyRequests || status == http::kUnavailable;
 }
 
+bool ProvesNotRun(const AnswerHead& head, const CallerRequest& request) {
+  const bool names_request = head.matches_request || request.id.empty();
+  const bool is_refusal =
+      PromisesNotRun(head.status) || head.status == http::kBadRequest;
+  return names_request &&
+         (head.is_other_engine || (head.is_not_run && is_refusal));
+}
+
 }  // namespace peridotshelf::gateway
--- a/src/gateway/failure.h
+++ b/src/gateway/failure.h
@@ -4,6 +4,8 @@
 
 #include <string_view>
 
+#include "peridotshelf/gateway/messages.h"
+
 namespace peridotshelf::gateway {
 
 /// Why an attempt at an engine failed.
@@ -31,4 +33,9 @@
 /// has not run and will not.
 bool PromisesNotRun(int status);
 
+/// Returns whether an answer proves that its engine did not run `request`. Only
+/// a refusal with the id of the request does: a faulty engine may write an
+/// earlier refusal once more.
+bool ProvesNotRun(const AnswerHead& head, const CallerRequest& request);
+
 }  // namespace peridotshelf::gateway
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -115,8 +115,9 @@
   }
   // A different engine at the address speaks of itself.
   if (!head.is_other_engine) NoteState(live->attempt->engine_key, head);
+  const bool is_proved_not_run = ProvesNotRun(head, live->request);
   const auto helper = FindHelper(*live->attempt, head.failed_address);
-  if (helper && (head.is_not_run || head.is_other_engine)) {
+  if (helper && is_proved_not_run) {
     // The primary engine may be chosen again.
     live->tried_engines.pop_back();
     Fail(live, FailureCause::kHelperFailed,
@@ -124,13 +125,13 @@
          *helper);
     return;
   }
-  if (head.is_other_engine) {
+  if (head.is_other_engine && is_proved_not_run) {
     Fail(live, FailureCause::kOtherEngine,
          "a different engine uses the address");
     return;
   }
   NoteLimit(*live->attempt, head);
-  if (head.is_not_run) {
+  if (is_proved_not_run) {
     Fail(live, FailureCause::kNotRun, "status " + std::to_string(head.status));
     return;
   }
--- a/src/gateway/gateway_call_test.cc
+++ b/src/gateway/gateway_call_test.cc
@@ -72,8 +72,10 @@
     CPPUNIT_ASSERT(EngineAt(0).Count() <= 1);
   }
   void Call_RejectionSaysThatEngineLeaves_GetsNoFurtherRequest() {
-    AddEngine([](const ServerRequest&, const ResponderPtr& responder) {
-      responder->Reply(503, {{"Not-Run", "1"}, {"Leaving", "1"}}, "");
+    AddEngine([](const ServerRequest& request, const ResponderPtr& responder) {
+      auto headers = NotRunHeaders(request);
+      headers.push_back({"Leaving", "1"});
+      responder->Reply(503, std::move(headers), "");
     });
     AddEngine(&RespondNotRun);
     Configure();
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -74,6 +74,7 @@
     AnswerHead head;
     head.status = from.status;
     head.is_not_run = from.FindHeader("Not-Run").has_value();
+    head.is_other_engine = from.FindHeader("Other-Engine").has_value();
     head.failed_address = from.FindHeader("Failed").value_or("");
     const auto id = from.FindHeader("Id");
     head.matches_request = id == request.id.value();
@@ -155,15 +156,22 @@
   responder->Reply(200, std::move(headers), "leaving");
 }
 
-inline void RespondNotRun(const ServerRequest& /*request*/,
+inline std::vector<Header> NotRunHeaders(const ServerRequest& request) {
+  return {{"Id", std::string(request.FindHeader("Id").value_or(""))},
+          {"Not-Run", "1"}};
+}
+
+inline void RespondNotRun(const ServerRequest& request,
                           const ResponderPtr& responder) {
-  responder->Reply(503, {{"Not-Run", "1"}}, "");
+  responder->Reply(503, NotRunHeaders(request), "");
 }
 
 /// Responds like `RespondNotRun` and asks for a pause.
-inline void RespondWithPause(const ServerRequest& /*request*/,
+inline void RespondWithPause(const ServerRequest& request,
                              const ResponderPtr& responder) {
-  responder->Reply(503, {{"Not-Run", "1"}, {"Pause-Ms", "900"}}, "");
+  auto headers = NotRunHeaders(request);
+  headers.push_back({"Pause-Ms", "900"});
+  responder->Reply(503, std::move(headers), "");
 }
 
 inline void AbortConnection(const ServerRequest& /*request*/,
--- a/src/gateway/gateway_stream_test.cc
+++ b/src/gateway/gateway_stream_test.cc
@@ -264,8 +264,9 @@
                                     const ResponderPtr& responder) {
             if (failed_helper.empty()) {
               failed_helper = AddressOfHelper(i);
-              responder->Reply(
-                  503, {{"Not-Run", "1"}, {"Failed", failed_helper}}, "");
+              auto headers = NotRunHeaders(request);
+              headers.push_back({"Failed", failed_helper});
+              responder->Reply(503, std::move(headers), "");
               return;
             }
             responder->BeginStream(200, SignedHeaders(request));
