Don't pass on an engine's refusal without proof that nothing ran

The caller of an unrepeatable request got 408, 429 or 503, which promise "not run", from an engine that did not state that it had not run the request.

Cause: a signed answer of an engine that lacks "not run" counted as a run, but was passed on if it was the only one. Only the statement "not run" and 421 say that the engine has not run the request; its status alone says nothing.

Such an answer to a request that may not be repeated is now 502. For requests that may be repeated it is passed on as before, unless another attempt may have run.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -161,9 +161,9 @@
     return;
   }
   // The attempt that failed is one of the possible runs.
-  const bool is_false_refusal = live->engine_failure &&
-                                live->possible_runs > 1 &&
-                                PromisesNotRun(live->engine_failure->status);
+  const bool is_false_refusal =
+      live->engine_failure && PromisesNotRun(live->engine_failure->status) &&
+      (live->possible_runs > 1 || !live->route->IsRetryable());
   if (live->engine_failure && !is_false_refusal) {
     const int status = live->engine_failure->status;
     live->responder->Reply(status, std::move(live->engine_failure->headers),
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -17,10 +17,13 @@
   if (live->is_head_sent) {
     EndAttempts(*live);
     live->responder->EndStream();
-  } else if (live->possible_runs > 0 && PromisesNotRun(status)) {
-    // It is true of this attempt, not of an earlier one.
+  } else if (PromisesNotRun(status) &&
+             (live->possible_runs > 0 || !live->route->IsRetryable())) {
+    // It may be true of this attempt, not of an earlier one, and an engine that
+    // does not state "not run" may have run the request.
+    ++live->possible_runs;
     EndAttempts(*live);
-    GiveUp(live, "refused_after_loss");
+    GiveUp(live, "refused_without_proof");
     return;
   } else {
     state.NoteCallTime(MillisBetween(attempt.sent_at, now));
--- a/src/gateway/repeated_refusal_test.cc
+++ b/src/gateway/repeated_refusal_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(Post_OwnRefusalAfterItsAnswer_IsIgnored);
   CPPUNIT_TEST(Post_RefusalOfNextRequestAfterItsAnswer_IsIgnored);
   CPPUNIT_TEST(Post_OwnRefusal_RunsAtTheOtherEngine);
+  CPPUNIT_TEST(Post_SignedRefusalWithoutNotRun_IsNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,14 @@
     CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
     CPPUNIT_ASSERT_EQUAL(2, m_requests.load());
   }
+  // Guards against a promise to the caller that its engine did not make.
+  void Post_SignedRefusalWithoutNotRun_IsNotPassedOn() {
+    for (const int status : {408, 429, 503}) {
+      m_before = "HTTP/1.1 " + std::to_string(status) + " Busy\r\n" + kOwnId +
+                 "Signature: s\r\n" + kEmptyBody;
+      CheckRunsOnce(502);
+    }
+  }
 
   void setUp() override {
     GatewayFixture::setUp();
