Give each call of a side to its engine a connection of its own

A side told its entry "not run" for an attempt that its engine executed, if the engine wrote an earlier refusal once more on the kept connection. An attempt whose kept connection the engine closed without an answer reached it twice, and a cancellation that had failed counted as done.

Cause: the side reused connections to its engines. Their answers do not name the attempt, so a late copy is taken for the next answer, and libcurl sends a request again on a reused connection that was closed without an answer.

Each call now opens a connection and closes it after the answer, as calls to the store, orders and requests of the gateway do.

EngineClientTest: before, 3 of 3 failed (second run refused as not run, 3 requests instead of 2, failed cancellation taken for success); now 3 of 3 pass.

--- a/src/backend/engine_client.cc
+++ b/src/backend/engine_client.cc
@@ -86,6 +86,17 @@
   int m_status = 0;
 };
 
+/// Returns a call with a connection of its own. On a kept one a late copy of an
+/// answer would be taken for the answer to the next call, and a call could be
+/// sent twice.
+http::ClientRequest MakeCall(std::string method, std::string url) {
+  http::ClientRequest request;
+  request.method = std::move(method);
+  request.url = std::move(url);
+  request.fresh_connection = true;
+  return request;
+}
+
 std::string RunPath(const std::string& base_url, const AttemptId& attempt) {
   return base_url + std::string(kRunsPath) + "/" + attempt.ToString();
 }
@@ -167,9 +178,8 @@
             {"model", run.model},
             {"max_tokens", run.max_tokens},
             {"priority", run.priority}};
-  http::ClientRequest request;
-  request.method = "POST";
-  request.url = m_base_url + std::string(kRunsPath);
+  http::ClientRequest request =
+      MakeCall("POST", m_base_url + std::string(kRunsPath));
   request.headers = {{"Content-Type", "application/json"}};
   // The prompt is already JSON and may be large, so it is inserted without
   // parsing.
@@ -184,17 +194,15 @@
 
 void EngineClient::Resume(const AttemptId& attempt, int64_t from_offset,
                           EngineCallbacks callbacks) {
-  http::ClientRequest request;
-  request.url =
-      RunPath(m_base_url, attempt) + "?from=" + std::to_string(from_offset);
-  Stream(std::move(request), std::move(callbacks));
+  Stream(MakeCall("GET", RunPath(m_base_url, attempt) +
+                             "?from=" + std::to_string(from_offset)),
+         std::move(callbacks));
 }
 
 void EngineClient::Cancel(const AttemptId& attempt,
                           std::function<void(Result<void>)> on_cancelled) {
-  http::ClientRequest request;
-  request.method = "DELETE";
-  request.url = RunPath(m_base_url, attempt);
+  http::ClientRequest request =
+      MakeCall("DELETE", RunPath(m_base_url, attempt));
   request.timeout = kCallTimeout;
   m_client.Fetch(
       std::move(request), [on_cancelled = std::move(on_cancelled)](
@@ -214,8 +222,8 @@
 
 void EngineClient::ListStreams(
     std::function<void(Result<std::vector<EngineStream>>)> on_streams) {
-  http::ClientRequest request;
-  request.url = m_base_url + std::string(kRunsPath);
+  http::ClientRequest request =
+      MakeCall("GET", m_base_url + std::string(kRunsPath));
   request.timeout = kCallTimeout;
   m_client.Fetch(
       std::move(request), MakeJsonHandler([on_streams = std::move(on_streams)](
@@ -234,8 +242,8 @@
 }
 
 void EngineClient::Report(std::function<void(Result<EngineReport>)> on_report) {
-  http::ClientRequest request;
-  request.url = m_base_url + "/v1/engine/report";
+  http::ClientRequest request =
+      MakeCall("GET", m_base_url + "/v1/engine/report");
   request.timeout = kCallTimeout;
   m_client.Fetch(
       std::move(request), MakeJsonHandler([on_report = std::move(on_report)](
