Continue a stream only with an answer of its kind

A stream broke off, and the engine that was asked for the rest answered with an error: callers found its text in the middle of their stream, or the stream ended as if it were complete.

Cause: any signed answer with a 2xx status continued a stream. Events were taken from 201, 202 and 206 answers, from JSON bodies with a line "id: 3", and from events of type "error" with the next number; an empty 204 or an empty JSON answer ended the stream as complete.

An answer now continues a stream only if its status and media type are those of the answer whose events the caller has, and if its first event is not of type "error". Any other one has failed; another engine may continue the stream within the retry budget, else it is cut. Error statuses were handled before.

The codec of the fixture now tells, like the platform's, whether an answer ends with its connection.

An event that describes an error in its data, has the next number and no type cannot be told from one of the stream.

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -4,6 +4,7 @@
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
+#include "resumption.h"
 
 namespace peridotshelf::gateway {
 namespace {
@@ -54,6 +55,7 @@
   attempt.sent_at = now;
   attempt.last_progress = now;
   attempt.own_pause = {};
+  attempt.resumed_after = live->last_event_number;
   if (live->sent_attempts++ > 0) {
     retries_sent.WithoutLabel().Add();
   } else if (hedging.IsEnabled()) {
@@ -142,6 +144,11 @@
     return;
   }
   live->attempt->head = std::move(head);
+  NoteStreamHead(*live, response_head);
+  if (!CanContinueStream(*live)) {
+    Fail(live, FailureCause::kBroken,
+         "the response is of another kind than the stream to be continued");
+  }
 }
 
 void Gateway::Impl::OnData(const LiveRequestPtr& live,
@@ -171,17 +178,11 @@
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
   const auto number = ParseEventNumber(event);
-  if (!number) {
-    Fail(live, FailureCause::kBroken, "an event has no number");
+  if (const auto fault = FindEventFault(*live, number, event)) {
+    Fail(live, FailureCause::kBroken, *fault);
     return;
   }
-  if (live->last_event_number) {
-    if (*number <= *live->last_event_number) return;
-    if (*number != *live->last_event_number + 1) {
-      Fail(live, FailureCause::kBroken, "an event is missing");
-      return;
-    }
-  }
+  if (live->last_event_number && *number <= *live->last_event_number) return;
   // Neither bytes that complete no event nor repeated events are progress.
   attempt.last_progress = now;
   if (!attempt.has_event) {
@@ -192,6 +193,8 @@
   }
   live->last_event_number = number;
   if (!std::exchange(live->is_head_sent, true)) {
+    live->stream_status = attempt.head->status;
+    live->stream_content_type = attempt.content_type;
     live->responder->BeginStream(attempt.head->status, attempt.head->headers);
   }
   live->responder->Write(std::string(event));
@@ -228,11 +231,8 @@
     return;
   }
   const bool is_event_stream = live->IsStream() && http::IsSuccess(status);
-  // A stream that broke after its last event has none left to resume.
-  const bool may_have_no_event =
-      live->last_event_number && !attempt.head->ends_with_connection;
   if (is_event_stream && (attempt.events.HasIncompleteEvent() ||
-                          (!attempt.has_event && !may_have_no_event))) {
+                          (!attempt.has_event && !MayHaveNoEvent(*live)))) {
     ProbeAfterBreak(*live);
     Fail(live, FailureCause::kBroken,
          "the stream ended without an event or inside one");
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -80,6 +80,8 @@
     head.matches_request = id == request.id.value();
     head.names_another_request = id && !head.matches_request;
     head.is_signed = from.FindHeader("Signature").has_value();
+    head.ends_with_connection = !from.FindHeader("Content-Length") &&
+                                !from.FindHeader("Transfer-Encoding");
     head.headers = {{"Signature", "s"}};
     ReadEngineState(from.headers, head);
     if (const auto limit = from.FindHeader("Limit")) {
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -41,6 +41,9 @@
   /// A second attempt, sent while the first one runs.
   bool is_hedge = false;
   std::optional<AnswerHead> head;
+  std::string content_type;
+  /// Number of the event after which the stream is to be continued, if any.
+  std::optional<int64_t> resumed_after;
   /// Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
@@ -102,6 +105,9 @@
   bool is_denied_hedge_counted = false;
   /// Whether the response head was sent to the caller.
   bool is_head_sent = false;
+  /// Status and content type of that head, if it began a stream.
+  int stream_status = 0;
+  std::string stream_content_type;
   /// Time from arrival to the first event; nullopt until then.
   std::optional<double> first_event_ms;
   /// Prediction of `first_event_ms` when the successful attempt was sent.
--- a/src/gateway/messages.cc
+++ b/src/gateway/messages.cc
@@ -20,22 +20,38 @@
   return crlf + kBlankLineCrLf.size();
 }
 
-}  // namespace
-
-std::optional<int64_t> ParseEventNumber(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+/// Returns the values of all lines of `event` that begin with `field`.
+std::vector<std::string_view> FindValues(std::string_view event,
+                                         std::string_view field) {
+  std::vector<std::string_view> values;
   while (!event.empty()) {
     std::string_view line = event.substr(0, event.find('\n'));
     event.remove_prefix(std::min(event.size(), line.size() + 1));
-    if (!line.starts_with(kField)) continue;
-    line.remove_prefix(kField.size());
+    if (!line.starts_with(field)) continue;
+    line.remove_prefix(field.size());
     while (line.starts_with(' ')) line.remove_prefix(1);
-    int64_t number = 0;
-    const auto [end, error] =
-        std::from_chars(line.data(), line.data() + line.size(), number);
-    if (error == std::errc()) return number;
+    while (line.ends_with('\r') || line.ends_with(' ')) line.remove_suffix(1);
+    values.push_back(line);
   }
-  return std::nullopt;
+  return values;
+}
+
+}  // namespace
+
+std::optional<int64_t> ParseEventNumber(std::string_view event) {
+  const std::vector<std::string_view> ids = FindValues(event, "id:");
+  if (ids.empty()) return std::nullopt;
+  const std::string_view id = ids.front();
+  int64_t number = 0;
+  const auto error =
+      std::from_chars(id.data(), id.data() + id.size(), number).ec;
+  if (error != std::errc()) return std::nullopt;
+  return number;
+}
+
+bool IsErrorEvent(std::string_view event) {
+  const std::vector<std::string_view> types = FindValues(event, "event:");
+  return !types.empty() && types.back() == "error";
 }
 
 std::vector<std::string> EventSplitter::Feed(std::string_view bytes) {
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -131,6 +131,9 @@
 /// Returns the number in the `id:` line of one complete event, if it has one.
 std::optional<int64_t> ParseEventNumber(std::string_view event);
 
+/// Returns whether the type of one complete event is `error`.
+bool IsErrorEvent(std::string_view event);
+
 /// Splits a stream of server-sent events into complete events, which end with a
 /// blank line.
 class EventSplitter {
