Join no events of another run to a stream, and none with two numbers

A stream that broke off could go on with events of a run that had begun anew, or with an event whose id is not a number, such as "3x", or that has two ids. Its caller then has events that do not follow each other, or that it counts otherwise.

Cause: events that the caller had were dropped as repeated, so that a run from its first event on looked like the rest of the stream; it ended as complete also where the new run ended before event 2. An id was read up to its first character that is not a digit, and the first of several ids counted.

An answer that begins before the event that the caller named as its last one does not continue the stream and has failed. One that repeats that event is still accepted, as are repeated events later on. An event needs exactly one id, a decimal number that is not negative.

EventSplitterTest covers the ids.

--- a/src/gateway/messages.cc
+++ b/src/gateway/messages.cc
@@ -40,12 +40,15 @@
 
 std::optional<int64_t> ParseEventNumber(std::string_view event) {
   const std::vector<std::string_view> ids = FindValues(event, "id:");
-  if (ids.empty()) return std::nullopt;
+  if (ids.size() != 1) return std::nullopt;
   const std::string_view id = ids.front();
+  if (id.starts_with('-')) return std::nullopt;
   int64_t number = 0;
-  const auto error =
-      std::from_chars(id.data(), id.data() + id.size(), number).ec;
-  if (error != std::errc()) return std::nullopt;
+  const auto [end, error] =
+      std::from_chars(id.data(), id.data() + id.size(), number);
+  if (error != std::errc() || end != id.data() + id.size()) {
+    return std::nullopt;
+  }
   return number;
 }
 
--- a/src/gateway/messages_test.cc
+++ b/src/gateway/messages_test.cc
@@ -43,7 +43,11 @@
                          ParseEventNumber("data: x\nid: 12\n\n").value());
     CPPUNIT_ASSERT_EQUAL(int64_t{3}, ParseEventNumber("id:3\r\n\r\n").value());
     CPPUNIT_ASSERT(!ParseEventNumber("data: x\n\n"));
-    CPPUNIT_ASSERT(!ParseEventNumber("id: x\n\n"));
+    for (const char* id : {"x", "3x", "x3", "", "-3", "+3", "3.0", "3 4",
+                           "3\nid: 4", "99999999999999999999"}) {
+      CPPUNIT_ASSERT(
+          !ParseEventNumber("id: " + std::string(id) + "\ndata: x\n\n"));
+    }
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
--- a/src/gateway/resumed_stream_test.cc
+++ b/src/gateway/resumed_stream_test.cc
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(Stream_ContinuedByAnotherKindOfBody_IsCut);
   CPPUNIT_TEST(Stream_ContinuedByAnErrorEvent_IsCut);
   CPPUNIT_TEST(Stream_ContinuedByAHeadInTheBody_IsCut);
+  CPPUNIT_TEST(Stream_ContinuedByANewRun_IsCut);
+  CPPUNIT_TEST(Stream_ContinuedWithWrongNumbers_IsCutBeforeThem);
   CPPUNIT_TEST(Stream_ContinuedWithRepeatedEvents_HasEachOnce);
   CPPUNIT_TEST(Stream_ContinuationCut_IsCut);
   CPPUNIT_TEST(Stream_ContinuationNeverComes_IsCutAtDeadline);
@@ -120,6 +122,20 @@
     m_answer = WithoutLength("200 OK", kOwn + kEvents, MakeEvent(3) + error);
     CheckBegins(MakeEvent(3));
   }
+  void Stream_ContinuedByANewRun_IsCut() {
+    CheckCut(Chunked("200 OK", kOwn + kEvents, MakeEvent(0) + kBegin + kRest));
+    CheckCut(Chunked("200 OK", kOwn + kEvents, kBegin + kRest));
+    CheckCut(Chunked("200 OK", kOwn + kEvents, MakeEvent(1)));
+  }
+  void Stream_ContinuedWithWrongNumbers_IsCutBeforeThem() {
+    for (const char* id : {"x", "3x", "", "3 4", "0x3", "+3", "-3", "3.0", "4",
+                           "99", "3\nid: 4", "99999999999999999999"}) {
+      const std::string event = std::string("id: ") + id + "\ndata: x\n\n";
+      CheckCut(Chunked("200 OK", kOwn + kEvents, event));
+    }
+    m_answer = Chunked("200 OK", kOwn + kEvents, MakeEvent(3) + MakeEvent(5));
+    CheckBegins(MakeEvent(3));
+  }
   void Stream_ContinuedWithRepeatedEvents_HasEachOnce() {
     CheckWhole(Chunked("200 OK", kOwn + kEvents,
                        MakeEvent(2) + MakeEvent(3) + MakeEvent(3) +
--- a/src/gateway/resumption.cc
+++ b/src/gateway/resumption.cc
@@ -44,6 +44,9 @@
   if (*number > *last && *number - 1 != *last) return "an event is missing";
   const Attempt& attempt = *live.attempt;
   if (attempt.has_event || !attempt.resumed_after) return std::nullopt;
+  if (*number < *attempt.resumed_after) {
+    return "the answer does not continue the stream";
+  }
   if (IsErrorEvent(event)) return "an error event continues the stream";
   return std::nullopt;
 }
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -128,7 +128,8 @@
       write_release;
 };
 
-/// Returns the number in the `id:` line of one complete event, if it has one.
+/// Returns the number in the `id:` line of one complete event; none if it does
+/// not have exactly one such line with a decimal number.
 std::optional<int64_t> ParseEventNumber(std::string_view event);
 
 /// Returns whether the type of one complete event is `error`.
