End no stream as complete while an event is known to be missing

A stream that broke off in the middle of event 3 ended as complete after event 2 if the engine that was asked for the rest answered with an empty, signed 200.

Cause: an answer without events to a resumption was always taken for the end of a stream that broke after its last event. What the first engine had begun to send was forgotten.

The request now keeps whether a broken attempt had sent a part of an event, or less than the length that it stated, until the next event arrives. If so, an answer without events has failed.

ResumedStreamTest::Stream_BrokenInsideAnEventContinuedByNothing_* and _BrokenBeforeItsLengthContinuedByNothing_*: without the check 2 of 14 tests fail, with it 14 of 14 pass. Stream_BrokenBetweenEventsContinuedByNothing_IsWhole and GatewayStreamTest::Stream_ConnectionLostAfterLastEvent_IsComplete guard against a cut of complete streams. gateway_test: 171 of 171 pass.

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -192,6 +192,7 @@
     NotePause(*live, now);
   }
   live->last_event_number = number;
+  live->is_event_missing = false;
   if (!std::exchange(live->is_head_sent, true)) {
     live->stream_status = attempt.head->status;
     live->stream_content_type = attempt.content_type;
@@ -309,6 +310,7 @@
   if (live->hedge && live->hedge->number == attempt.number) {
     EndHedge(*live, "failed");
   }
+  NoteStreamBreak(*live);
   EndAttempt(*live);
   if (live->attempt) {
     // The other attempt of a hedged request goes on; it may still answer.
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -42,6 +42,8 @@
   bool is_hedge = false;
   std::optional<AnswerHead> head;
   std::string content_type;
+  /// The answer states the length of its body.
+  bool has_length = false;
   /// Number of the event after which the stream is to be continued, if any.
   std::optional<int64_t> resumed_after;
   /// Body of a response that is not streamed.
@@ -108,6 +110,9 @@
   /// Status and content type of that head, if it began a stream.
   int stream_status = 0;
   std::string stream_content_type;
+  /// Whether a stream broke off before bytes that its engine was to send, so
+  /// that an event follows `last_event_number`.
+  bool is_event_missing = false;
   /// Time from arrival to the first event; nullopt until then.
   std::optional<double> first_event_ms;
   /// Prediction of `first_event_ms` when the successful attempt was sent.
--- a/src/gateway/resumed_stream_test.cc
+++ b/src/gateway/resumed_stream_test.cc
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(Stream_ContinuationCut_IsCut);
   CPPUNIT_TEST(Stream_ContinuationNeverComes_IsCutAtDeadline);
   CPPUNIT_TEST(Stream_BrokenBetweenEventsContinuedByNothing_IsWhole);
+  CPPUNIT_TEST(Stream_BrokenInsideAnEventContinuedByNothing_IsCut);
+  CPPUNIT_TEST(Stream_BrokenBeforeItsLengthContinuedByNothing_IsCut);
   CPPUNIT_TEST(Stream_ContinuedByNothingWithoutLength_IsCut);
   CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +162,18 @@
     CheckWhole(Chunked("200 OK", kOwn + kEvents, ""), "");
     CheckWhole(WithLength("200 OK", kOwn + kEvents, ""), "");
   }
+  void Stream_BrokenInsideAnEventContinuedByNothing_IsCut() {
+    for (const char* partial : {"i", "id: 3\n", "id: 3\ndata: x\n"}) {
+      m_partial = partial;
+      CheckCut(Chunked("200 OK", kOwn + kEvents, ""));
+      CheckCut(WithLength("200 OK", kOwn + kEvents, ""));
+    }
+  }
+  void Stream_BrokenBeforeItsLengthContinuedByNothing_IsCut() {
+    m_has_length = true;
+    CheckCut(Chunked("200 OK", kOwn + kEvents, ""));
+    CheckCut(WithLength("200 OK", kOwn + kEvents, ""));
+  }
   void Stream_ContinuedByNothingWithoutLength_IsCut() {
     CheckCut(WithoutLength("200 OK", kOwn + kEvents, ""));
   }
@@ -197,8 +211,11 @@
     }
     const std::string body = kBegin + m_partial;
     const std::string head = "HTTP/1.1 200 OK\r\n" + kOwn + kEvents;
-    connection.Write(head + "Transfer-Encoding: chunked\r\n\r\n" +
-                     MakeChunk(body));
+    connection.Write(
+        m_has_length
+            ? head + "Content-Length: " + std::to_string(2 * body.size()) +
+                  "\r\n\r\n" + body
+            : head + "Transfer-Encoding: chunked\r\n\r\n" + MakeChunk(body));
   }
 
   /// Returns what the caller gets.
@@ -236,6 +253,8 @@
 
   /// Bytes of the first answer after event 2.
   std::string m_partial;
+  /// Whether the first answer states a length that it does not reach.
+  bool m_has_length = false;
   /// The answer to the resumption, and whether its connection stays open.
   std::string m_answer;
   bool m_stays_open = false;
--- a/src/gateway/resumption.cc
+++ b/src/gateway/resumption.cc
@@ -25,6 +25,7 @@
 void NoteStreamHead(LiveRequest& live, const http::ClientResponseHead& head) {
   Attempt& attempt = *live.attempt;
   attempt.content_type = head.content_type;
+  attempt.has_length = head.FindHeader("Content-Length").has_value();
 }
 
 bool CanContinueStream(const LiveRequest& live) {
@@ -51,8 +52,17 @@
   return std::nullopt;
 }
 
+void NoteStreamBreak(LiveRequest& live) {
+  const Attempt& attempt = *live.attempt;
+  if (!attempt.has_event) return;
+  if (attempt.events.HasIncompleteEvent() || attempt.has_length) {
+    live.is_event_missing = true;
+  }
+}
+
 bool MayHaveNoEvent(const LiveRequest& live) {
-  return live.last_event_number && !live.attempt->head->ends_with_connection;
+  return live.last_event_number && !live.is_event_missing &&
+         !live.attempt->head->ends_with_connection;
 }
 
 }  // namespace peridotshelf::gateway
--- a/src/gateway/resumption.h
+++ b/src/gateway/resumption.h
@@ -1,4 +1,5 @@
-/// Decides whether an answer continues a stream that broke off.
+/// Decides whether an answer continues a stream that broke off, and whether
+/// events are missing at its end.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +25,9 @@
                                                std::optional<int64_t> number,
                                                std::string_view event);
 
+/// Keeps what the break of the current attempt tells about missing events.
+void NoteStreamBreak(LiveRequest& live);
+
 /// Returns whether the answer of the current attempt may have no event that the
 /// caller does not have: a stream that broke after its last event has none
 /// left.
