Give each call to the log and the host list a connection of its own

An append that the log had executed was reported as "not run" if the log wrote the refusal of an earlier append once more, an append whose kept connection was closed without an answer was made twice, a reader went back to an earlier page, and hosts that were gone came back with an earlier list.

Cause: these calls reused connections, as a side's calls to its engine did. The answers do not name their call, and libcurl sends a request again on a reused connection that was closed without an answer.

--- a/src/platform/host_list.cc
+++ b/src/platform/host_list.cc
@@ -95,6 +95,8 @@
   http::ClientRequest request;
   request.url = m_base_url + "/v1/hosts";
   request.timeout = m_timeout;
+  // On a kept connection a late copy of a list would be taken for the next one.
+  request.fresh_connection = true;
   {
     std::scoped_lock lock(m_cache->mutex);
     if (!m_cache->etag.empty()) {
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -62,6 +62,17 @@
   }
 }
 
+/// Returns a call with a connection of its own. On a kept one a late copy of an
+/// answer would be taken for the answer to the next call, and a call could be
+/// sent twice.
+http::ClientRequest MakeCall(std::string url, Duration timeout) {
+  http::ClientRequest request;
+  request.url = std::move(url);
+  request.timeout = timeout;
+  request.fresh_connection = true;
+  return request;
+}
+
 }  // namespace
 
 HttpLogClient::HttpLogClient(std::string base_url, http::Client& client,
@@ -70,12 +81,11 @@
 
 void HttpLogClient::Append(std::string payload,
                            std::function<void(Result<int64_t>)> on_appended) {
-  http::ClientRequest request;
+  http::ClientRequest request =
+      MakeCall(m_base_url + "/v1/log", m_options.append_timeout);
   request.method = "POST";
-  request.url = m_base_url + "/v1/log";
   request.headers = {{"Content-Type", "application/octet-stream"}};
   request.body = std::move(payload);
-  request.timeout = m_options.append_timeout;
   m_client->Fetch(std::move(request),
                   [on_appended = std::move(on_appended)](
                       const Result<http::ClientResponse>& response) {
@@ -85,11 +95,9 @@
 
 void HttpLogClient::Read(int64_t from, Duration wait,
                          std::function<void(Result<LogPage>)> on_read) {
-  http::ClientRequest request;
-  request.url = m_base_url + "/v1/log?from=" + std::to_string(from) +
-                "&wait_ms=" + std::to_string(ToMilliseconds(wait));
-  request.timeout = wait + m_options.read_grace;
-  m_client->Fetch(std::move(request),
+  std::string url = m_base_url + "/v1/log?from=" + std::to_string(from) +
+                    "&wait_ms=" + std::to_string(ToMilliseconds(wait));
+  m_client->Fetch(MakeCall(std::move(url), wait + m_options.read_grace),
                   [on_read = std::move(on_read)](
                       const Result<http::ClientResponse>& response) {
                     on_read(ReadPage(response));
