Give each call of a side to a backend server a connection of its own

The caller of a repeatable call got the answer to another call if the backend server wrote that answer once more.

Cause: only unrepeatable calls had their own connections. Answers of backend servers do not name their call, so on a kept connection a late copy is taken for the next answer.

ServiceCallsTest: before, the second call got the answer "1" instead of "2"; now each call gets its own (5 of 5 runs).

--- a/src/side/service_calls.cc
+++ b/src/side/service_calls.cc
@@ -15,10 +15,10 @@
   request.url = base_url + call.target;
   request.timeout = std::chrono::milliseconds(call.remaining_ms);
   request.body = std::move(call.payload);
-  // The HTTP library resends a request if the keep-alive connection that it
-  // reused turns out to be closed, so an unrepeatable call uses a new
-  // connection.
-  request.fresh_connection = call.unrepeatable;
+  // On a kept connection a late copy of an answer would be taken for the answer
+  // to the next call, and the HTTP library sends a request again if the
+  // connection turns out to be closed.
+  request.fresh_connection = true;
   if (!call.content_type.empty()) {
     request.headers.push_back({"Content-Type", call.content_type});
   }
