--- a/src/gateway/repeated_refusal_test.cc
+++ b/src/gateway/repeated_refusal_test.cc
@@ -16,9 +16,13 @@
     "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\n"
     "Content-Length: 3\r\n\r\nran";
 
+std::string MakeEmptyAnswer(int status, const std::string& headers) {
+  return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers +
+         kEmptyBody;
+}
+
 std::string MakeRefusal(int status, const std::string& headers) {
-  return "HTTP/1.1 " + std::to_string(status) + " Refused\r\nNot-Run: 1\r\n" +
-         headers + kEmptyBody;
+  return MakeEmptyAnswer(status, "Not-Run: 1\r\n" + headers);
 }
 
 /// Two engines that run each request that they read, and write the bytes of an
@@ -63,6 +67,9 @@
   void Post_InformationalAnswerSaysNotRun_IsNoProof() {
     m_before = "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n" + kOwnId + "\r\n";
     CheckRunsOnce(200);
+    // No protocol was offered, so what follows is not read as an answer.
+    m_before = "HTTP/1.1 101 Switching\r\nNot-Run: 1\r\n" + kOwnId + "\r\n";
+    CheckRunsOnce(502);
   }
   void Post_SuccessThatSaysNotRun_IsNoProof() {
     m_before = MakeRefusal(200, kOwnId + "Signature: s\r\n");
@@ -90,8 +97,7 @@
   // Guards against a promise to the caller that its engine did not make.
   void Post_SignedRefusalWithoutNotRun_IsNotPassedOn() {
     for (const int status : {408, 429, 503}) {
-      m_before = "HTTP/1.1 " + std::to_string(status) + " Busy\r\n" + kOwnId +
-                 "Signature: s\r\n" + kEmptyBody;
+      m_before = MakeEmptyAnswer(status, kOwnId + "Signature: s\r\n");
       CheckRunsOnce(502);
     }
   }
--- a/src/gateway/resumed_stream_test.cc
+++ b/src/gateway/resumed_stream_test.cc
@@ -65,12 +65,13 @@
   // Guard against a stream with bytes of an answer that does not continue it,
   // or that ends as complete although events are missing.
   void Stream_Continued_IsWhole() {
-    const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                              Chunked("200 OK", kOwn + kEvents, kRest);
     for (const char* partial : {"", "id: 3\nda"}) {
       m_partial = partial;
       CheckWhole(WithLength("200 OK", kOwn + kEvents, kRest), kRest);
       CheckWhole(Chunked("200 OK", kOwn + kEvents, kRest), kRest);
-      CheckWhole(early + Chunked("200 OK", kOwn + kEvents, kRest), kRest);
+      CheckWhole(early, kRest);
       CheckWhole(Chunked("200 OK",
                          kOwn + "Content-Type: Text/Event-Stream;charset=x\r\n",
                          kRest),
