--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -4,6 +4,7 @@
 #include "gateway_impl.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
+#include "resumption.h"
 
 namespace peridotshelf::gateway {
 namespace {
@@ -55,6 +56,7 @@
   attempt.sent_at = now;
   attempt.last_progress = now;
   attempt.own_pause = {};
+  attempt.resumed_after = live->last_event_number;
   if (live->sent_attempts++ > 0) {
     retries_sent.WithoutLabel().Add();
   } else if (hedging.IsEnabled()) {
@@ -117,8 +119,9 @@
   }
   // A different engine at the address speaks of itself.
   if (!head.is_other_engine) NoteState(live->attempt->engine_key, head);
+  const bool is_proved_not_run = ProvesNotRun(head, live->request);
   const auto helper = FindHelper(*live->attempt, head.failed_address);
-  if (helper && (head.is_not_run || head.is_other_engine)) {
+  if (helper && is_proved_not_run) {
     // The primary engine may be chosen again.
     live->tried_engines.pop_back();
     Fail(live, FailureCause::kHelperFailed,
@@ -126,13 +129,13 @@
          *helper);
     return;
   }
-  if (head.is_other_engine) {
+  if (head.is_other_engine && is_proved_not_run) {
     Fail(live, FailureCause::kOtherEngine,
          "a different engine uses the address");
     return;
   }
   NoteLimit(*live->attempt, head);
-  if (head.is_not_run) {
+  if (is_proved_not_run) {
     Fail(live, FailureCause::kNotRun, "status " + std::to_string(head.status));
     return;
   }
@@ -144,6 +147,11 @@
   }
   if (head.ends_with_connection) NoteWithoutLength(*live);
   live->attempt->head = std::move(head);
+  NoteStreamHead(*live, response_head);
+  if (!CanContinueStream(*live)) {
+    Fail(live, FailureCause::kBroken,
+         "the response is of another kind than the stream to be continued");
+  }
 }
 
 void Gateway::Impl::OnData(const LiveRequestPtr& live,
@@ -173,17 +181,11 @@
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
   const auto number = ParseEventNumber(event);
-  if (!number) {
-    Fail(live, FailureCause::kBroken, "an event has no number");
+  if (const auto fault = FindEventFault(*live, number, event)) {
+    Fail(live, FailureCause::kBroken, *fault);
     return;
   }
-  if (live->last_event_number) {
-    if (*number <= *live->last_event_number) return;
-    if (*number != *live->last_event_number + 1) {
-      Fail(live, FailureCause::kBroken, "an event is missing");
-      return;
-    }
-  }
+  if (live->last_event_number && *number <= *live->last_event_number) return;
   // Neither bytes that complete no event nor repeated events are progress.
   attempt.last_progress = now;
   if (!attempt.has_event) {
@@ -193,7 +195,10 @@
     NotePause(*live, now);
   }
   live->last_event_number = number;
+  live->is_event_missing = false;
   if (!std::exchange(live->is_head_sent, true)) {
+    live->stream_status = attempt.head->status;
+    live->stream_content_type = attempt.content_type;
     live->responder->BeginStream(attempt.head->status, attempt.head->headers);
   }
   live->responder->Write(std::string(event));
@@ -220,10 +225,8 @@
   }
   const bool is_event_stream =
       live->IsStream() && http::IsSuccess(attempt.head->status);
-  // A stream that broke after its last event has none left to resume.
-  const bool has_no_event = !attempt.has_event && !live->last_event_number;
-  if (is_event_stream &&
-      (attempt.events.HasIncompleteEvent() || has_no_event)) {
+  if (is_event_stream && (attempt.events.HasIncompleteEvent() ||
+                          (!attempt.has_event && !MayHaveNoEvent(*live)))) {
     ProbeAfterBreak(*live);
     Fail(live, FailureCause::kBroken,
          "the stream ended without an event or inside one");
@@ -319,6 +322,7 @@
   if (live->hedge && live->hedge->number == attempt.number) {
     EndHedge(*live, "failed");
   }
+  NoteStreamBreak(*live);
   EndAttempt(*live);
   if (live->attempt) {
     // The other attempt of a hedged request goes on; it may still answer.
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -80,7 +80,8 @@
     head.matches_request = id == request.id.value();
     head.names_another_request = id && !head.matches_request;
     head.is_signed = from.FindHeader("Signature").has_value();
-    head.ends_with_connection = from.FindHeader("Until-Close").has_value();
+    head.ends_with_connection = !from.FindHeader("Content-Length") &&
+                                !from.FindHeader("Transfer-Encoding");
     head.headers = {{"Signature", "s"}};
     ReadEngineState(from.headers, head);
     if (const auto limit = from.FindHeader("Limit")) {
@@ -174,15 +175,22 @@
   responder->Reply(200, std::move(headers), "leaving");
 }
 
-inline void RespondNotRun(const ServerRequest& /*request*/,
+inline std::vector<Header> NotRunHeaders(const ServerRequest& request) {
+  return {{"Id", std::string(request.FindHeader("Id").value_or(""))},
+          {"Not-Run", "1"}};
+}
+
+inline void RespondNotRun(const ServerRequest& request,
                           const ResponderPtr& responder) {
-  responder->Reply(503, {{"Not-Run", "1"}}, "");
+  responder->Reply(503, NotRunHeaders(request), "");
 }
 
 /// Responds like `RespondNotRun` and asks for a pause.
-inline void RespondWithPause(const ServerRequest& /*request*/,
+inline void RespondWithPause(const ServerRequest& request,
                              const ResponderPtr& responder) {
-  responder->Reply(503, {{"Not-Run", "1"}, {"Pause-Ms", "900"}}, "");
+  auto headers = NotRunHeaders(request);
+  headers.push_back({"Pause-Ms", "900"});
+  responder->Reply(503, std::move(headers), "");
 }
 
 inline void AbortConnection(const ServerRequest& /*request*/,
--- a/src/gateway/truncated_answer_test.cc
+++ b/src/gateway/truncated_answer_test.cc
@@ -11,6 +11,10 @@
     "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\n";
 const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
 
+constexpr int64_t kStart = 1;
+const std::string kIdentity =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nStarted: 1\r\n\r\n";
+
 class TruncatedAnswerTest : public GatewayFixture {
   CPPUNIT_TEST_SUITE(TruncatedAnswerTest);
   CPPUNIT_TEST(Call_LengthAnswerCutAtEachByte_IsNeverASuccess);
@@ -91,8 +95,10 @@
   void setUp() override {
     GatewayFixture::setUp();
     m_server = std::make_unique<RawServer>([this](RawConnection& connection) {
-      if (connection.ReadRequest().empty()) return;
-      connection.Write(m_answer);
+      const std::string request = connection.ReadRequest();
+      if (request.empty()) return;
+      const bool is_query = request.find("/identity") != std::string::npos;
+      connection.Write(is_query ? kIdentity : m_answer);
     });
   }
   void tearDown() override {
@@ -102,7 +108,7 @@
 
  private:
   void AddRawEngine() {
-    Register("raw", m_server->Address(), "calls");
+    Register("raw", m_server->Address(), "calls", kStart);
     Configure();
   }
 
