Take nothing from a refusal that does not name the request

A refusal without an id, which may be an earlier one, set the engine's pause: with both engines paused, the next request was refused although both run it.

Such a refusal now ends the attempt before what it says of its engine is applied, and attempt_failed names the cause ("a refusal without the request's id").

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -115,9 +115,14 @@
     Fail(live, FailureCause::kBroken, "the response has another request's id");
     return;
   }
+  const bool is_refusal = head.is_not_run || head.is_other_engine;
+  const bool is_proved_not_run = ProvesNotRun(head, live->request);
+  if (is_refusal && !is_proved_not_run && !head.matches_request) {
+    Fail(live, FailureCause::kBroken, "a refusal without the request's id");
+    return;
+  }
   // A different engine at the address speaks of itself.
   if (!head.is_other_engine) NoteState(live->attempt->engine_key, head);
-  const bool is_proved_not_run = ProvesNotRun(head, live->request);
   const auto helper = FindHelper(*live->attempt, head.failed_address);
   if (helper && is_proved_not_run) {
     // The primary engine may be chosen again.
@@ -127,7 +132,7 @@
          *helper);
     return;
   }
-  if (head.is_other_engine && is_proved_not_run) {
+  if (head.is_other_engine) {
     Fail(live, FailureCause::kOtherEngine,
          "a different engine uses the address");
     return;
--- a/src/gateway/repeated_refusal_test.cc
+++ b/src/gateway/repeated_refusal_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(Post_RefusalOfAnotherRequestBeforeItsAnswer_IsNoProof);
   CPPUNIT_TEST(Post_RefusalWithoutIdBeforeItsAnswer_IsNoProof);
   CPPUNIT_TEST(Post_OtherEngineWithoutIdBeforeItsAnswer_IsNoProof);
+  CPPUNIT_TEST(Post_PauseOfARefusalWithoutId_IsNotApplied);
   CPPUNIT_TEST(Post_RefusalWaitsOnNewConnection_IsNoProof);
   CPPUNIT_TEST(Post_InformationalAnswerSaysNotRun_IsNoProof);
   CPPUNIT_TEST(Post_SuccessThatSaysNotRun_IsNoProof);
@@ -58,6 +59,12 @@
     m_before = "HTTP/1.1 421 Misdirected\r\nOther-Engine: 1\r\n" + kEmptyBody;
     CheckRunsOnce(502);
   }
+  void Post_PauseOfARefusalWithoutId_IsNotApplied() {
+    m_before = MakeRefusal(503, "Pause-Ms: 900\r\n");
+    for (int i = 0; i < kCallsForBothEngines; ++i) CheckRunsOnce(502);
+    m_before = "";
+    CheckRunsOnce(200);
+  }
   void Post_RefusalWaitsOnNewConnection_IsNoProof() {
     m_on_accept = MakeRefusal(503, "");
     CheckRunsAtMostOnce(502);
@@ -116,6 +123,7 @@
 
  private:
   static constexpr int kRepeats = 40;
+  static constexpr int kCallsForBothEngines = 6;
 
   void Serve(RawConnection& connection) {
     if (!m_on_accept.empty()) connection.Write(m_on_accept);
