Gateway fixture: stop the loop before the HTTP client is destroyed

gateway_test ended by SIGSEGV once in GatewayColdEnginesTest:: Stream_ColdEngineHasNotAnswered_GetsTwoRequests. Cause (backtrace): callers leave at the end of a test, and the gateway cancels their calls on the loop's thread while the test destroys the client.

What the tests check is unchanged.

--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -221,8 +221,9 @@
 
   void tearDown() override {
     m_callers_client.reset();
-    m_client.reset();
+    // The gateway cancels the calls of callers that left.
     m_threads->Stop();
+    m_client.reset();
     m_open_responders.clear();
     m_front.reset();
     m_engines.clear();
