Test odd configurations, operator's records and announcements

The case odd_entries also leaves configurations that cannot be read (among them one with 100,000 levels), evacuations of odd failure domains and announcements of entries with odd addresses, and asks that requests are served, that the next versions are applied and that no gateway ends.

--- a/testsuite/odd_entries/run.py
+++ b/testsuite/odd_entries/run.py
@@ -17,6 +17,7 @@
 import crashes  # noqa: E402
 import fleet as fleets  # noqa: E402
 import odd_entries  # noqa: E402
+import platform_messages  # noqa: E402
 
 SEED = 59
 GATEWAYS = 2
@@ -25,6 +26,7 @@
 FOLLOW_S = 3.0
 READY_S = 10.0
 PHASE_S = 1.5
+ADOPTION_S = 2.0
 
 
 class Trap:
@@ -129,6 +131,42 @@
     return late == 0 and back > 0
 
 
+async def check_other_records(fleet, calls):
+    """Odd configurations, operator's records and announcements of entries."""
+    for number, value in enumerate(odd_entries.ODD_PEERS):
+        await fleet.append(odd_entries.PEER_TOPIC, f"odd-{number}", value)
+    for key in odd_entries.ODD_OPERATOR_KEYS:
+        await fleet.append(platform_messages.CONFIGURATION_TOPIC, key, b"{}")
+    before = calls.sent - calls.served
+    for value in odd_entries.odd_configurations():
+        await fleet.append(platform_messages.CONFIGURATION_TOPIC,
+                           platform_messages.CONFIGURATION_KEY, value)
+        await calls.send()
+    await calls.send_for(PHASE_S)
+    lost = calls.sent - calls.served - before
+    # The route moves away and back, as the other checks need it.
+    moved = await count_adoptions(fleet)
+    back = await count_adoptions(fleet)
+    print(f"{lost} requests were not served beside odd configurations, allowed 0; "
+          f"{moved} and {back} gateways applied the next ones after {ADOPTION_S} s, "
+          f"wanted {GATEWAYS} each")
+    return lost == 0 and moved == back == GATEWAYS
+
+
+async def count_adoptions(fleet):
+    """Moves the route; returns how many gateways send requests to its service."""
+    await fleet.move_route()
+    await asyncio.sleep(ADOPTION_S)
+    count = 0
+    for gateway in fleet.gateways:
+        try:
+            service = await gateway_fleet.send_page_request(fleet, gateway)
+            count += service == fleet.route_moves[-1][1]
+        except (OSError, asyncio.TimeoutError, ConnectionError):
+            pass  # Counted as not applied.
+    return count
+
+
 async def check_started_gateway(fleet):
     """A gateway that starts reads all the odd entries at once."""
     gateway = await fleet.add_gateway()
@@ -167,7 +205,8 @@
         calls = Calls(fleet)
         ids = await leave_odd_entries(fleet, calls, trap)
         checks = [await check_followed(fleet, ids),
-                  await check_turned_odd(fleet, calls, hosts[0])]
+                  await check_turned_odd(fleet, calls, hosts[0]),
+                  await check_other_records(fleet, calls)]
         sent_before, served_before = calls.sent, calls.served
         checks.append(await check_started_gateway(fleet))
         checks.append(await check_replacement(fleet, calls, hosts[1]))
