Begin to exchange with peers only after all callbacks are set

At each start of a gateway its own thread received datagrams and sent the first full report while the main thread still set the callbacks and shared the limits, cold engines and suspects: a report of a peer that came in this time was lost, and a map that was being published was read. On processors that reorder stores, such as arm64, this can read memory that is not initialised.

PeerExchange::Create only binds the address; Start begins to receive and to report. GatewayDaemon calls it after the followers have set theirs.

--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -195,12 +195,14 @@
     exchange.local_address = {"127.0.0.1", testing::FindFreePort()};
     // The gateway is alone, and knows it from the start.
     exchange.start_time = Duration::zero();
-    m_peers = std::move(
-        *PeerExchange::Create(*m_threads, *m_active_request_table, exchange));
+    m_peers =
+        PeerExchange::Create(*m_threads, *m_active_request_table, exchange)
+            .value();
     m_options.retry_limits.slack = 100;
     m_gateway = std::make_unique<Gateway>(*m_threads, *m_client, TestCodec(),
                                           *m_directory, *m_active_request_table,
                                           *m_peers, *m_registry, m_options);
+    m_peers->Start();
     m_port = testing::FindFreePort();
     m_front = std::move(*http::FrontServer::Create(
         *m_threads, "127.0.0.1", m_port,
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -257,10 +257,6 @@
                                           ": " + error.message());
   }
   impl->socket.non_blocking(true, error);
-  threads.Post([impl] {
-    impl->Receive();
-    impl->SendFullReport();
-  });
   return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(impl)));
 }
 
@@ -269,6 +265,13 @@
 
 PeerExchange::~PeerExchange() { m_impl->is_stopped = true; }
 
+void PeerExchange::Start() {
+  m_impl->threads.Post([impl = m_impl] {
+    impl->Receive();
+    impl->SendFullReport();
+  });
+}
+
 void PeerExchange::AddPeer(const std::string& address) {
   if (address == m_impl->options.local_address.ToString()) return;
   const size_t colon = address.rfind(':');
--- a/src/gateway/peer_exchange_evacuations_test.cc
+++ b/src/gateway/peer_exchange_evacuations_test.cc
@@ -128,18 +128,18 @@
     PeerExchangeOptions options;
     options.full_report_interval = full_report_interval;
     options.local_address = m_address;
-    m_sender = std::move(*PeerExchange::Create(m_threads, m_requests, options));
+    m_sender = PeerExchange::Create(m_threads, m_requests, options).value();
     options.local_address = {"127.0.0.1", testing::FindFreePort()};
     m_receiver =
-        std::move(*PeerExchange::Create(m_threads, m_peer_requests, options));
-    m_threads.Post([this] {
-      m_sender->ShareEvacuations(m_known, [](const Evacuations::Changes&) {});
-      m_receiver->ShareEvacuations(
-          m_learned, [this](const Evacuations::Changes& changes) {
-            if (changes.empty() || std::exchange(m_has_changed, true)) return;
-            m_changed.set_value(changes[0]);
-          });
-    });
+        PeerExchange::Create(m_threads, m_peer_requests, options).value();
+    m_sender->ShareEvacuations(m_known, [](const Evacuations::Changes&) {});
+    m_receiver->ShareEvacuations(
+        m_learned, [this](const Evacuations::Changes& changes) {
+          if (changes.empty() || std::exchange(m_has_changed, true)) return;
+          m_changed.set_value(changes[0]);
+        });
+    m_sender->Start();
+    m_receiver->Start();
   }
   discovery::EvacuationChange WaitForChange() {
     auto changed = m_changed.get_future();
--- a/src/gateway/peer_exchange_test.cc
+++ b/src/gateway/peer_exchange_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ShareSuspects_PeerStartsLater_LearnsTheQuarantine);
   CPPUNIT_TEST(GreetLostPeers_PeerMissedTheFirstGreeting_ReportsAtOnce);
   CPPUNIT_TEST(NoteStart_FleetOfManyEntries_ReachesEachAtOnce);
+  CPPUNIT_TEST(Start_ReportArrivedBefore_ReachesTheCallbacks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -350,6 +351,36 @@
     CPPUNIT_ASSERT_EQUAL(kPeers, informed);
   }
 
+  // Guards against reports that are handled while the callbacks are being set.
+  void Start_ReportArrivedBefore_ReachesTheCallbacks() {
+    io::IoThreads threads(1);
+    scheduling::ActiveRequestTable requests;
+    scheduling::ActiveRequestTable peer_requests;
+    PeerExchangeOptions options;
+    options.local_address = {"127.0.0.1", testing::FindFreePort()};
+    // The report is not repeated.
+    options.full_report_interval = std::chrono::hours(1);
+    auto receiver = PeerExchange::Create(threads, requests, options).value();
+    auto sender = CreateExchange(threads, peer_requests,
+                                 {"127.0.0.1", testing::FindFreePort()});
+    std::promise<void> sent;
+    threads.Post([&] {
+      RecordsProgress progress;
+      progress.engines_digest = kDigest;
+      sender->SetRecordsProgress(progress);
+      sender->AddPeer(options.local_address.ToString());
+      sent.set_value();
+    });
+    sent.get_future().get();
+    std::this_thread::sleep_for(milliseconds(100));
+    std::promise<RecordsProgress> received;
+    ExpectProgress(*receiver, received);
+    receiver->Start();
+    const auto status = received.get_future().wait_for(seconds(10));
+    threads.Stop();
+    CPPUNIT_ASSERT(status == std::future_status::ready);
+  }
+
  private:
   static constexpr int64_t kDigest = 7;
 
@@ -367,7 +398,9 @@
     options.batch_delay = batch_delay;
     // Only greetings are answered.
     options.full_report_interval = std::chrono::hours(1);
-    return std::move(*PeerExchange::Create(threads, requests, options));
+    auto exchange = PeerExchange::Create(threads, requests, options).value();
+    exchange->Start();
+    return exchange;
   }
 
   /// Makes `exchange` fulfil `received` with the first progress of kDigest.
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -83,6 +83,9 @@
 /// called on the one thread of `threads`.
 class PeerExchange {
  public:
+  /// Binds the local address. Nothing is received or reported before `Start`.
+  /// This and the setters of callbacks may be called on another thread until
+  /// then.
   static Result<std::unique_ptr<PeerExchange>> Create(
       io::IoThreads& threads,
       scheduling::ActiveRequestTable& active_request_table,
@@ -91,6 +94,9 @@
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
+  /// Begins to receive and to report. Call it once, after all callbacks are
+  /// set. Thread-safe.
+  void Start();
   /// Adds a peer by its address, "IP:PORT"; ignores this entry's address.
   void AddPeer(const std::string& address);
   /// Asks the peers that are considered stopped for a report, for an entry that
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -197,6 +197,7 @@
     operations_server = std::move(*created);
   }
   AddMetrics();
+  peers->Start();
   threads.Post([this] { store_follower->Start(); });
   return {};
 }
