Stop the gateway's thread before its client in the tests' fixture

gateway_test ended by a segmentation fault in some runs: tearDown closed the callers' connections and destroyed the client while the gateway's thread was still running. That thread saw the callers leave and cancelled their calls at the destroyed client:

pthread_mutex_lock, http::Client::Cancel, Gateway::Impl::Release, Gateway::Impl::EndAttempts, FrontConnection::Close

GatewayDaemon stops its threads before the client is destroyed, so only the fixture is changed.

Evidence: under gdb, two at a time beside compilers at loads of 8 to 30: 5 of 41 runs ended so, all in Stream_ColdEngineHasNotAnswered_GetsTwoRequests. The thread sanitizer reported Client::Cancel against ~Client; it does not with this change.

--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -213,8 +213,10 @@
 
   void tearDown() override {
     m_callers_client.reset();
-    m_client.reset();
+    // The gateway cancels the calls of callers that left, so its thread ends
+    // before the client does.
     m_threads->Stop();
+    m_client.reset();
     m_open_responders.clear();
     m_front.reset();
     m_engines.clear();
