Answer 400 to requests that HTTP/1.1 does not allow

A header with a space before its colon reached engines: http_parser accepts spaces in names, the gateway did not know the header by that name, and the engine did, so that a caller could pass on another team's name. The parser also accepts lines that end with LF alone, joins folded lines, and leaves the Host header, the form of the target and transfer codings before `chunked` to its user.

detail::HeadCheck reads the bytes of each head before the parser does, and CheckHead the parsed head. Both reject with the reason, which is now also the body of the answer: 400 for what is not valid, 501 for CONNECT and for methods that the parser does not know, 505 for other versions. A target in absolute form is accepted, as HTTP/1.1 asks; its host replaces the Host header.

Requests of the tests that had no Host header have one now; such requests are themselves rejected, which head_check_test checks.

--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -4,7 +4,6 @@
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <limits>
 
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
@@ -61,10 +60,10 @@
   if (m_answering) return;
   if (m_request_begun) {
     if (!m_head_complete && now - m_request_begun_at > limits.header_timeout) {
-      Reject(kRequestTimeout, "timeout while reading the headers");
+      Reject({kRequestTimeout, "timeout while reading the headers"});
     } else if (m_head_complete &&
                m_body_progress.HasStalled(now, limits.body_timeout)) {
-      Reject(kRequestTimeout, "timeout while reading the body");
+      Reject({kRequestTimeout, "timeout while reading the body"});
     }
     return;
   }
@@ -88,121 +87,7 @@
 
 void FrontConnection::RejectUnfinished() {
   if (m_answering || m_closed || m_close_when_sent || !m_request_begun) return;
-  Reject(kUnavailable, "the process ends");
-}
-
-void FrontConnection::ResetParser() {
-  http_parser_init(&m_parser, HTTP_REQUEST);
-  m_parser.data = this;
-  m_request = {};
-  m_head_bytes = 0;
-  m_request_begun = false;
-  m_head_complete = false;
-  m_message_complete = false;
-}
-
-int FrontConnection::OnBegin(http_parser* parser) {
-  FrontConnection& self = FromParser(parser);
-  self.m_request_begun = true;
-  self.m_request_begun_at = SteadyClock().Now();
-  return 0;
-}
-
-int FrontConnection::OnUrl(http_parser* parser, const char* at, size_t length) {
-  FrontConnection& self = FromParser(parser);
-  self.m_request.target.append(at, length);
-  if (!self.ExceedsHeadLimit(length)) return 0;
-  self.m_rejection_status = kHeaderTooLarge;
-  return 1;
-}
-
-int FrontConnection::OnField(http_parser* parser, const char* at,
-                             size_t length) {
-  FrontConnection& self = FromParser(parser);
-  ParsedRequest& request = self.m_request;
-  if (self.m_head_complete) return self.OnTrailer(length);
-  if (request.headers.empty() || request.is_in_value) {
-    request.headers.emplace_back();
-    request.is_in_value = false;
-  }
-  request.headers.back().name.append(at, length);
-  if (!self.ExceedsHeadLimit(length)) return 0;
-  self.m_rejection_status = kHeaderTooLarge;
-  return 1;
-}
-
-int FrontConnection::OnValue(http_parser* parser, const char* at,
-                             size_t length) {
-  FrontConnection& self = FromParser(parser);
-  if (self.m_head_complete) return self.OnTrailer(length);
-  self.m_request.is_in_value = true;
-  self.m_request.headers.back().value.append(at, length);
-  if (!self.ExceedsHeadLimit(length)) return 0;
-  self.m_rejection_status = kHeaderTooLarge;
-  return 1;
-}
-
-int FrontConnection::OnTrailer(size_t length) {
-  if (!ExceedsHeadLimit(length)) return 0;
-  m_rejection_status = kHeaderTooLarge;
-  return 1;
-}
-
-int FrontConnection::OnHeadersComplete(http_parser* parser) {
-  FrontConnection& self = FromParser(parser);
-  self.m_head_complete = true;
-  self.m_body_progress.Restart(SteadyClock().Now());
-  self.m_request.method =
-      http_method_str(static_cast<http_method>(parser->method));
-  self.m_request.keep_alive = http_should_keep_alive(parser) != 0;
-  const bool has_length =
-      parser->content_length != std::numeric_limits<uint64_t>::max();
-  if (has_length &&
-      parser->content_length > self.m_server->limits.max_body_bytes) {
-    self.m_rejection_status = kPayloadTooLarge;
-    return -1;
-  }
-  if (has_length) self.m_request.body.reserve(parser->content_length);
-  const auto expect = FindHeader(self.m_request.headers, "Expect");
-  if (expect && *expect == "100-continue") {
-    self.Send("HTTP/1.1 100 Continue\r\n\r\n");
-  }
-  return 0;
-}
-
-int FrontConnection::OnBody(http_parser* parser, const char* at,
-                            size_t length) {
-  FrontConnection& self = FromParser(parser);
-  std::string& body = self.m_request.body;
-  if (body.size() + length > self.m_server->limits.max_body_bytes) {
-    self.m_rejection_status = kPayloadTooLarge;
-    return 1;
-  }
-  body.append(at, length);
-  self.m_body_progress.Add(length, SteadyClock().Now());
-  return 0;
-}
-
-int FrontConnection::OnMessageComplete(http_parser* parser) {
-  FromParser(parser).m_message_complete = true;
-  http_parser_pause(parser, 1);
-  return 0;
-}
-
-const http_parser_settings& FrontConnection::ParserSettings() {
-  static const http_parser_settings settings = [] {
-    http_parser_settings callbacks;
-    http_parser_settings_init(&callbacks);
-    callbacks.on_message_begin = &OnBegin;
-    callbacks.on_url = &OnUrl;
-    callbacks.on_header_field = &OnField;
-    callbacks.on_header_value = &OnValue;
-    callbacks.on_headers_complete = &OnHeadersComplete;
-    callbacks.on_body = &OnBody;
-    callbacks.on_message_complete = &OnMessageComplete;
-    return callbacks;
-  }();
-  return settings;
+  Reject({kUnavailable, "the process ends"});
 }
 
 void FrontConnection::Read() {
@@ -232,6 +117,10 @@
   if (m_answering || m_closed || m_close_when_sent || m_unparsed.empty()) {
     return;
   }
+  if (const auto rejection = m_head_check.Read(m_unparsed)) {
+    Reject(*rejection);
+    return;
+  }
   const size_t parsed = http_parser_execute(
       &m_parser, &ParserSettings(), m_unparsed.data(), m_unparsed.size());
   m_unparsed.erase(0, parsed);
@@ -240,12 +129,14 @@
     return;
   }
   const auto failure = static_cast<http_errno>(m_parser.http_errno);
-  if (m_rejection_status != 0) {
-    Reject(m_rejection_status, "request exceeds the configured limits");
+  if (m_rejection) {
+    Reject(*m_rejection);
   } else if (failure == HPE_HEADER_OVERFLOW) {
-    Reject(kHeaderTooLarge, "headers exceed the parser's limit");
+    Reject({kHeaderTooLarge, "headers exceed the parser's limit"});
+  } else if (failure == HPE_INVALID_METHOD) {
+    Reject({kNotImplemented, "the method is not supported"});
   } else if (failure != HPE_OK || m_parser.upgrade != 0) {
-    Reject(kBadRequest, http_errno_description(failure));
+    Reject({kBadRequest, http_errno_description(failure)});
   }
 }
 
@@ -264,21 +155,28 @@
   }
   request.headers = std::move(m_request.headers);
   request.body = *owner;
+  request.has_body = m_request.has_body;
   request.owner = std::move(owner);
   ResponderPtr responder =
       m_server->make_responder(shared_from_this(), request.method == "HEAD");
   m_server->handler(std::move(request), std::move(responder));
 }
 
-void FrontConnection::Reject(int status, const char* reason) {
+void FrontConnection::Reject(const detail::Rejection& rejection) {
   ++m_server->counters.rejected;
   events::Log(events::EventId::kCallerRejected,
-              {{"status", status}, {"reason", reason}});
-  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
-  bytes += FindReasonPhrase(status);
+              {{"status", rejection.status}, {"reason", rejection.reason}});
+  const std::string_view reason = rejection.reason;
+  std::string bytes = "HTTP/1.1 " + std::to_string(rejection.status) + " ";
+  bytes += FindReasonPhrase(rejection.status);
   bytes += "\r\n";
-  if (status == kUnavailable) bytes += "Retry-After: 1\r\n";
-  bytes += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  if (rejection.status == kUnavailable) bytes += "Retry-After: 1\r\n";
+  bytes += "Content-Type: text/plain\r\nContent-Length: " +
+           std::to_string(reason.size() + 1) + "\r\nConnection: close\r\n\r\n";
+  if (m_request.method != "HEAD") {
+    bytes += reason;
+    bytes += '\n';
+  }
   m_close_when_sent = true;
   m_unparsed.clear();
   Send(std::move(bytes));
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -9,12 +9,14 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
+#include "head_check.h"
 #include "peridotshelf/http/front_server.h"
 
 namespace peridotshelf::http {
@@ -64,6 +66,8 @@
   std::vector<Header> headers;
   std::string body;
   std::string method;
+  /// The head announces a body, which may be empty.
+  bool has_body = false;
   bool keep_alive = true;
   bool is_in_value = false;
 };
@@ -128,7 +132,7 @@
   void OnRead(const asio::error_code& error, size_t bytes);
   void Parse();
   void Dispatch();
-  void Reject(int status, const char* reason);
+  void Reject(const detail::Rejection& rejection);
   void WriteNext();
   void OnWritten(size_t bytes);
   /// Ends the answer and discards what the caller still sends, for at most
@@ -155,6 +159,9 @@
   /// Trailers count toward the size of the head and are not kept: they are no
   /// headers.
   int OnTrailer(size_t length);
+  /// Ends the parsing of a request, which is rejected. Returns a value that
+  /// callbacks return for it.
+  int FailParsing(const detail::Rejection& rejection);
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* at, size_t length);
   static int OnMessageComplete(http_parser* parser);
@@ -172,7 +179,8 @@
   /// Bytes of the first unsent part that were sent.
   size_t m_sent_of_front = 0;
   size_t m_head_bytes = 0;
-  int m_rejection_status = 0;
+  detail::HeadCheck m_head_check;
+  std::optional<detail::Rejection> m_rejection;
   TimePoint m_idle_since;
   TimePoint m_request_begun_at{};
   TimePoint m_linger_until{};
--- a/src/http/front_connection_test.cc
+++ b/src/http/front_connection_test.cc
@@ -67,7 +67,7 @@
     };
     RawCaller caller(m_port);
     caller.Send(
-        "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: "
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: "
         "chunked\r\n\r\n1\r\nx\r\n0\r\nKey: k\r\n\r\n");
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("none"));
   }
@@ -80,7 +80,7 @@
     SetLimits(limits);
     AnswerWithLargeBody();
     RawCaller caller(m_port, kSmallBuffer);
-    caller.Send("GET / HTTP/1.1\r\n\r\nGET /second");
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /second");
     std::this_thread::sleep_for(milliseconds(1800));
     CPPUNIT_ASSERT_EQUAL(size_t{1},
                          CountText(caller.ReadAll(), "HTTP/1.1 408"));
@@ -93,7 +93,7 @@
     limits.max_body_bytes = 10;
     SetLimits(limits);
     RawCaller caller(m_port);
-    caller.Send("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+    caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
     for (int i = 0; i < 10; ++i) {
       CPPUNIT_ASSERT(caller.TrySend(std::string(10000, 'x')));
       std::this_thread::sleep_for(milliseconds(10));
@@ -106,7 +106,7 @@
   void CloseIdle_AnswerBeingSent_IsNotCut() {
     const auto answered = AnswerWithLargeBody();
     RawCaller caller(m_port, kSmallBuffer);
-    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     answered.wait();
     RunOnLoop([this] { m_server->CloseIdle(); });
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("\r\n\r\n" + LargeBody()));
@@ -116,12 +116,12 @@
   // about to send its first request.
   void CloseIdle_ConnectionWithoutRequestYet_IsServed() {
     RawCaller first(m_port);
-    CPPUNIT_ASSERT(first.TrySend("GET /1 HTTP/1.1\r\n\r\n"));
+    CPPUNIT_ASSERT(first.TrySend("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"));
     first.ReadUntil("/1");
     RawCaller caller(m_port);
     WaitForAccepted(2);
     RunOnLoop([this] { m_server->CloseIdle(); });
-    CPPUNIT_ASSERT(caller.TrySend("GET /2 HTTP/1.1\r\n\r\n"));
+    CPPUNIT_ASSERT(caller.TrySend("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
     CPPUNIT_ASSERT(caller.ReadUntil("/2").ends_with("body of /2"));
   }
 
@@ -132,12 +132,13 @@
     RunOnLoop([&] {
       for (int i = 0; i < 20; ++i) {
         callers.push_back(std::make_unique<RawCaller>(m_port));
-        if (i % 2 == 0) callers.back()->Send("GET / HTTP/1.1\r\n\r\n");
+        if (i % 2 == 0)
+          callers.back()->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
       }
       m_server->Shutdown();
     });
     for (size_t i = 1; i < callers.size(); i += 2) {
-      CPPUNIT_ASSERT(callers[i]->TrySend("GET / HTTP/1.1\r\n\r\n"));
+      CPPUNIT_ASSERT(callers[i]->TrySend("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
     }
     for (const auto& caller : callers) {
       const std::string answer = caller->ReadAll();
@@ -153,10 +154,11 @@
     RawCaller in_head(m_port);
     in_head.Send("GET / HTTP/1.1\r\nHost:");
     RawCaller in_body(m_port);
-    in_body.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\npart");
+    in_body.Send(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\npart");
     // Both are read before this request, which comes later.
     RawCaller last(m_port);
-    last.Send("GET /last HTTP/1.1\r\n\r\n");
+    last.Send("GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
     last.ReadUntil("/last");
     RunOnLoop([this] { m_server->Shutdown(); });
     for (RawCaller* caller : {&in_head, &in_body}) {
@@ -175,7 +177,7 @@
     SetLimits(limits);
     AnswerWithLargeBody();
     RawCaller caller(m_port, kSmallBuffer);
-    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     std::this_thread::sleep_for(milliseconds(1200));
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("\r\n\r\n" + LargeBody()));
   }
@@ -187,7 +189,7 @@
     limits.body_timeout = milliseconds(200);
     SetLimits(limits);
     RawCaller caller(m_port);
-    caller.Send("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n");
+    caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
     for (int i = 0; i < 99; ++i) {
       if (!caller.TrySend("x")) break;
       std::this_thread::sleep_for(milliseconds(20));
@@ -202,7 +204,8 @@
     limits.body_timeout = milliseconds(900);
     SetLimits(limits);
     RawCaller caller(m_port);
-    caller.Send("POST /steady HTTP/1.1\r\nContent-Length: 400000\r\n\r\n");
+    caller.Send(
+        "POST /steady HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n");
     for (int i = 0; i < 20; ++i) {
       CPPUNIT_ASSERT(caller.TrySend(std::string(20000, 'x')));
       std::this_thread::sleep_for(milliseconds(100));
@@ -218,7 +221,7 @@
     SetLimits(limits);
     AnswerWithLargeBody();
     RawCaller caller(m_port, kSmallBuffer);
-    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     const TimePoint end = SteadyClock().Now() + std::chrono::seconds(10);
     uint64_t open = 1;
     while (open > 0 && SteadyClock().Now() < end) {
--- a/src/http/front_server_test.cc
+++ b/src/http/front_server_test.cc
@@ -58,7 +58,8 @@
   }
   void Request_ChunkedBody_IsReadCompletely() {
     RawCaller caller(m_port);
-    caller.Send("POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n");
+    caller.Send(
+        "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n");
     caller.Send("Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("/c:abcde"));
   }
@@ -68,7 +69,7 @@
   }
   void Request_ContentLengthAndChunked_IsAnswered400() {
     const std::string answer = SendAndReadAll(
-        "POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
     CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 400"));
   }
@@ -76,7 +77,7 @@
     CallerLimits limits;
     limits.max_header_bytes = 100;
     SetLimits(limits);
-    CPPUNIT_ASSERT(SendAndReadAll("GET / HTTP/1.1\r\nA: " +
+    CPPUNIT_ASSERT(SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\nA: " +
                                   std::string(200, 'x') + "\r\n\r\n")
                        .starts_with("HTTP/1.1 431"));
   }
@@ -85,7 +86,8 @@
     limits.max_body_bytes = 10;
     SetLimits(limits);
     CPPUNIT_ASSERT(
-        SendAndReadAll("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
+        SendAndReadAll(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n")
             .starts_with("HTTP/1.1 413"));
   }
   void Request_SlowHead_IsAnswered408() {
@@ -102,7 +104,8 @@
       caller.Close();
     });
     CPPUNIT_ASSERT(
-        SendAndReadAll("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n")
+        SendAndReadAll(
+            "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
             .starts_with("HTTP/1.1 200"));
   }
   void Abort_AfterPartOfStream_SendsItWithoutTheLastChunk() {
@@ -111,12 +114,14 @@
       responder->Write("part");
       responder->Abort();
     };
-    const std::string answer = SendAndReadAll("GET / HTTP/1.1\r\n\r\n");
+    const std::string answer =
+        SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(answer.ends_with("4\r\npart\r\n"));
   }
   void CloseAfterAnswers_NextAnswer_ClosesTheConnection() {
     m_threads->Post([this] { m_server->CloseAfterAnswers(); });
-    const std::string answer = SendAndReadAll("GET / HTTP/1.1\r\n\r\n");
+    const std::string answer =
+        SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
   }
   void CloseIdle_IdleAndBusyConnection_ClosesOnlyTheIdleOne() {
@@ -127,7 +132,7 @@
     };
     RawCaller idle(m_port);
     RawCaller busy(m_port);
-    busy.Send("GET / HTTP/1.1\r\n\r\n");
+    busy.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     begun.get_future().get();
     m_threads->Post([this] { m_server->CloseIdle(); });
     CPPUNIT_ASSERT(idle.ReadAll().empty());
@@ -143,7 +148,7 @@
       begun.set_value();
     };
     RawCaller caller(m_port);
-    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     begun.get_future().get();
     caller.Close();
     CPPUNIT_ASSERT(disconnected.get_future().wait_for(
--- a/src/include/peridotshelf/http/server.h
+++ b/src/include/peridotshelf/http/server.h
@@ -25,6 +25,8 @@
   /// Path and query exactly as sent.
   std::string target;
   std::vector<Header> headers;
+  /// The head announces a body, which may be empty. Set by `FrontServer` only.
+  bool has_body = false;
   /// Valid as long as `owner` exists; not copied, since it may be large.
   std::string_view body;
   std::shared_ptr<const void> owner;
--- a/src/include/peridotshelf/http/status.h
+++ b/src/include/peridotshelf/http/status.h
@@ -17,9 +17,11 @@
 inline constexpr int kTooManyRequests = 429;
 inline constexpr int kHeaderTooLarge = 431;
 inline constexpr int kServerError = 500;
+inline constexpr int kNotImplemented = 501;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
+inline constexpr int kVersionNotSupported = 505;
 
 /// Returns whether `status` is a success (2xx).
 constexpr bool IsSuccess(int status) { return status / 100 == 2; }
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -112,6 +112,11 @@
       [this] { return static_cast<double>(gateway->CountQuarantined()); });
   add("peridotshelf_cold_engines", "Engines that are cold.",
       [this] { return static_cast<double>(gateway->CountCold()); });
+  add("peridotshelf_rejected_requests",
+      "Requests rejected as they arrived: malformed, too large, too slow.",
+      [this] {
+        return static_cast<double>(caller_server->counters().rejected);
+      });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
--- a/testsuite/planned_stop/run.py
+++ b/testsuite/planned_stop/run.py
@@ -99,7 +99,7 @@
             ask(gateway, number, until_end=part)
             for number, part in enumerate((
                 b"GET /page/1 HTTP/1.1\r\nHost: ",
-                b"POST /post/1 HTTP/1.1\r\nContent-Length: 9\r\n\r\npart"))))
+                b"POST /post/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart"))))
         while gateway.process.poll() is None and \
                 time.monotonic() < begin + fleets.BOUNDS.stop_grace_s:
             await asyncio.sleep(0.02)
