Send each request to the engine with the method and body of its caller

Engines ran a GET with a body as POST, so that a read which the caller may repeat reached the application as a write, and a HEAD with a body without it: libcurl derives the method from the kind of body, and the client named the method only for some. Answers to HEAD lost the engine's Content-Length, were probed as if their body could be cut, and ended a stream route with 502, since they have no event.

The client names each method and sends each body with its length. An empty body that the caller announced keeps its length 0; POST, PUT and PATCH always state one, as HTTP/1.1 recommends. libcurl cannot send HEAD with a body and expect no body in the answer, so the client ends such a call with the head. Answers to HEAD keep the engine's Content-Length and have neither a body nor chunks.

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -147,7 +147,7 @@
                            const std::string& data) {
   Attempt& attempt = *live->attempt;
   if (!attempt.head) return;
-  if (!live->IsStream() || !http::IsSuccess(attempt.head->status)) {
+  if (!live->HasEvents(attempt.head->status)) {
     attempt.last_progress = SteadyClock().Now();
     attempt.body += data;
     return;
@@ -226,7 +226,7 @@
          "status " + std::to_string(status));
     return;
   }
-  const bool is_event_stream = live->IsStream() && http::IsSuccess(status);
+  const bool is_event_stream = live->HasEvents(status);
   // A stream that broke after its last event has none left to resume.
   const bool may_have_no_event =
       live->last_event_number && !attempt.head->ends_with_connection;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -38,6 +38,7 @@
     request.path = from.path;
     request.host = "host";
     request.body = std::make_shared<const std::string>(from.body);
+    request.has_body = from.has_body;
     if (const auto key = from.FindHeader("Key")) {
       request.key = std::string(*key);
     }
@@ -67,6 +68,7 @@
       out.headers.push_back({"Helper", helper.reservation});
     }
     out.shared_body = request.body;
+    out.has_body = request.has_body;
     return out;
   };
   codec.read_answer = [](const http::ClientResponseHead& from,
@@ -199,7 +201,7 @@
         PeerExchange::Create(*m_threads, *m_active_request_table, exchange)
             .value();
     m_options.retry_limits.slack = 100;
-    m_gateway = std::make_unique<Gateway>(*m_threads, *m_client, TestCodec(),
+    m_gateway = std::make_unique<Gateway>(*m_threads, *m_client, m_codec,
                                           *m_directory, *m_active_request_table,
                                           *m_peers, *m_registry, m_options);
     m_peers->Start();
@@ -437,8 +439,9 @@
     return response;
   }
 
-  /// Options of the gateway; changed before `setUp`.
+  /// Options and codec of the gateway; changed before `setUp`.
   GatewayOptions m_options;
+  MessageCodec m_codec = TestCodec();
   std::unique_ptr<io::IoThreads> m_threads;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<http::Client> m_callers_client;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -11,6 +11,7 @@
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/http/server.h"
+#include "peridotshelf/http/status.h"
 #include "peridotshelf/quarantine/suspect_record.h"
 #include "peridotshelf/routing/configuration.h"
 
@@ -130,6 +131,10 @@
   bool IsStream() const {
     return route->retry_safety == routing::RetrySafety::kStream;
   }
+  /// Returns whether the body of an answer with `status` consists of events.
+  bool HasEvents(int status) const {
+    return IsStream() && http::IsSuccess(status) && request.method != "HEAD";
+  }
 };
 
 using LiveRequestPtr = std::shared_ptr<LiveRequest>;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -49,11 +49,17 @@
   /// The response exceeded its limits.
   bool is_oversized = false;
   detail::ReceiveWindows* windows = nullptr;
+  /// The response has no body, which libcurl does not know.
+  bool ends_after_head = false;
   /// Bytes sent and received, and when the number last changed.
   curl_off_t bytes = 0;
   TimePoint progressed_at = SteadyClock().Now();
 };
 
+const std::string& BodyOf(const ClientRequest& request) {
+  return request.shared_body ? *request.shared_body : request.body;
+}
+
 void ReportHead(Call& call) {
   if (call.head_reported) return;
   call.head_reported = true;
@@ -109,7 +115,8 @@
   }
   if (line.empty()) {
     call->is_head_complete = call->head_status >= kFirstFinalStatus;
-    return bytes;
+    const bool is_end = call->is_head_complete && call->ends_after_head;
+    return is_end ? CURL_WRITEFUNC_ERROR : bytes;
   }
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) return bytes;
@@ -170,6 +177,30 @@
   }
 }
 
+/// Returns whether a request without a body states that its length is 0.
+bool StatesEmptyBody(const ClientRequest& request) {
+  return request.has_body || request.method == "POST" ||
+         request.method == "PUT" || request.method == "PATCH";
+}
+
+/// libcurl derives the method from the kind of body, so the method is always
+/// named.
+void ConfigureMethodAndBody(Call& call) {
+  CURL* handle = call.handle;
+  const ClientRequest& request = call.request;
+  const std::string& body = BodyOf(request);
+  if (!body.empty() || StatesEmptyBody(request)) {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(body.size()));
+    // CURLOPT_NOBODY would remove the body of the request, too.
+    call.ends_after_head = request.method == "HEAD";
+  } else if (request.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  }
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
 void Configure(Call& call) {
   CURL* handle = call.handle;
   const ClientRequest& request = call.request;
@@ -199,18 +230,7 @@
   if (!request.target.empty()) {
     curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, request.target.c_str());
   }
-  const std::string& body =
-      request.shared_body ? *request.shared_body : request.body;
-  if (!body.empty() || request.method == "POST") {
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(body.size()));
-  }
-  if (request.method == "HEAD") {
-    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
-  } else if (request.method != "GET") {
-    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-  }
+  ConfigureMethodAndBody(call);
   if (request.exact_headers) SuppressDefaultHeaders(call);
   // Without this libcurl waits for "100 Continue" before large bodies.
   call.headers = curl_slist_append(call.headers, "Expect:");
@@ -357,6 +377,7 @@
   auto node = active.extract(id);
   windows.Close(id);
   Call& call = *node.mapped();
+  if (call.ends_after_head && call.is_head_complete) code = CURLE_OK;
   if (code == CURLE_OK && !call.is_head_complete) code = CURLE_PARTIAL_FILE;
   if (code == CURLE_OK) ReportHead(call);
   const Result<int> outcome = MakeOutcome(call, code);
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -31,11 +31,14 @@
     m_ended = true;
     const bool keep_open = m_connection->keep_alive();
     std::string bytes = FormatHead(status, headers, keep_open);
-    if (!HasNoBody(status)) {
+    // The length in the answer to HEAD is that of the answer to GET, which only
+    // the handler knows.
+    const bool has_body = !m_is_head && !HasNoBody(status);
+    if (has_body) {
       bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     bytes += "\r\n";
-    if (!m_is_head && !HasNoBody(status)) bytes += body;
+    if (has_body) bytes += body;
     m_connection->Send(std::move(bytes));
     m_connection->FinishAnswer(keep_open);
   }
@@ -44,12 +47,13 @@
     if (m_ended || m_streaming) return;
     m_streaming = true;
     m_keep_open = m_connection->keep_alive();
-    m_connection->Send(FormatHead(status, headers, m_keep_open) +
-                       "Transfer-Encoding: chunked\r\n\r\n");
+    std::string bytes = FormatHead(status, headers, m_keep_open);
+    if (!m_is_head) bytes += "Transfer-Encoding: chunked\r\n";
+    m_connection->Send(bytes + "\r\n");
   }
 
   void Write(std::string data) override {
-    if (m_ended || !m_streaming || data.empty()) return;
+    if (m_ended || !m_streaming || m_is_head || data.empty()) return;
     char size[24];
     std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
     m_connection->Send(size + data + "\r\n");
@@ -58,7 +62,7 @@
   void EndStream() override {
     if (m_ended || !m_streaming) return;
     m_ended = true;
-    m_connection->Send("0\r\n\r\n");
+    if (!m_is_head) m_connection->Send("0\r\n\r\n");
     m_connection->FinishAnswer(m_keep_open);
   }
 
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -34,6 +34,8 @@
   /// Headers that are forwarded to the engine unchanged.
   std::vector<http::Header> headers;
   std::shared_ptr<const std::string> body;
+  /// The caller announced a body, which may be empty.
+  bool has_body = false;
   /// How long the caller will wait; none if not stated.
   std::optional<Duration> time_left;
   /// Access key of the caller's team.
@@ -82,7 +84,7 @@
   /// it states a limit.
   std::optional<double> max_requests_per_second;
   /// The body has neither a length nor chunks, so the end of the connection is
-  /// its end.
+  /// its end. False if the response has no body.
   bool ends_with_connection = false;
   /// How long the engine, which rejected the request, wants no others from this
   /// entry.
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -32,6 +32,9 @@
   std::string body;
   /// Sent instead of `body` if set; lets several calls share one copy.
   std::shared_ptr<const std::string> shared_body;
+  /// Sends the length of the body even if it is empty. Requests whose method
+  /// defines a meaning for a body always state its length.
+  bool has_body = false;
   /// Request target to send; if empty, it is taken from `url`.
   std::string target;
   /// Sends only `headers` and the body's length, without libcurl's default
