Stop with the grace time of the newest settings

A planned stop used bounds.graceS as it was at the start of the process, although the settings file had another value since: with a shorter one the platform kills the process before it has answered its open requests, with a longer one requests are aborted too early.

The file is read a last time when the stop signal arrives, and the stop uses what is in force then.

--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -63,28 +63,37 @@
 /// periodically.
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 
-/// Serves until a stop signal; applies changed settings in the meantime.
+/// Reads the settings file and applies it to `daemon` if it has changed or
+/// `is_requested`. A file that cannot be read changes nothing.
+void ReloadSettings(GatewayDaemon& daemon, const std::string& path,
+                    bool is_requested, deployment::ProcessSettings& current) {
+  const auto newest = deployment::ReadSettings(path);
+  if (!newest) {
+    events::Log(EventId::kSettingsReloaded,
+                {{"taken", false}, {"reason", newest.error().detail}});
+    return;
+  }
+  const bool has_changed = !(*newest == current);
+  if (!has_changed && !is_requested) return;
+  events::Log(EventId::kSettingsReloaded,
+              {{"taken", true},
+               {"changed", has_changed},
+               {"signal", is_requested},
+               {"store", newest->store.ToString()}});
+  current = *newest;
+  daemon.ApplySettings(current);
+}
+
+/// Serves until a stop signal; applies changed settings in the meantime and a
+/// last time before it returns, so that `current` are those of the stop.
 void ServeUntilStopped(const StopSignal& signals, GatewayDaemon& daemon,
                        const std::string& path,
-                       const deployment::ProcessSettings& initial_settings) {
-  deployment::ProcessSettings current = initial_settings;
+                       deployment::ProcessSettings& current) {
   while (true) {
     const auto action = signals.WaitFor(kSettingsPollInterval);
-    if (action == SignalAction::kStop) return;
-    const auto changed = deployment::ReadSettings(path);
-    if (!changed) {
-      events::Log(EventId::kSettingsReloaded,
-                  {{"taken", false}, {"reason", changed.error().detail}});
-      continue;
-    }
-    if (*changed == current && !action) continue;
-    events::Log(EventId::kSettingsReloaded,
-                {{"taken", true},
-                 {"changed", !(*changed == current)},
-                 {"signal", action.has_value()},
-                 {"store", changed->store.ToString()}});
-    current = *changed;
-    daemon.ApplySettings(current);
+    const bool is_stopped = action == SignalAction::kStop;
+    ReloadSettings(daemon, path, action && !is_stopped, current);
+    if (is_stopped) return;
   }
 }
 
@@ -121,9 +130,10 @@
               {{"callers", settings->callers.ToString()},
                {"store", settings->store.ToString()},
                {"failure_domain", settings->failure_domain.value()}});
-  ServeUntilStopped(signals, **daemon, parsed->config, *settings);
+  deployment::ProcessSettings current = *settings;
+  ServeUntilStopped(signals, **daemon, parsed->config, current);
   events::Log(EventId::kProcessStopping);
-  Stop(**daemon, settings->stop_grace);
+  Stop(**daemon, current.stop_grace);
   events::Log(EventId::kProcessStopped);
   return ExitCode::kSuccess;
 }
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -130,10 +130,10 @@
         super().__init__([program, "gateway", "--config", settings],
                          os.path.join(folder, f"gateway-{number}.log"))
 
-    def settings(self):
+    def settings(self, bounds=BOUNDS):
         return platform_messages.settings(
             f"host-{self.number}", self.ip, f"zone-{self.number % 2}",
-            self.store_link.address, PORTS, BOUNDS, REGIONS)
+            self.store_link.address, PORTS, bounds, REGIONS)
 
     async def watch_readiness(self):
         """Probes twice a second like a load balancer; two failures mark it
