--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -163,7 +163,7 @@
                            const std::string& data) {
   Attempt& attempt = *live->attempt;
   if (!attempt.head) return;
-  if (!live->IsStream() || !http::IsSuccess(attempt.head->status)) {
+  if (!live->HasEvents(attempt.head->status)) {
     attempt.last_progress = SteadyClock().Now();
     attempt.body += data;
     return;
@@ -228,8 +228,7 @@
          "the connection ended without a response");
     return;
   }
-  const bool is_event_stream =
-      live->IsStream() && http::IsSuccess(attempt.head->status);
+  const bool is_event_stream = live->HasEvents(attempt.head->status);
   if (is_event_stream && (attempt.events.HasIncompleteEvent() ||
                           (!attempt.has_event && !MayHaveNoEvent(*live)))) {
     ProbeAfterBreak(*live);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -260,10 +260,6 @@
                                           ": " + error.message());
   }
   impl->socket.non_blocking(true, error);
-  threads.Post([impl] {
-    impl->Receive();
-    impl->SendFullReport();
-  });
   return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(impl)));
 }
 
@@ -272,6 +268,13 @@
 
 PeerExchange::~PeerExchange() { m_impl->is_stopped = true; }
 
+void PeerExchange::Start() {
+  m_impl->threads.Post([impl = m_impl] {
+    impl->Receive();
+    impl->SendFullReport();
+  });
+}
+
 void PeerExchange::AddPeer(const std::string& address) {
   const auto parsed = ParsePeerAddress(address);
   if (!parsed) {
