Prove the end of an answer by queries on a kept connection

Cause: an idle connection shows nothing of a process that never accepted it or wrote on it. The id in the answer to a query shows nothing either, as an engine may keep its id.

Queries now go out on a connection that is kept. An answer on it comes from the process that answered on it before; if that was before the request was sent, the process that began an answer without length runs on after its end. A start that the engine stated before the request counts instead of an older registration, so that whole answers are not lost while the store is away, and another start is a crash only while registrations are fresh.

Also from the review: what frames a body is read from the values of the headers (a coding other than `chunked` frames nothing, contradicting lengths are invalid), and a backend server's answer that ends with its connection has failed at a side, too.

AnswerEndTest, 11 cases; Call_ErrorInsteadOfAnIdentity_*, Call_EngineKeepsNoConnection_* and Call_RegistrationOlderThanTheProcess_* are those of the review.

--- a/src/gateway/answer_end_test.cc
+++ b/src/gateway/answer_end_test.cc
@@ -22,8 +22,11 @@
   CPPUNIT_TEST(Call_ProcessStatesALaterStart_IsNotComplete);
   CPPUNIT_TEST(Call_AnotherEngineAnswers_IsNotComplete);
   CPPUNIT_TEST(Call_NobodyAnswersAtTheAddress_IsNotComplete);
-  CPPUNIT_TEST(Call_ProcessStatesNoStart_IsCompleteOnceAConnectionWasIdle);
-  CPPUNIT_TEST(Call_IdleConnectionEndsWithTheAnswer_IsNotComplete);
+  CPPUNIT_TEST(Call_RegistrationOlderThanTheProcess_IsCompleteOnceAsked);
+  CPPUNIT_TEST(Call_ProcessStatesNoStart_IsCompleteOnceAsked);
+  CPPUNIT_TEST(Call_QueryConnectionEndsWithTheAnswer_IsNotComplete);
+  CPPUNIT_TEST(Call_EngineKeepsNoConnection_IsNotComplete);
+  CPPUNIT_TEST(Call_ErrorInsteadOfAnIdentity_IsNotComplete);
   CPPUNIT_TEST(Call_ManyAnswersEndWhileOneIsChecked_AreAllComplete);
   CPPUNIT_TEST(Call_RepeatableAndCut_RunsAtAnotherEngine);
   CPPUNIT_TEST(Stream_EngineLeavesAndEnds_IsNotComplete);
@@ -55,15 +58,23 @@
     CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
   }
 
+  // Guards against whole answers that are lost while the store is away.
+  void Call_RegistrationOlderThanTheProcess_IsCompleteOnceAsked() {
+    AddRawEngine(kStart);
+    m_identity = StatesStart(kStart + 450);
+    CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
+    CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
+  }
+
   // An engine without a stated start may have started again under its id.
-  void Call_ProcessStatesNoStart_IsCompleteOnceAConnectionWasIdle() {
+  void Call_ProcessStatesNoStart_IsCompleteOnceAsked() {
     AddRawEngine(0);
     m_identity.clear();
     CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
     CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
     CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
   }
-  void Call_IdleConnectionEndsWithTheAnswer_IsNotComplete() {
+  void Call_QueryConnectionEndsWithTheAnswer_IsNotComplete() {
     AddRawEngine(0);
     m_identity.clear();
     CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
@@ -73,9 +84,27 @@
     m_ends_with_answer = false;
     CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
   }
+  void Call_EngineKeepsNoConnection_IsNotComplete() {
+    AddRawEngine(0);
+    m_identity = "Connection: close\r\n";
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
+    }
+  }
+  // Guards against an answer of whatever is between the gateway and its engine.
+  void Call_ErrorInsteadOfAnIdentity_IsNotComplete() {
+    AddRawEngine(0);
+    m_identity.clear();
+    m_identity_status = "503 Unavailable";
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
+    }
+  }
 
   void Call_ManyAnswersEndWhileOneIsChecked_AreAllComplete() {
     AddRawEngine(kStart);
+    CPPUNIT_ASSERT_EQUAL(200, Call("/post/x").status);
+    m_queries = 0;
     m_identity_delay = milliseconds(100);
     std::vector<std::future<std::optional<std::string>>> calls;
     for (int i = 0; i < 3; ++i) {
@@ -90,7 +119,7 @@
 
   void Call_RepeatableAndCut_RunsAtAnotherEngine() {
     AddRawEngine(kStart);
-    m_identity = StatesStart(kStart + 450);
+    m_is_restarting = true;
     AddEngine(RespondOk);
     Configure();
     CPPUNIT_ASSERT_EQUAL(std::string("body of /call/x"), Call("/call/x").body);
@@ -115,7 +144,7 @@
 
   void Stream_ProcessStatesALaterStart_IsResumed() {
     AddRawEngine(kStart);
-    m_identity = StatesStart(kStart + 450);
+    m_is_restarting = true;
     m_body = MakeEvent(0);
     AddSecondRawEngine(
         "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\n"
@@ -162,16 +191,19 @@
   }
 
   void Serve(RawConnection& connection) {
-    const std::string request = connection.ReadRequest();
-    if (request.empty()) return;
-    if (request.find("/identity") != std::string::npos) {
-      ++m_queries;
+    std::string request;
+    while (!(request = connection.ReadRequest()).empty()) {
+      if (request.find("/identity") == std::string::npos) break;
+      const int query = ++m_queries;
       std::this_thread::sleep_for(m_identity_delay);
       if (!m_has_identity) return;
-      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + m_identity +
-                       "\r\n");
-      return;
+      connection.Write(
+          "HTTP/1.1 " + m_identity_status + "\r\nContent-Length: 0\r\n" +
+          (m_is_restarting ? StatesStart(kStart + query) : m_identity) +
+          "\r\n");
+      if (m_is_restarting) return;
     }
+    if (request.empty()) return;
     m_on_answer();
     connection.Write(kHead + m_body);
     if (m_ends_with_answer) m_server->CloseConnections();
@@ -179,7 +211,10 @@
 
   /// Headers of the answer to the question which process answers.
   std::string m_identity = StatesStart(kStart);
+  std::string m_identity_status = "200 OK";
   bool m_has_identity = true;
+  /// Each query is answered by a process that started later.
+  bool m_is_restarting = false;
   milliseconds m_identity_delay{0};
   /// The process ends with its answer, and another one listens.
   bool m_ends_with_answer = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -285,6 +285,7 @@
            "no data received within the stall timeout");
     }
   }
+  KeepQueryConnections(now);
   DrainQueue();
   if (!live_requests.empty()) ScheduleTick();
 }
@@ -347,6 +348,9 @@
 
 void Gateway::NoteEnginesChanged() {
   m_impl->ForgetGoneLimits();
+  m_impl->engine_queries.Forget([impl = m_impl.get()](const std::string& key) {
+    return !impl->engines.Contains(key);
+  });
   m_impl->ApplyColdLimits();
   m_impl->ScheduleQueueDrain();
 }
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -51,6 +51,14 @@
 }
 
 void Gateway::Impl::Send(const LiveRequestPtr& live) {
+  if (HasToAskFirst(*live)) {
+    AskThenSend(live);
+  } else {
+    SendNow(live);
+  }
+}
+
+void Gateway::Impl::SendNow(const LiveRequestPtr& live) {
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
   attempt.sent_at = now;
@@ -104,7 +112,6 @@
       self.OnDone(held, outcome);
     });
   };
-  OpenIdleConnection(*live, attempt);
   attempt.call = client.Start(std::move(request), std::move(callbacks));
   ScheduleHedge(live);
 }
@@ -144,10 +151,11 @@
     Fail(live, FailureCause::kNotRun, "status " + std::to_string(head.status));
     return;
   }
-  if (!head.matches_request || !head.is_signed || head.is_encoded) {
+  if (!head.matches_request || !head.is_signed || head.is_encoded ||
+      head.has_invalid_framing) {
     Fail(live, FailureCause::kBroken,
-         "the response has the wrong request id, no signature or an encoded "
-         "body");
+         "the response has the wrong request id, no signature, an encoded "
+         "body or contradicting lengths");
     return;
   }
   if (head.ends_with_connection) NoteWithoutLength(*live);
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -97,22 +97,25 @@
     return;
   }
   ProbeAddress(threads, attempt.address, {.timeout = kProbeTimeout},
-               [self = shared_from_this(),
-                process = ProcessOf(attempt)](ProbeVerdict verdict) {
+               [self = shared_from_this(), process = ProcessOf(attempt),
+                sent_at = attempt.sent_at](ProbeVerdict verdict) {
                  if (verdict == ProbeVerdict::kListening) {
-                   self->FindReplacement(process);
+                   self->FindReplacement(process, sent_at);
                  } else {
                    self->OnProbed(process.engine_key, verdict);
                  }
                });
 }
 
-void Gateway::Impl::FindReplacement(const EngineProcess& process) {
-  QueryEngine(process, [self = shared_from_this(), process](
-                           const std::optional<EngineIdentity>& identity) {
-    const bool is_replaced = identity && process.IsReplacedBy(*identity);
-    self->OnProbed(process.engine_key, is_replaced ? ProbeVerdict::kReplaced
-                                                   : ProbeVerdict::kListening);
+void Gateway::Impl::FindReplacement(const EngineProcess& process,
+                                    TimePoint sent_at) {
+  engine_queries.Ask(process, [self = shared_from_this(), process, sent_at](
+                                  const std::optional<QueryAnswer>& answer,
+                                  const QueriedEngine& known) {
+    const AnswerEnd end = JudgeAnswerEnd(process, sent_at, answer, known);
+    self->OnProbed(process.engine_key, self->HasCrashed(process, end)
+                                           ? ProbeVerdict::kReplaced
+                                           : ProbeVerdict::kListening);
   });
 }
 
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -104,12 +104,11 @@
     return out;
   };
   codec.read_identity = [](const std::string& engine_id,
-                           const http::ClientResponseHead& head,
-                           std::string_view /*body*/) {
+                           const http::ClientResponse& response) {
     EngineIdentity identity;
-    const auto other = head.FindHeader("Engine");
+    const auto other = response.FindHeader("Engine");
     identity.is_other_engine = other && *other != engine_id;
-    if (const auto start = head.FindHeader("Started")) {
+    if (const auto start = response.FindHeader("Started")) {
       identity.started_unix_ms = std::stoll(std::string(*start));
     }
     return identity;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -19,8 +19,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "answer_end.h"
 #include "engine_probe.h"
+#include "engine_queries.h"
 #include "failure.h"
 #include "hedge_plan.h"
 #include "live_request.h"
@@ -142,7 +142,7 @@
                    : nullptr),
         random(std::random_device()()),
         preference_seed(random()),
-        idle_connections(io) {}
+        engine_queries(io, http_client, codec) {}
 
   // Arrival and end.
   void Handle(const http::ServerRequest& in,
@@ -283,7 +283,7 @@
   void ProbeAfterBreak(LiveRequest& live,
                        std::optional<ProbeVerdict> found = std::nullopt);
   /// Reports a probed process that listens, or another one in its place.
-  void FindReplacement(const EngineProcess& process);
+  void FindReplacement(const EngineProcess& process, TimePoint sent_at);
   /// Returns whether the engine of the attempt should be running.
   bool ShouldRun(const LiveRequest& live) const;
   /// `verdict` is none if the engine was leaving and not probed.
@@ -307,25 +307,20 @@
   // Answers that end with their connection.
   /// Records that the service sends answers without length.
   void NoteWithoutLength(const LiveRequest& live);
-  /// Opens an idle connection to the engine of `attempt`, which is about to be
-  /// sent, if that may be needed to tell where its answer ends.
-  void OpenIdleConnection(const LiveRequest& live, Attempt& attempt);
-  /// Asks the engine which process answers. Passes on none if it does not say
-  /// so in time.
-  void QueryEngine(
-      const EngineProcess& process,
-      std::function<void(std::optional<EngineIdentity>)> on_answer);
+  /// Returns whether the engine of the current attempt has to be asked which
+  /// process answers before the request is sent, so that this can be compared
+  /// after the answer.
+  bool HasToAskFirst(const LiveRequest& live) const;
+  void AskThenSend(const LiveRequestPtr& live);
+  /// Keeps the connections for queries open while answers arrive that end with
+  /// their connection.
+  void KeepQueryConnections(TimePoint now);
   /// Finishes the answer of the current attempt if it is shown to be whole.
   /// Otherwise the attempt has failed.
   void CheckAnswerEnd(const LiveRequestPtr& live);
-  /// Sends the query for the ended answers of the engine of `live`.
-  void StartAnswerEndCheck(const LiveRequest& live);
-  void OnAnswerEndQueried(const std::string& engine,
-                          const std::optional<EngineIdentity>& identity);
-  AnswerEnd ProveAnswerEnd(const LiveRequest& live,
-                           const std::optional<EngineIdentity>& identity) const;
-  void DecideAnswerEnd(const LiveRequestPtr& live,
-                       const std::optional<EngineIdentity>& identity);
+  void DecideAnswerEnd(const LiveRequestPtr& live, AnswerEnd end);
+  /// Returns whether the engine has crashed since the request was sent.
+  bool HasCrashed(const EngineProcess& process, AnswerEnd end) const;
   void NoteAnswerEnd(const LiveRequest& live, AnswerEnd end);
   /// Handles an answer that is whole.
   void FinishAnswer(const LiveRequestPtr& live);
@@ -333,7 +328,9 @@
   // One attempt.
   void StartAttempt(const LiveRequestPtr& live,
                     const discovery::EngineRecord& engine);
+  /// Sends the request, after a query if one is needed.
   void Send(const LiveRequestPtr& live);
+  void SendNow(const LiveRequestPtr& live);
   void OnHead(const LiveRequestPtr& live, const http::ClientResponseHead& head);
   void OnData(const LiveRequestPtr& live, const std::string& data);
   void OnEvent(const LiveRequestPtr& live, std::string_view event);
@@ -454,11 +451,9 @@
   TimePoint last_pause_end{};
   /// Keyed by engine address.
   std::unordered_map<std::string, TimePoint> memory_full_until;
-  IdleConnections idle_connections;
-  /// Keyed by service name.
-  std::unordered_map<std::string, ServiceWithoutLength> without_length;
-  /// By engine key.
-  std::unordered_map<std::string, AnswerEndCheck> answer_end_checks;
+  EngineQueries engine_queries;
+  /// When services last sent an answer without length, by name.
+  std::unordered_map<std::string, TimePoint> without_length;
   /// Attempts that broke at engines that are being probed, by engine key.
   std::unordered_map<std::string, BrokenAttempts> broken_attempts;
   /// Keyed by service name.
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -8,7 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include "idle_connections.h"
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/http/server.h"
@@ -27,8 +26,6 @@
   /// Stated start of the engine's process as Unix time in ms; 0 if not stated.
   int64_t engine_started_unix_ms = 0;
   std::string address;
-  /// Idle connection that was opened before the request was sent; 0 if none.
-  IdleConnections::Id idle_connection = 0;
   /// Keys of the helper engines, which run prefill shards.
   std::vector<std::string> helper_keys;
   std::vector<HelperRef> helpers;
@@ -55,6 +52,8 @@
   /// Body of a response that is not streamed.
   std::string body;
   EventSplitter events;
+  /// It is sent once the engine has been asked which process answers.
+  bool is_asking = false;
   /// The answer has ended, and whether it is whole is still to be found out.
   bool is_confirming = false;
   bool has_event = false;
--- a/src/gateway/replaced_engine_test.cc
+++ b/src/gateway/replaced_engine_test.cc
@@ -49,6 +49,7 @@
  private:
   void CallBreaksOff(int64_t answering_start) {
     m_answering_start = answering_start;
+    RunOnLoop([&] { m_directory->BeginRead(SteadyClock().Now()); });
     Register("raw", m_server->Address(), "calls", kStart);
     Configure();
     CPPUNIT_ASSERT_EQUAL(502, Call("/post/x").status);
@@ -57,8 +58,10 @@
   void Serve(RawConnection& connection) {
     const std::string request = connection.ReadRequest();
     if (request.find("/identity") == std::string::npos) return;
-    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nStarted: " +
-                     std::to_string(m_answering_start) + "\r\n\r\n");
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: "
+        "close\r\nStarted: " +
+        std::to_string(m_answering_start) + "\r\n\r\n");
     // The client closes its connection when it has read the answer.
     connection.WaitForEnd();
     m_is_answered = true;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -71,6 +71,11 @@
   ClientResponseHead head;
   head.status = static_cast<int>(status);
   if (type != nullptr) head.content_type = type;
+  CurlLong local_port = 0;
+  CurlLong new_connections = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_LOCAL_PORT, &local_port);
+  curl_easy_getinfo(call.handle, CURLINFO_NUM_CONNECTS, &new_connections);
+  head.connection = {static_cast<uint16_t>(local_port), new_connections == 0};
   curl_header* etag = nullptr;
   constexpr int kLastRequest = -1;
   if (curl_easy_header(call.handle, "ETag", 0, CURLH_HEADER, kLastRequest,
@@ -468,6 +473,7 @@
     response->status = head.status;
     response->content_type = head.content_type;
     response->etag = head.etag;
+    response->connection = head.connection;
     response->headers = head.headers;
   };
   callbacks.on_data = [response](std::string_view data) {
--- a/src/include/peridotshelf/gateway/messages.h
+++ b/src/include/peridotshelf/gateway/messages.h
@@ -86,6 +86,8 @@
   /// The body has neither a length nor chunks, so the end of the connection is
   /// its end. False if the response has no body.
   bool ends_with_connection = false;
+  /// The headers that should tell where the body ends contradict each other.
+  bool has_invalid_framing = false;
   /// How long the engine, which rejected the request, wants no others from this
   /// entry.
   std::optional<Duration> pause;
@@ -131,11 +133,9 @@
   std::function<http::ClientRequest(const std::string& address,
                                     const std::string& engine_id)>
       write_identity_query;
-  /// Reads the answer to the identity query for `engine_id`. The body may be
-  /// incomplete or absent.
+  /// Reads the answer to the identity query for `engine_id`.
   std::function<EngineIdentity(const std::string& engine_id,
-                               const http::ClientResponseHead& head,
-                               std::string_view body)>
+                               const http::ClientResponse& response)>
       read_identity;
   /// Creates a request that reserves memory at the engine at `address` under
   /// `id`, or extends the reservation.
--- a/src/include/peridotshelf/http/client.h
+++ b/src/include/peridotshelf/http/client.h
@@ -62,12 +62,20 @@
   bool fresh_connection = false;
 };
 
+/// The connection on which a response arrived.
+struct ClientConnection {
+  uint16_t local_port = 0;
+  /// It was open before the request.
+  bool is_reused = false;
+};
+
 /// Status and headers of a response.
 struct ClientResponseHead {
   int status = 0;
   std::string content_type;
   /// The entity tag, if the server sent one.
   std::string etag;
+  ClientConnection connection;
   /// All headers of the final response, in order.
   std::vector<Header> headers;
 
@@ -94,6 +102,7 @@
 struct ClientResponse {
   int status = 0;
   std::string content_type;
+  ClientConnection connection;
   std::string etag;
   std::vector<Header> headers;
   std::string body;
--- a/src/side/service_calls.cc
+++ b/src/side/service_calls.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/http/framing.h"
+#include "peridotshelf/http/status.h"
 #include "peridotshelf/wire/codec.h"
 
 namespace peridotshelf::side {
@@ -42,6 +44,23 @@
   return answer;
 }
 
+/// Returns the response unless the end of its connection is all that ends its
+/// body: a service that crashes ends the connection as well.
+Result<http::ClientResponse> CheckWhole(
+    const Result<http::ClientResponse>& response) {
+  if (!response || response->status == http::kNoContent ||
+      response->status == http::kNotModified) {
+    return response;
+  }
+  const http::BodyEnd end = http::FindBodyEnd(response->headers);
+  if (end == http::BodyEnd::kLength || end == http::BodyEnd::kChunked) {
+    return response;
+  }
+  return Fail(ErrorCode::kConnectionLost,
+              "the service's answer has neither a length nor chunks, so it is "
+              "not known to be whole");
+}
+
 }  // namespace
 
 void ServiceCalls::Start(const control::ControlState& state,
@@ -74,12 +93,12 @@
   const bool unrepeatable = call.unrepeatable;
   // Inserted before the call starts, since the answer may arrive at once.
   m_running.Insert(attempt, RunningCall{0, true});
-  const http::Client::CallId id =
-      m_client.Fetch(ToRequest(base_url, call),
-                     [self = shared_from_this(), attempt, scoped_key](
-                         const Result<http::ClientResponse>& response) {
-                       self->OnAnswer(attempt, scoped_key, response);
-                     });
+  const http::Client::CallId id = m_client.Fetch(
+      ToRequest(base_url, call),
+      [self = shared_from_this(), attempt,
+       scoped_key](const Result<http::ClientResponse>& response) {
+        self->OnAnswer(attempt, scoped_key, CheckWhole(response));
+      });
   if (!unrepeatable && m_running.Take(attempt)) {
     m_running.Insert(attempt, RunningCall{id, false});
   }
--- a/src/side/service_calls_test.cc
+++ b/src/side/service_calls_test.cc
@@ -42,9 +42,40 @@
   std::string m_body;
 };
 
+/// Starts calls at a backend server and waits for their answers.
+class CallStarter {
+ public:
+  explicit CallStarter(std::string address) : m_address(std::move(address)) {
+    m_streams->AddConnection(m_channel);
+  }
+
+  std::string operator()(const std::string& request) const {
+    wire::ServiceCall sent;
+    sent.attempt = wire::ToWire({RequestId(request), 1});
+    sent.method = "GET";
+    sent.target = "/page";
+    sent.remaining_ms = 5000;
+    m_calls->Start({}, "http://" + m_address, m_channel, std::move(sent));
+    return m_channel->WaitForAnswer();
+  }
+
+ private:
+  std::string m_address;
+  // The calls that the client ends on its thread hold the others.
+  std::shared_ptr<AttemptStreams> m_streams =
+      std::make_shared<AttemptStreams>(1, attempts::ExecutionOptions());
+  std::shared_ptr<RecordingChannel> m_channel =
+      std::make_shared<RecordingChannel>();
+  std::unique_ptr<http::Client> m_client = std::make_unique<http::Client>();
+  std::shared_ptr<ServiceCalls> m_calls = std::make_shared<ServiceCalls>(
+      *m_client, m_streams,
+      std::make_shared<IdempotencyService>(HostId("host")));
+};
+
 class ServiceCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ServiceCallsTest);
   CPPUNIT_TEST(Start_AnswerRepeated_NextCallerGetsItsOwn);
+  CPPUNIT_TEST(Start_AnswerEndsWithItsConnection_HasFailed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,27 +93,21 @@
         copy = answer;
       }
     });
-    http::Client client;
-    const auto streams =
-        std::make_shared<AttemptStreams>(1, attempts::ExecutionOptions());
-    const auto service_calls = std::make_shared<ServiceCalls>(
-        client, streams, std::make_shared<IdempotencyService>(HostId("host")));
-    const auto channel = std::make_shared<RecordingChannel>();
-    streams->AddConnection(channel);
-    const auto call = [&](const std::string& request) {
-      wire::ServiceCall sent;
-      sent.attempt = wire::ToWire({RequestId(request), 1});
-      sent.method = "GET";
-      sent.target = "/page";
-      sent.remaining_ms = 5000;
-      service_calls->Start({}, "http://" + server.Address(), channel,
-                           std::move(sent));
-      return channel->WaitForAnswer();
-    };
+    const CallStarter call(server.Address());
     CPPUNIT_ASSERT_EQUAL(std::string("1"), call("first"));
     CPPUNIT_ASSERT_EQUAL(std::string("2"), call("second"));
     CPPUNIT_ASSERT_EQUAL(std::string("3"), call("third"));
   }
+
+  // Guards against an answer that a crash cut and that counts as whole.
+  void Start_AnswerEndsWithItsConnection_HasFailed() {
+    const RawServer server([](RawConnection& connection) {
+      if (connection.ReadRequest().empty()) return;
+      connection.Write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+    });
+    const CallStarter call(server.Address());
+    CPPUNIT_ASSERT_EQUAL(std::string("failed"), call("first"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ServiceCallsTest);
 
