--- a/src/http/head_check_test.cc
+++ b/src/http/head_check_test.cc
@@ -150,7 +150,7 @@
       {"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n",
        "a line that does not end with CR LF"},
       {"GET / HTTP/1.1\nA: b\n\n", "a line that does not end with CR LF"},
-      {Bytes("GET / HTTP/1.1\r\nA: b\0c\r\n\r\n", 27),
+      {Bytes("GET / HTTP/1.1\r\nA: b\0c\r\n\r\n", 26),
        "a control character in a header"},
       {"GET / HTTP/1.1\r\nA: b\x7f\r\n\r\n", "a control character in a header"},
       {"GET  / HTTP/1.1\r\n\r\n", "a space too many in the request line"},
