Bound the memory of all bodies that a gateway holds

Each body was bounded, their sum was not: slow clients with large bodies took a gateway over its memory, for which the platform kills it with all calls that it runs.

HeldBytes counts the bodies of requests as they arrive and until they are answered, the answers that are collected and what callers have not taken. The limit is half of limits.memoryMb: a body exists twice for a moment, and connections and all other state need the rest. A request whose body exceeds it is answered 503 with a Retry-After by the rate at which bytes became free; answers are not cut.

--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -46,6 +46,7 @@
   attempt.engine_id = engine.id;
   attempt.engine_started_unix_ms = engine.started_unix_ms;
   attempt.address = engine.address;
+  attempt.body_lease = http::HeldBytesLease(options.held_bytes);
   live->tried_engines.push_back(attempt.engine_key);
   live->attempt = std::move(attempt);
 }
@@ -174,6 +175,7 @@
   if (!live->HasEvents(attempt.head->status)) {
     attempt.last_progress = SteadyClock().Now();
     attempt.body += data;
+    attempt.body_lease.Add(data.size());
     return;
   }
   const uint64_t number = attempt.number;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -10,6 +10,7 @@
 
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/http/client.h"
+#include "peridotshelf/http/held_bytes.h"
 #include "peridotshelf/http/server.h"
 #include "peridotshelf/http/status.h"
 #include "peridotshelf/quarantine/suspect_record.h"
@@ -51,6 +52,7 @@
   std::optional<int64_t> resumed_after;
   /// Body of a response that is not streamed.
   std::string body;
+  http::HeldBytesLease body_lease;
   EventSplitter events;
   /// It is sent once the engine has been asked which process answers.
   bool is_asking = false;
--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -170,7 +170,9 @@
   std::string bytes = "HTTP/1.1 " + std::to_string(rejection.status) + " ";
   bytes += FindReasonPhrase(rejection.status);
   bytes += "\r\n";
-  if (rejection.status == kUnavailable) bytes += "Retry-After: 1\r\n";
+  if (rejection.status == kUnavailable) {
+    bytes += "Retry-After: " + std::to_string(rejection.retry_after_s) + "\r\n";
+  }
   bytes += "Content-Type: text/plain\r\nContent-Length: " +
            std::to_string(reason.size() + 1) + "\r\nConnection: close\r\n\r\n";
   if (m_request.method != "HEAD") {
@@ -178,7 +180,9 @@
     bytes += '\n';
   }
   m_close_when_sent = true;
-  m_unparsed.clear();
+  m_unparsed = {};
+  m_request = {};
+  m_body_lease.Clear();
   Send(std::move(bytes));
 }
 
@@ -186,6 +190,7 @@
   if (m_closed) return;
   if (m_unsent.empty()) m_send_progress.Restart(SteadyClock().Now());
   m_unsent_bytes += bytes.size();
+  m_unsent_lease.Add(bytes.size());
   m_unsent.push_back(std::move(bytes));
   if (m_unsent_bytes > kMaxUnsent) {
     Close();
@@ -222,6 +227,7 @@
 void FrontConnection::OnWritten(size_t bytes) {
   const TimePoint now = SteadyClock().Now();
   m_unsent_bytes -= bytes;
+  m_unsent_lease.Remove(bytes);
   m_send_progress.Add(bytes, now);
   m_sent_of_front += bytes;
   while (!m_unsent.empty() && m_sent_of_front >= m_unsent.front().size()) {
@@ -243,6 +249,7 @@
 void FrontConnection::FinishAnswer(bool keep_open) {
   if (m_answering) --m_server->running_count;
   m_answering = false;
+  m_body_lease.Clear();
   on_disconnect = nullptr;
   if (m_closed) return;
   m_idle_since = SteadyClock().Now();
@@ -263,6 +270,8 @@
 void FrontConnection::Close() {
   if (m_closed) return;
   m_closed = true;
+  m_body_lease.Clear();
+  m_unsent_lease.Clear();
   asio::error_code ignored;
   m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
   m_socket.close(ignored);
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -40,6 +40,7 @@
   std::function<ResponderPtr(std::shared_ptr<FrontConnection>, bool)>
       make_responder;
   CallerLimits limits;
+  std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>();
   bool close_after_answers = false;
   bool close_idle = false;
   /// Accepts no connections and reads no further requests.
@@ -102,6 +103,8 @@
   FrontConnection(std::shared_ptr<FrontServer::Impl> server, Tcp::socket socket)
       : m_server(std::move(server)),
         m_socket(std::move(socket)),
+        m_body_lease(m_server->held),
+        m_unsent_lease(m_server->held),
         m_idle_since(SteadyClock().Now()) {
     ResetParser();
   }
@@ -162,6 +165,8 @@
   /// Ends the parsing of a request, which is rejected. Returns a value that
   /// callbacks return for it.
   int FailParsing(const detail::Rejection& rejection);
+  /// Like `FailParsing`, for a body that cannot be held.
+  int FailForHeldBytes();
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* at, size_t length);
   static int OnMessageComplete(http_parser* parser);
@@ -176,6 +181,9 @@
   std::array<char, kReadBytes> m_buffer{};
   std::deque<std::string> m_unsent;
   size_t m_unsent_bytes = 0;
+  /// The body of the request until it is answered.
+  HeldBytesLease m_body_lease;
+  HeldBytesLease m_unsent_lease;
   /// Bytes of the first unsent part that were sent.
   size_t m_sent_of_front = 0;
   size_t m_head_bytes = 0;
--- a/src/http/front_parser.cc
+++ b/src/http/front_parser.cc
@@ -89,6 +89,13 @@
   return -1;
 }
 
+int FrontConnection::FailForHeldBytes() {
+  ++m_server->counters.rejected_bodies;
+  const Duration wait = m_server->held->PredictWait(SteadyClock().Now());
+  return FailParsing({kUnavailable, "the bodies held exceed their limit",
+                      std::chrono::ceil<std::chrono::seconds>(wait).count()});
+}
+
 int FrontConnection::OnHeadersComplete(http_parser* parser) {
   FrontConnection& self = FromParser(parser);
   self.m_head_complete = true;
@@ -124,6 +131,7 @@
   if (body.size() + length > self.m_server->limits.max_body_bytes) {
     return self.FailParsing(kTooLargeBody);
   }
+  if (!self.m_body_lease.TryAdd(length)) return self.FailForHeldBytes();
   body.append(at, length);
   self.m_body_progress.Add(length, SteadyClock().Now());
   return 0;
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -195,6 +195,10 @@
   m_impl->limits = limits;
 }
 
+void FrontServer::SetHeldBytes(std::shared_ptr<HeldBytes> held) {
+  m_impl->held = std::move(held);
+}
+
 void FrontServer::CloseAfterAnswers() { m_impl->close_after_answers = true; }
 
 void FrontServer::CloseIdle() {
--- a/src/http/head_check.h
+++ b/src/http/head_check.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -15,6 +16,8 @@
 struct Rejection {
   int status = 0;
   const char* reason = "";
+  /// Of a 503.
+  int64_t retry_after_s = 1;
 };
 
 /// Checks the bytes of a head: http_parser accepts spaces in header names,
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/gateway/peer_exchange.h"
 #include "peridotshelf/http/client.h"
+#include "peridotshelf/http/held_bytes.h"
 #include "peridotshelf/http/server.h"
 #include "peridotshelf/io/io_threads.h"
 #include "peridotshelf/metrics/registry.h"
@@ -36,6 +37,8 @@
   Duration reservation_ttl = std::chrono::milliseconds(3500);
   /// Largest body of an engine's response that is not streamed.
   size_t max_response_bytes = size_t{512} * 1024;
+  /// Counts the answers that are collected before they are sent; may be null.
+  std::shared_ptr<http::HeldBytes> held_bytes;
   /// Largest event of a stream.
   size_t max_event_bytes = size_t{64} * 1024;
   /// A stream may have this many bytes for each output token that its request
--- a/src/include/peridotshelf/http/front_server.h
+++ b/src/include/peridotshelf/http/front_server.h
@@ -14,6 +14,7 @@
 
 #include "peridotshelf/base/clock.h"
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/http/held_bytes.h"
 #include "peridotshelf/http/server.h"
 #include "peridotshelf/io/io_threads.h"
 
@@ -39,6 +40,8 @@
   uint64_t open = 0;
   /// Requests rejected by the server itself: malformed, too large, too slow.
   uint64_t rejected = 0;
+  /// Those of them that were rejected since too many bodies were held.
+  uint64_t rejected_bodies = 0;
 };
 
 /// Serves one port. The handler and all callbacks run on the single thread of
@@ -60,6 +63,10 @@
 
   /// Applies to requests that have not begun yet.
   void SetLimits(const CallerLimits& limits);
+  /// Counts the bodies of requests and the unsent parts of answers in `held`; a
+  /// request whose body exceeds its limit is answered 503. Applies to new
+  /// connections.
+  void SetHeldBytes(std::shared_ptr<HeldBytes> held);
   /// Closes each connection after its next response.
   void CloseAfterAnswers();
   /// Closes connections on which no request has begun, now and in future. New
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -21,6 +21,16 @@
 /// Time to live of a reservation that is not renewed, as a fraction of the
 /// limit on keeping unused memory allocated.
 constexpr double kReservationTtlFraction = 0.85;
+/// Bodies may use the memory limit divided by this. The rest is for
+/// connections, copies of bodies that are being forwarded, and all other state.
+constexpr size_t kBodyMemoryDivisor = 2;
+
+std::shared_ptr<http::HeldBytes> MakeHeldBytes(
+    const ProcessSettings& settings) {
+  if (!settings.memory_limit_bytes) return std::make_shared<http::HeldBytes>();
+  return std::make_shared<http::HeldBytes>(*settings.memory_limit_bytes /
+                                           kBodyMemoryDivisor);
+}
 
 }  // namespace
 
@@ -29,6 +39,7 @@
        const scheduling::HedgeOptions& hedge_options)
       : settings(std::move(process_settings)),
         hedging(hedge_options),
+        held_bytes(MakeHeldBytes(settings)),
         engines(settings.registrations) {}
 
   ~Impl() {
@@ -46,6 +57,7 @@
 
   ProcessSettings settings;
   scheduling::HedgeOptions hedging;
+  std::shared_ptr<http::HeldBytes> held_bytes;
   io::IoThreads threads{1};
   http::Client client;
   metrics::Registry registry;
@@ -117,6 +129,13 @@
       [this] {
         return static_cast<double>(caller_server->counters().rejected);
       });
+  add("peridotshelf_rejected_bodies",
+      "Requests rejected since the bodies held exceed their limit.", [this] {
+        return static_cast<double>(caller_server->counters().rejected_bodies);
+      });
+  add("peridotshelf_held_body_bytes",
+      "Bytes of the bodies and collected answers that are held.",
+      [this] { return static_cast<double>(held_bytes->bytes()); });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
@@ -145,6 +164,7 @@
   options.retry_limits = settings.retry_limits;
   options.cold_bound = settings.cold_bound;
   options.hedging = hedging;
+  options.held_bytes = held_bytes;
   if (settings.memory_release_limit > Duration::zero()) {
     options.reservation_ttl = std::chrono::duration_cast<Duration>(
         settings.memory_release_limit * kReservationTtlFraction);
@@ -161,6 +181,7 @@
   if (!created_caller_server)
     return tl::unexpected<Error>(created_caller_server.error());
   caller_server = std::move(*created_caller_server);
+  threads.Post([this] { caller_server->SetHeldBytes(held_bytes); });
   StoreCallbacks callbacks;
   callbacks.on_configuration =
       [this](const std::shared_ptr<const routing::Configuration>& newest) {
