Keep callers' bytes out of the ids of reservations

Cause: the id of a reservation was the request's id and a number. It goes into the JSON of an order, and the JSON library throws (type_error 316) for text that is not UTF-8; nothing catches that on the gateway's thread.

Change: the ids of reservations are the gateway's own, a random text and a number. Event 206 has the id, so that events 300 and 301 can be assigned to the request. The caller's id is passed on and echoed as it was sent, as before.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -417,6 +417,9 @@
   std::unordered_map<std::string, EngineState> engine_states;
   /// Until then some engine may be paused.
   TimePoint last_pause_end{};
+  /// Starts the ids of reservations. They hold nothing of the caller's request
+  /// id, since they are part of JSON orders and of a comma-separated header.
+  const std::string reservation_prefix = MakeRandomId();
   /// Keyed by engine address.
   std::unordered_map<std::string, TimePoint> memory_full_until;
   /// Attempts that broke at engines that are being probed, by engine key.
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -192,7 +192,7 @@
   attempt.predicted_answer_ms = plan.first_event_ms;
   if (plan.reserve_tokens > 0) {
     attempt.reservation =
-        live->request.id.value() + "-" + std::to_string(attempt.number);
+        reservation_prefix + "-" + std::to_string(attempt.number);
   }
   for (const size_t index : plan.helpers) {
     attempt.helper_keys.push_back(candidates[index].engine);
@@ -219,6 +219,7 @@
                {"helper_engines", JoinKeys(attempt.helper_keys)},
                {"part_ms", std::lround(plan.prefill_shard_ms)},
                {"reserved_tokens", plan.reserve_tokens},
+               {"reservation", attempt.reservation},
                {"prompt_tokens", live.prompt_tokens},
                {"predicted_ms", std::lround(plan.first_event_ms)},
                {"backlog_ms", std::lround(first.load.backlog_ms)},
