Escape bytes that are not UTF-8 in log lines and labels

Two request ids that differ in a byte over 127 looked the same in the log, a request with an id of some KB had no lines there, and one label that is not UTF-8 would make a page of metrics unreadable.

Cause: log lines replaced such bytes by U+FFFD, lines over 4 KiB are dropped (counted by event 105), and the metrics' text took any bytes. A line that could not be made, for want of memory, threw into the request's path.

Change: a field whose text is not UTF-8 is written with \xHH for each such byte, and named in `escaped`; a long text is cut, and `cut` has its length. Labels are escaped the same way. `Log` is noexcept and counts a line that it cannot make.

--- a/src/events/events_test.cc
+++ b/src/events/events_test.cc
@@ -1,6 +1,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <climits>
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include "peridotshelf/events/log.h"
+#include "peridotshelf/testing/drawn_inputs.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::events {
@@ -52,6 +54,9 @@
 class FormatLineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FormatLineTest);
   CPPUNIT_TEST(FormatLine_WithFields_IsOneJsonObject);
+  CPPUNIT_TEST(FormatLine_BytesThatAreNotUtf8_CanBeTold);
+  CPPUNIT_TEST(FormatLine_LongTexts_AreCutToOneWrite);
+  CPPUNIT_TEST(FormatLine_AnyTexts_IsJsonOfOneWrite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +70,40 @@
     CPPUNIT_ASSERT(parsed.at("peer") == "h1\n");
     CPPUNIT_ASSERT(parsed.at("streams") == 3);
   }
+  // Guards against two ids that look the same in the log.
+  void FormatLine_BytesThatAreNotUtf8_CanBeTold() {
+    const auto parsed = Format("r\xE9\\", "\\");
+    CPPUNIT_ASSERT(parsed.at("peer") == "r\\xE9\\\\");
+    CPPUNIT_ASSERT(parsed.at("reason") == "\\");
+    CPPUNIT_ASSERT(parsed.at("escaped") == nlohmann::json::array({"peer"}));
+    CPPUNIT_ASSERT(!Format("a", "b").contains("escaped"));
+  }
+  // Guards against a long id of a caller that keeps its lines out of the log.
+  void FormatLine_LongTexts_AreCutToOneWrite() {
+    const std::string text(15'000, 'x');
+    const auto parsed = Format(text, "short");
+    CPPUNIT_ASSERT(parsed.at("cut").at("peer") == text.size());
+    CPPUNIT_ASSERT(text.starts_with(parsed.at("peer").get<std::string>()));
+    CPPUNIT_ASSERT(parsed.at("peer").get<std::string>().size() >= 1000);
+    CPPUNIT_ASSERT(parsed.at("reason") == "short");
+  }
+  void FormatLine_AnyTexts_IsJsonOfOneWrite() {
+    testing::CheckProperty("any texts", [] {
+      const auto parsed = Format(*testing::DrawBytes(), *testing::DrawBytes());
+      RC_ASSERT(parsed.contains("peer"));
+    });
+  }
+
+ private:
+  /// Returns the line with two fields; checks that it is written at once.
+  static nlohmann::json Format(const std::string& peer,
+                               const std::string& reason) {
+    const std::string line =
+        FormatLine(EventId::kPeerLost, "entry-1", "2026-01-01T00:00:00.000Z",
+                   {{"peer", peer}, {"reason", reason}});
+    CPPUNIT_ASSERT(line.size() < PIPE_BUF);
+    return nlohmann::json::parse(line);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatLineTest);
 
--- a/src/events/log.cc
+++ b/src/events/log.cc
@@ -15,6 +15,8 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "peridotshelf/base/text.h"
+
 namespace peridotshelf::events {
 namespace {
 
@@ -28,6 +30,8 @@
   void close() override { closed = true; }
   /// Returns the number of lines dropped since the last call.
   int64_t TakeDroppedCount() { return m_dropped.exchange(0); }
+  /// Counts a line that was dropped before it came here.
+  void CountDropped() { ++m_dropped; }
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
@@ -128,6 +132,76 @@
   return text;
 }
 
+/// Longest text of a field; shorter if the line would be over `kMaxLineBytes`.
+constexpr size_t kMaxTextBytes = 2048;
+/// A line and its newline are written at once.
+constexpr size_t kMaxLineBytes = PIPE_BUF - 1;
+
+/// Adds a text field. Names it in `cut` or `escaped` if the line does not have
+/// all of its bytes as they are.
+void AddText(nlohmann::ordered_json& line, const std::string& key,
+             std::string_view text, size_t max_bytes,
+             nlohmann::ordered_json& cut, nlohmann::ordered_json& escaped) {
+  if (text.size() > max_bytes) {
+    cut[key] = text.size();
+    text = text.substr(0, FindCut(text, max_bytes));
+  }
+  if (IsUtf8(text)) {
+    line[key] = text;
+  } else {
+    escaped.push_back(key);
+    line[key] = EscapeBytes(text);
+  }
+}
+
+std::string FormatFields(EventId id, std::string_view process,
+                         std::string_view time,
+                         std::initializer_list<Field> fields, size_t max_text) {
+  const EventInfo& info = FindEventInfo(id);
+  nlohmann::ordered_json line;
+  nlohmann::ordered_json cut;
+  nlohmann::ordered_json escaped;
+  line["time"] = time;
+  line["level"] = ToString(info.level);
+  line["event"] = static_cast<int>(id);
+  line["name"] = info.name;
+  AddText(line, "process", process, max_text, cut, escaped);
+  for (const Field& field : fields) {
+    const std::string key(field.key);
+    if (const auto* text = std::get_if<std::string>(&field.value)) {
+      AddText(line, key, *text, max_text, cut, escaped);
+    } else {
+      std::visit([&](const auto& value) { line[key] = value; }, field.value);
+    }
+  }
+  if (!cut.is_null()) line["cut"] = std::move(cut);
+  if (!escaped.is_null()) line["escaped"] = std::move(escaped);
+  return line.dump();
+}
+
+void LogOrThrow(State& state, EventId id, std::initializer_list<Field> fields) {
+  const Level level = FindEventInfo(id).level;
+  if (!state.logger.isEnabledFor(ToLogLevel(level))) return;
+  std::map<EventId, int64_t> suppressed;
+  const bool allowed = state.limiter.Allow(
+      id, level, std::chrono::steady_clock::now(), suppressed);
+  const auto write = [&](EventId event, std::initializer_list<Field> values) {
+    state.logger.log(ToLogLevel(FindEventInfo(event).level),
+                     FormatLine(event, state.process, CurrentTime(), values));
+  };
+  for (const auto& [event, count] : suppressed) {
+    write(EventId::kEventsSuppressed, {{"of", FindEventInfo(event).name},
+                                       {"count", count},
+                                       {"cause", "rate"}});
+  }
+  if (allowed) write(id, fields);
+  const int64_t dropped = state.appender->TakeDroppedCount();
+  if (dropped > 0) {
+    write(EventId::kEventsSuppressed,
+          {{"of", "any"}, {"count", dropped}, {"cause", "output_full"}});
+  }
+}
+
 }  // namespace
 
 void StartLogging(Level threshold, std::string_view process) {
@@ -144,47 +218,26 @@
   g_state.store(state);
 }
 
-void Log(EventId id, std::initializer_list<Field> fields) {
+void Log(EventId id, std::initializer_list<Field> fields) noexcept {
   State* state = g_state.load();
   if (state == nullptr) return;
-  const Level level = FindEventInfo(id).level;
-  if (!state->logger.isEnabledFor(ToLogLevel(level))) return;
-  std::map<EventId, int64_t> suppressed;
-  const bool allowed = state->limiter.Allow(
-      id, level, std::chrono::steady_clock::now(), suppressed);
-  const auto write = [&](EventId event, std::initializer_list<Field> values) {
-    state->logger.log(ToLogLevel(FindEventInfo(event).level),
-                      FormatLine(event, state->process, CurrentTime(), values));
-  };
-  for (const auto& [event, count] : suppressed) {
-    write(EventId::kEventsSuppressed, {{"of", FindEventInfo(event).name},
-                                       {"count", count},
-                                       {"cause", "rate"}});
-  }
-  if (allowed) write(id, fields);
-  if (const int64_t dropped = state->appender->TakeDroppedCount();
-      dropped > 0) {
-    write(EventId::kEventsSuppressed,
-          {{"of", "any"}, {"count", dropped}, {"cause", "output_full"}});
+  try {
+    LogOrThrow(*state, id, fields);
+  } catch (...) {
+    state->appender->CountDropped();
   }
 }
 
 std::string FormatLine(EventId id, std::string_view process,
                        std::string_view time,
                        std::initializer_list<Field> fields) {
-  const EventInfo& info = FindEventInfo(id);
-  nlohmann::ordered_json line;
-  line["time"] = time;
-  line["level"] = ToString(info.level);
-  line["event"] = static_cast<int>(id);
-  line["name"] = info.name;
-  line["process"] = process;
-  for (const Field& field : fields) {
-    std::visit([&](const auto& value) { line[field.key.data()] = value; },
-               field.value);
-  }
-  return line.dump(-1, ' ', false,
-                   nlohmann::ordered_json::error_handler_t::replace);
+  std::string line;
+  size_t max_text = kMaxTextBytes;
+  do {
+    line = FormatFields(id, process, time, fields, max_text);
+    max_text /= 2;
+  } while (line.size() > kMaxLineBytes && max_text > 0);
+  return line;
 }
 
 }  // namespace peridotshelf::events
--- a/src/include/peridotshelf/events/log.h
+++ b/src/include/peridotshelf/events/log.h
@@ -40,10 +40,14 @@
 /// `events_suppressed` event.
 void StartLogging(Level threshold, std::string_view process);
 
-/// Logs one event with its fields; does nothing before `StartLogging`.
-void Log(EventId id, std::initializer_list<Field> fields = {});
-
-/// Returns the line that `Log` writes for the event, without the newline.
+/// Logs one event with its fields; does nothing before `StartLogging`. A line
+/// that cannot be made, for want of memory, is counted like one that standard
+/// output cannot accept.
+void Log(EventId id, std::initializer_list<Field> fields = {}) noexcept;
+
+/// Returns the line that `Log` writes for the event, without the newline. Texts
+/// may hold any bytes: docs/events.md says how the line shows those that are
+/// not UTF-8, and that texts which make the line too long are cut.
 std::string FormatLine(EventId id, std::string_view process,
                        std::string_view time,
                        std::initializer_list<Field> fields);
--- a/src/metrics/metrics_test.cc
+++ b/src/metrics/metrics_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST_SUITE(RegistryTest);
   CPPUNIT_TEST(Render_EachMetricType_IsPrometheusText);
   CPPUNIT_TEST(Render_LabelWithQuotes_IsEscaped);
+  CPPUNIT_TEST(Render_LabelIsNotUtf8_IsEscaped);
   CPPUNIT_TEST(Counter_ManyThreads_LosesNothing);
   CPPUNIT_TEST(DaemonMetrics_EachName_IsInDocs);
   CPPUNIT_TEST(EngineMetrics_TwoEngines_ExportSamplesOfBoth);
@@ -97,6 +98,13 @@
     CPPUNIT_ASSERT(
         Contains(registry.Render(), "c_total{code=\"a\\\"\\n\\\\\"} 1\n"));
   }
+  // Guards against a label that makes the whole page unreadable.
+  void Render_LabelIsNotUtf8_IsEscaped() {
+    Registry registry;
+    registry.AddCounter({"c_total", "Counts.", "code"}).With("a\xE9").Add();
+    CPPUNIT_ASSERT(
+        Contains(registry.Render(), "c_total{code=\"a\\\\xE9\"} 1\n"));
+  }
   void Counter_ManyThreads_LosesNothing() {
     constexpr int kThreads = 12;
     constexpr int kAdds = 2000;
--- a/src/metrics/registry.cc
+++ b/src/metrics/registry.cc
@@ -4,6 +4,8 @@
 #include <deque>
 #include <variant>
 
+#include "peridotshelf/base/text.h"
+
 namespace peridotshelf::metrics {
 namespace {
 
@@ -22,9 +24,12 @@
   return {buffer, end.ptr};
 }
 
+/// The format asks for UTF-8, with backslashes, quotes and line ends escaped.
 std::string EscapeLabel(std::string_view text) {
+  const std::string valid =
+      IsUtf8(text) ? std::string(text) : EscapeBytes(text);
   std::string escaped;
-  for (const char c : text) {
+  for (const char c : valid) {
     if (c == '\\' || c == '"') escaped += '\\';
     if (c == '\n') {
       escaped += "\\n";
