End one request, not the process, on an exception

An exception in the work on one request ended the gateway (SIGABRT) and with it every request that it ran.

Cause: nothing caught exceptions on the threads of Asio and libcurl.

Change: each boundary of a thread's work runs it through events::RunGuarded, which logs event 106 and counts (metric peridotshelf_exceptions_caught). An exception ends one request with 500 or a cut stream, its attempts cancelled and their memory given back; one connection; one datagram; one call of libcurl. A page of records is read again from the newest ones, since part of it may have been applied.

--- a/src/discovery/record_follower_test.cc
+++ b/src/discovery/record_follower_test.cc
@@ -3,7 +3,9 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <mutex>
+#include <stdexcept>
 
 #include "peridotshelf/testing/test.h"
 
@@ -92,6 +94,7 @@
   CPPUNIT_TEST(Follow_CallsFail_ReportsOnceAndPollsWithoutWaiting);
   CPPUNIT_TEST(PollNow_DuringALongRead_LetsItComplete);
   CPPUNIT_TEST(PollNow_ManyFollowersAtOnce_ContinueAtDifferentTimes);
+  CPPUNIT_TEST(Follow_CallbackThrows_ReadsTheNewestAgain);
   CPPUNIT_TEST(MaxAge_NoOtherFollowerReads_PollsBeforeThePauseEnds);
   CPPUNIT_TEST(MaxAge_OtherFollowerReads_WaitsForThePause);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +151,34 @@
     CPPUNIT_ASSERT_EQUAL(1, m_recovered_count);
   }
 
+  // Guards against a follower that stands still, or keeps half of a page, after
+  // an exception.
+  void Follow_CallbackThrows_ReadsTheNewestAgain() {
+    io::IoThreads threads(1);
+    ScriptedTopic topic{std::make_shared<ScriptedTopic::Script>()};
+    topic.script->answers = {MakePage(5), MakePage(6), MakePage(7)};
+    PollTiming timing;
+    timing.wait = seconds(10);
+    timing.max_retry_pause = milliseconds(20);
+    std::promise<void> read_again;
+    int full_reads = 0;
+    FollowCallbacks callbacks;
+    callbacks.on_all = [&](const auto&) {
+      if (++full_reads == 2) read_again.set_value();
+    };
+    callbacks.on_changes = [](const auto&) {
+      throw std::runtime_error("test");
+    };
+    callbacks.on_lost = [](const Error&) {};
+    callbacks.on_recovered = [] {};
+    RecordFollower<ScriptedTopic> follower(threads, topic, timing, callbacks);
+    follower.Start();
+    CPPUNIT_ASSERT(read_again.get_future().wait_for(seconds(5)) ==
+                   std::future_status::ready);
+    threads.Stop();
+    CPPUNIT_ASSERT(topic.script->calls.at(2) == "newest");
+  }
+
   // Guards against reads that never complete: on hosts with slow links,
   // frequent notifications of new versions restarted each read of a large
   // configuration.
--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -13,6 +13,7 @@
     EventInfo{EventId::kSettingsInvalid, "settings_invalid", Level::kError},
     EventInfo{EventId::kSettingsReloaded, "settings_reloaded", Level::kInfo},
     EventInfo{EventId::kEventsSuppressed, "events_suppressed", Level::kWarning},
+    EventInfo{EventId::kExceptionCaught, "exception_caught", Level::kError},
     EventInfo{EventId::kRequestAdmitted, "request_admitted", Level::kDebug},
     EventInfo{EventId::kRequestFinished, "request_finished", Level::kInfo},
     EventInfo{EventId::kRequestRefused, "request_refused", Level::kInfo},
--- a/src/gateway/callers_bytes_test.cc
+++ b/src/gateway/callers_bytes_test.cc
@@ -2,6 +2,7 @@
 #include <cctype>
 
 #include "gateway_fixture.h"
+#include "peridotshelf/events/guard.h"
 
 namespace peridotshelf::gateway {
 namespace {
@@ -9,6 +10,9 @@
 class CallersBytesTest : public GatewayFixture {
   CPPUNIT_TEST_SUITE(CallersBytesTest);
   CPPUNIT_TEST(Stream_RequestIdIsNotUtf8_ReservationIdsAreLettersAndDigits);
+  CPPUNIT_TEST(Call_WorkThrows_EndsThatRequestOnly);
+  CPPUNIT_TEST(Stream_AnswerThrows_EndsThatRequestOnly);
+  CPPUNIT_TEST(Stream_QueuedRequestThrows_OthersLeaveTheQueue);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,6 +39,70 @@
     CPPUNIT_ASSERT(reservations >= 1);
   }
 
+  // Guards against an exception in one request that ends all of a process.
+  void Call_WorkThrows_EndsThatRequestOnly() {
+    AddEngine(&RespondOk);
+    Configure();
+    const uint64_t before = events::CountExceptions();
+    // The codec of the tests reads this with std::stoi, which throws.
+    CPPUNIT_ASSERT_EQUAL(500, Call("/call/x", {{"Left", "none"}}).status);
+    CPPUNIT_ASSERT_EQUAL(before + 1, events::CountExceptions());
+    CPPUNIT_ASSERT_EQUAL(200, Call("/call/x").status);
+  }
+
+  // Guards against an engine's answer that ends a gateway.
+  void Stream_AnswerThrows_EndsThatRequestOnly() {
+    AddEngine([](const ServerRequest& request, const ResponderPtr& responder) {
+      auto headers = SignedHeaders(request);
+      if (request.target == "/call/bad") headers.push_back({"Limit", "none"});
+      responder->Reply(200, std::move(headers), "answer");
+    });
+    Configure();
+    CPPUNIT_ASSERT_EQUAL(500, Call("/call/bad").status);
+    CPPUNIT_ASSERT_EQUAL(200, Call("/call/good").status);
+    RunOnLoop([this] {
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, m_gateway->CountRunning());
+      CPPUNIT_ASSERT_EQUAL(
+          0,
+          m_active_request_table->ComputeLoad("engine-0@0", SteadyClock().Now())
+              .running);
+    });
+  }
+
+  // Guards against a queue that stands still after an exception.
+  void Stream_QueuedRequestThrows_OthersLeaveTheQueue() {
+    AddEngine(
+        [this](const ServerRequest& request, const ResponderPtr& responder) {
+          if (request.target == "/model/queued") {
+            StreamOneEvent(request, responder);
+          } else {
+            responder->BeginStream(200, SignedHeaders(request));
+            m_open_responders.push_back(responder);
+          }
+        },
+        "models");
+    Configure();
+    const std::vector<Header> prompt{{"Tokens", "100"}};
+    for (size_t i = 0; i < kSlots; ++i) {
+      m_calls.push_back(StartCall("/model/holds", prompt));
+    }
+    WaitForRunning(kSlots);
+    // The codec of the tests throws when such a request is sent.
+    auto bad = StartCall("/model/throws", prompt);
+    WaitForRunning(kSlots + 1);
+    auto good = StartCall("/model/queued", prompt);
+    WaitForRunning(kSlots + 2);
+    RunOnLoop([this] {
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, m_gateway->CountQueued());
+      for (const ResponderPtr& responder : m_open_responders) {
+        responder->Write(MakeEvent(0));
+        responder->EndStream();
+      }
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), bad.get().value_or("cut"));
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(0), good.get().value_or("cut"));
+  }
+
  private:
   static void StreamOneEvent(const ServerRequest& request,
                              const ResponderPtr& responder) {
@@ -42,6 +110,17 @@
     responder->Write(MakeEvent(0));
     responder->EndStream();
   }
+  void WaitForRunning(size_t count) {
+    const TimePoint deadline = SteadyClock().Now() + seconds(2);
+    size_t running = 0;
+    while (running < count && SteadyClock().Now() < deadline) {
+      RunOnLoop([&] { running = m_gateway->CountRunning(); });
+    }
+    CPPUNIT_ASSERT_EQUAL(count, running);
+  }
+
+  static constexpr size_t kSlots = 4;
+  std::vector<std::future<std::optional<std::string>>> m_calls;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CallersBytesTest);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -118,7 +118,7 @@
     live->team = team->id;
     live->priority = team->priority.value_or(route->priority);
   }
-  Accept(live);
+  RunFor(live, [&] { Accept(live); });
 }
 
 void Gateway::Impl::Accept(const LiveRequestPtr& live) {
@@ -143,12 +143,14 @@
   budgets.try_emplace(live->service, options.retry_limits)
       .first->second.NoteRequest(live->arrived);
   const std::weak_ptr<LiveRequest> weak = live;
-  live->responder->OnDisconnect([self = shared_from_this(), weak] {
-    if (const auto held = weak.lock()) self->OnDisconnect(held);
-  });
-  threads.RunAfter(timeout, [self = shared_from_this(), weak] {
-    if (const auto held = weak.lock()) self->OnDeadline(held);
-  });
+  const auto guard = [self = shared_from_this(), weak](auto end) {
+    return [self, weak, end] {
+      const auto held = weak.lock();
+      if (held) self->RunFor(held, [&] { ((*self).*end)(held); });
+    };
+  };
+  live->responder->OnDisconnect(guard(&Impl::OnDisconnect));
+  threads.RunAfter(timeout, guard(&Impl::OnDeadline));
   ScheduleTick();
   if (!live->is_done) PlaceOrQueue(live);
 }
@@ -220,6 +222,26 @@
   }
 }
 
+void Gateway::Impl::EndAfterException(const LiveRequestPtr& live) noexcept {
+  if (live->is_done) return;
+  // Each step is tried, whatever the exception left undone: the caller's answer
+  // last, since it must not promise more than was done.
+  (void)events::RunGuarded("request_end", [&] { EndAttempts(*live); });
+  live->attempt.reset();
+  live->other_attempt.reset();
+  (void)events::RunGuarded("request_end", [&] {
+    if (live->is_head_sent) {
+      live->responder->Abort();
+    } else {
+      live->responder->Reply(http::kServerError, {}, "");
+    }
+  });
+  (void)events::RunGuarded("request_end", [&] {
+    Finish(live, live->is_head_sent ? 0 : http::kServerError, "internal_error");
+  });
+  live_requests.erase(live->number);
+}
+
 void Gateway::Impl::OnDisconnect(const LiveRequestPtr& live) {
   if (live->is_done) return;
   EndAttempts(*live);
@@ -256,8 +278,12 @@
 void Gateway::Impl::ScheduleTick() {
   if (std::exchange(is_tick_scheduled, true)) return;
   tick_due = SteadyClock().Now() + kTickInterval;
-  threads.RunAfter(kTickInterval,
-                   [self = shared_from_this()] { self->Tick(); });
+  threads.RunAfter(kTickInterval, [self = shared_from_this()] {
+    if (events::RunGuarded("tick", [&] { self->Tick(); })) {
+      return;
+    }
+    self->ScheduleTick();
+  });
 }
 
 void Gateway::Impl::Tick() {
@@ -281,8 +307,10 @@
     if (!live->attempt) continue;
     if (HoldsStaleReservation(*live, now) ||
         (IsStalled(*live, now) && CanMoveToAnotherEngine(*live))) {
-      Fail(live, FailureCause::kSilent,
-           "no data received within the stall timeout");
+      RunFor(live, [&] {
+        Fail(live, FailureCause::kSilent,
+             "no data received within the stall timeout");
+      });
     }
   }
   DrainQueue();
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -79,7 +79,7 @@
     self->threads.Post([self, weak, number, action = std::move(action)] {
       const auto held = weak.lock();
       if (!held || !held->Select(number)) return;
-      action(*self, held);
+      self->RunFor(held, [&] { action(*self, held); });
     });
   };
   http::ClientCallbacks callbacks;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/http/front_server.h"
@@ -54,6 +55,7 @@
     return request;
   };
   codec.write_call = [](const CallerRequest& request, const EngineCall& call) {
+    if (request.target.ends_with("/throws")) throw std::runtime_error("test");
     http::ClientRequest out;
     out.method = request.method;
     out.url = "http://" + call.address;
@@ -192,7 +194,8 @@
         discovery::RegistrationTiming{seconds(1), seconds(1)});
     m_active_request_table = std::make_unique<scheduling::ActiveRequestTable>();
     PeerExchangeOptions exchange;
-    exchange.local_address = {"127.0.0.1", testing::FindFreePort()};
+    m_peer_port = testing::FindFreePort();
+    exchange.local_address = {"127.0.0.1", m_peer_port};
     // The gateway is alone, and knows it from the start.
     exchange.start_time = Duration::zero();
     m_peers = std::move(
@@ -447,6 +450,7 @@
   std::vector<std::unique_ptr<FakeEngine>> m_engines;
   std::vector<ResponderPtr> m_open_responders;
   uint16_t m_port = 0;
+  uint16_t m_peer_port = 0;
   std::string m_retry_after;
   bool m_call_failed = false;
 };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -22,6 +22,7 @@
 #include "failure.h"
 #include "hedge_plan.h"
 #include "live_request.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/quarantine/crash_quarantine.h"
 #include "peridotshelf/scheduling/engine_health.h"
@@ -151,6 +152,15 @@
   void OnDeadline(const LiveRequestPtr& live);
   void OnDisconnect(const LiveRequestPtr& live);
 
+  /// Runs work on one request. An exception ends that request only.
+  template <class Work>
+  void RunFor(const LiveRequestPtr& live, Work&& work) noexcept {
+    if (events::RunGuarded("request", std::forward<Work>(work))) return;
+    EndAfterException(live);
+  }
+  /// Ends a request in any state with 500, or cuts its stream.
+  void EndAfterException(const LiveRequestPtr& live) noexcept;
+
   // Placement.
   void PlaceOrQueue(const LiveRequestPtr& live);
   bool TryStartStream(const LiveRequestPtr& live,
@@ -189,6 +199,10 @@
       const std::vector<const discovery::EngineRecord*>& records,
       const scheduling::EngineModel& model);
   void DrainQueue();
+  void DrainOnce();
+  /// Starts a queued request or refuses it; returns whether it stays in the
+  /// queue, since no engine can start it now.
+  bool IsLeftInQueue(const LiveRequestPtr& live);
   /// Schedules one drain of the queue for all changes until then.
   void ScheduleQueueDrain();
 
@@ -331,6 +345,9 @@
   bool AreEnginesReady(const LiveRequest& live);
   /// Reserves memory at the helper engines of the attempt, then sends it.
   void ReserveThenSend(const LiveRequestPtr& live, int64_t tokens);
+  /// `refused_addresses` are those of the helper engines that refused.
+  void OnReserved(const LiveRequestPtr& live,
+                  const std::vector<std::string>& refused_addresses);
   void AddActiveRequests(
       LiveRequest& live, const scheduling::StreamPlan& plan,
       const std::vector<scheduling::EngineCandidate>& candidates);
@@ -400,6 +417,9 @@
       early_registrations;
   /// Shared with the exchange.
   std::shared_ptr<quarantine::CrashQuarantine> crash_quarantine;
+  /// Starts the ids of reservations. They hold nothing of the caller's request
+  /// id, since they are part of JSON orders and of a comma-separated header.
+  const std::string reservation_prefix = MakeRandomId();
   Reservations reservations;
   metrics::Family<metrics::Counter>& finished;
   metrics::Family<metrics::Counter>& failed_attempts;
@@ -417,9 +437,6 @@
   std::unordered_map<std::string, EngineState> engine_states;
   /// Until then some engine may be paused.
   TimePoint last_pause_end{};
-  /// Starts the ids of reservations. They hold nothing of the caller's request
-  /// id, since they are part of JSON orders and of a comma-separated header.
-  const std::string reservation_prefix = MakeRandomId();
   /// Keyed by engine address.
   std::unordered_map<std::string, TimePoint> memory_full_until;
   /// Attempts that broke at engines that are being probed, by engine key.
--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -264,19 +264,25 @@
         }
         const auto held = weak.lock();
         if (!held || !held->Select(number)) return;
-        if (!refused_addresses.empty()) {
-          self->Fail(held, FailureCause::kNoMemory,
-                     "a helper engine refused the reservation");
-        } else if (!self->AreEnginesReady(*held)) {
-          self->Fail(held, FailureCause::kEngineLeft,
-                     "an engine started to leave, asked for a pause or was "
-                     "evacuated during the reservation");
-        } else {
-          self->Send(held);
-        }
+        self->RunFor(held, [&] { self->OnReserved(held, refused_addresses); });
       });
 }
 
+void Gateway::Impl::OnReserved(
+    const LiveRequestPtr& live,
+    const std::vector<std::string>& refused_addresses) {
+  if (!refused_addresses.empty()) {
+    Fail(live, FailureCause::kNoMemory,
+         "a helper engine refused the reservation");
+  } else if (!AreEnginesReady(*live)) {
+    Fail(live, FailureCause::kEngineLeft,
+         "an engine started to leave, asked for a pause or was evacuated "
+         "during the reservation");
+  } else {
+    Send(live);
+  }
+}
+
 void Gateway::Impl::AddActiveRequests(
     LiveRequest& live, const scheduling::StreamPlan& plan,
     const std::vector<EngineCandidate>& candidates) {
--- a/src/gateway/gateway_queue.cc
+++ b/src/gateway/gateway_queue.cc
@@ -75,12 +75,18 @@
 
 void Gateway::Impl::DrainQueue() {
   if (queue.empty() || std::exchange(is_draining_queue, true)) return;
+  // An exception outside of a request leaves the others to the next drain.
+  (void)events::RunGuarded("queue", [this] { DrainOnce(); });
+  is_draining_queue = false;
+}
+
+void Gateway::Impl::DrainOnce() {
   const TimePoint now = SteadyClock().Now();
   for (const uint64_t id : queue.TakeExpired(now)) {
     const auto found = live_requests.find(id);
     if (found == live_requests.end()) continue;
     const LiveRequestPtr live = found->second;
-    Refuse(live, Duration::zero(), "waited_too_long");
+    RunFor(live, [&] { Refuse(live, Duration::zero(), "waited_too_long"); });
   }
   RefuseExcluded();
   int failures = 0;
@@ -92,15 +98,16 @@
       continue;
     }
     const LiveRequestPtr live = found->second;
-    if (RefuseIfAllPaused(live)) continue;
-    const scheduling::EngineModel* model = FindModel(*live);
-    if (model == nullptr || !TryStartStream(live, *model)) {
-      ++failures;
-      continue;
-    }
-    queue.Remove(id);
+    RunFor(live, [&] { failures += IsLeftInQueue(live) ? 1 : 0; });
   }
-  is_draining_queue = false;
+}
+
+bool Gateway::Impl::IsLeftInQueue(const LiveRequestPtr& live) {
+  if (RefuseIfAllPaused(live)) return false;
+  const scheduling::EngineModel* model = FindModel(*live);
+  if (model == nullptr || !TryStartStream(live, *model)) return true;
+  queue.Remove(live->number);
+  return false;
 }
 
 void Gateway::Impl::ScheduleQueueDrain() {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peer_exchange_impl.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 
 namespace peridotshelf::gateway {
@@ -142,6 +143,12 @@
 
 void PeerExchange::Impl::SendFullReport() {
   if (is_stopped) return;
+  (void)events::RunGuarded("peer_report", [this] { ReportAll(); });
+  threads.RunAfter(options.full_report_interval,
+                   [self = shared_from_this()] { self->SendFullReport(); });
+}
+
+void PeerExchange::Impl::ReportAll() {
   const TimePoint now = SteadyClock().Now();
   for (auto& [address, peer] : peers) {
     if (peer.is_live && now - peer.last_received_at > options.peer_timeout) {
@@ -158,8 +165,6 @@
   if (full_reports++ % kFullReportsPerGreeting == 0) {
     GreetLostPeers();
   }
-  threads.RunAfter(options.full_report_interval,
-                   [self = shared_from_this()] { self->SendFullReport(); });
 }
 
 void PeerExchange::Impl::GreetLostPeers() {
@@ -177,7 +182,10 @@
       [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
         if (self->is_stopped) return;
         if (!error) {
-          self->HandleDatagram(std::string_view(self->buffer.data(), bytes));
+          // The next report of the peer replaces what this one has left out.
+          (void)events::RunGuarded("peer_datagram", [&] {
+            self->HandleDatagram(std::string_view(self->buffer.data(), bytes));
+          });
         }
         self->Receive();
       });
--- a/src/gateway/peer_exchange_impl.h
+++ b/src/gateway/peer_exchange_impl.h
@@ -88,7 +88,9 @@
   void ScheduleFlush();
   void FlushNow();
   void Flush();
+  /// Reports to all peers now and at each interval.
   void SendFullReport();
+  void ReportAll();
   void GreetLostPeers();
   void SendTo(Peer& peer, const std::string& bytes);
   void SendToLive(const std::string& bytes);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "peridotshelf/events/guard.h"
 #include "receive_windows.h"
 
 namespace peridotshelf::http {
@@ -48,6 +49,8 @@
   size_t body_bytes = 0;
   /// The response exceeded its limits.
   bool is_oversized = false;
+  /// The call was ended since a callback threw.
+  bool has_callback_failed = false;
   detail::ReceiveWindows* windows = nullptr;
   /// Bytes sent and received, and when the number last changed.
   curl_off_t bytes = 0;
@@ -88,9 +91,7 @@
 /// Collects the headers. A new status line starts another response, as after an
 /// informational one. Lines after a final head are trailers, which are not
 /// headers.
-size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
-  auto* call = static_cast<Call*>(user);
-  const size_t bytes = size * count;
+size_t ReadHeaderLine(Call* call, const char* data, size_t bytes) {
   call->head_bytes += bytes;
   if (call->head_bytes > call->request.max_head_bytes) {
     call->is_oversized = true;
@@ -122,9 +123,23 @@
   return bytes;
 }
 
-size_t OnBytes(char* data, size_t size, size_t count, void* user) {
+/// Runs a callback of libcurl, through which no exception may pass. One that
+/// throws ends its call.
+template <class Work>
+size_t RunCallback(Call* call, Work&& work) {
+  size_t taken = CURL_WRITEFUNC_ERROR;
+  call->has_callback_failed =
+      !events::RunGuarded("http_client", [&] { taken = work(); });
+  return taken;
+}
+
+size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
-  const size_t bytes = size * count;
+  return RunCallback(call,
+                     [&] { return ReadHeaderLine(call, data, size * count); });
+}
+
+size_t ReadBytes(Call* call, const char* data, size_t bytes) {
   // libcurl keeps the bytes and delivers them again.
   if (!call->windows->TryDeliver(call->id, bytes)) return CURL_WRITEFUNC_PAUSE;
   call->body_bytes += bytes;
@@ -140,6 +155,11 @@
   return bytes;
 }
 
+size_t OnBytes(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  return RunCallback(call, [&] { return ReadBytes(call, data, size * count); });
+}
+
 /// TCP keep-alive probes detect unresponsive connections: the first probe is
 /// sent after this idle time, later ones at this interval, in seconds.
 constexpr CurlLong kKeepAliveSeconds = 1;
@@ -244,6 +264,7 @@
                    std::to_string(call.head_bytes) + " bytes of head and " +
                    std::to_string(call.body_bytes) + " bytes of body";
   }
+  if (call.has_callback_failed) error.detail = "the response was not processed";
   curl_off_t request_bytes = 0;
   CurlLong sent = 0;
   curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &sent);
@@ -252,6 +273,13 @@
   return tl::unexpected<Error>(std::move(error));
 }
 
+void ReportOutcome(const Call& call, const Result<int>& outcome) {
+  if (!call.callbacks.on_done) return;
+  // Nobody is left to tell of it: the line and its counter do.
+  (void)events::RunGuarded("http_client",
+                           [&] { call.callbacks.on_done(outcome); });
+}
+
 /// Returns whether the call has exceeded its idle timeout, if it has one.
 /// libcurl's low-speed limit takes seconds longer, since it uses an average.
 bool HasIdleTimedOut(Call& call, TimePoint now) {
@@ -358,10 +386,14 @@
   windows.Close(id);
   Call& call = *node.mapped();
   if (code == CURLE_OK && !call.is_head_complete) code = CURLE_PARTIAL_FILE;
-  if (code == CURLE_OK) ReportHead(call);
+  if (code == CURLE_OK &&
+      !events::RunGuarded("http_client", [&] { ReportHead(call); })) {
+    call.has_callback_failed = true;
+    code = CURLE_WRITE_ERROR;
+  }
   const Result<int> outcome = MakeOutcome(call, code);
   Release(multi, call);
-  if (call.callbacks.on_done) call.callbacks.on_done(outcome);
+  ReportOutcome(call, outcome);
 }
 
 void Client::Impl::EndIdleCalls() {
--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -8,10 +8,12 @@
 #include <asio/write.hpp>
 #include <atomic>
 #include <future>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
 #include "peridotshelf/testing/free_port.h"
+#include "peridotshelf/testing/raw_server.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::http {
@@ -57,6 +59,7 @@
 class ClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(Start_SlowConsumer_KeepsWithinTheReceiveWindow);
+  CPPUNIT_TEST(Start_CallbackThrows_EndsThatCallOnly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -96,6 +99,41 @@
     CPPUNIT_ASSERT(done.get().value() == 200);
     CPPUNIT_ASSERT_EQUAL(kBody, received.load());
   }
+
+  // Guards against an exception that passes through libcurl or ends its thread.
+  void Start_CallbackThrows_EndsThatCallOnly() {
+    const testing::RawServer server(&Answer);
+    Client client;
+    const auto fail = [] { throw std::runtime_error("test"); };
+    for (int place = 0; place < 3; ++place) {
+      ClientRequest request;
+      request.url = "http://" + server.Address() + "/";
+      ClientCallbacks callbacks;
+      std::promise<bool> done;
+      callbacks.on_head = [&](const ClientResponseHead&) {
+        if (place == 0) fail();
+      };
+      callbacks.on_data = [&](std::string_view) {
+        if (place == 1) fail();
+      };
+      callbacks.on_done = [&](const Result<int>& outcome) {
+        done.set_value(outcome.has_value());
+        if (place == 2) fail();
+      };
+      client.Start(std::move(request), std::move(callbacks));
+      CPPUNIT_ASSERT_EQUAL(place == 2, done.get_future().get());
+    }
+    ClientRequest request;
+    request.url = "http://" + server.Address() + "/";
+    CPPUNIT_ASSERT(client.FetchAndWait(std::move(request)));
+  }
+
+ private:
+  static void Answer(testing::RawConnection& peer) {
+    while (!peer.ReadRequest().empty()) {
+      peer.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <limits>
 
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
 
@@ -211,7 +212,10 @@
   m_socket.async_read_some(
       asio::buffer(m_buffer),
       [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
-        self->OnRead(error, bytes);
+        if (!events::RunGuarded("front_connection",
+                                [&] { self->OnRead(error, bytes); })) {
+          self->Close();
+        }
       });
 }
 
@@ -267,7 +271,12 @@
   request.owner = std::move(owner);
   ResponderPtr responder =
       m_server->make_responder(shared_from_this(), request.method == "HEAD");
-  m_server->handler(std::move(request), std::move(responder));
+  const bool is_handled = events::RunGuarded("front_handler", [&] {
+    m_server->handler(std::move(request), responder);
+  });
+  if (is_handled) return;
+  responder->Reply(kServerError, {}, "");
+  responder->Abort();
 }
 
 void FrontConnection::Reject(int status, const char* reason) {
@@ -357,8 +366,11 @@
   // The handler may answer synchronously; parsing the next request in a posted
   // task avoids recursion.
   asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-    self->Parse();
-    self->Read();
+    const bool is_read = events::RunGuarded("front_connection", [&] {
+      self->Parse();
+      self->Read();
+    });
+    if (!is_read) self->Close();
   });
 }
 
--- a/src/http/front_server.cc
+++ b/src/http/front_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "front_connection.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/http/status.h"
 
 namespace peridotshelf::http {
@@ -117,7 +118,10 @@
   self->acceptor.async_accept(
       [self](const asio::error_code& error, Tcp::socket socket) {
         if (self->stopped) return;
-        if (!error) Add(self, std::move(socket));
+        // A connection that cannot be added is closed with its socket.
+        (void)events::RunGuarded("front_accept", [&] {
+          if (!error) Add(self, std::move(socket));
+        });
         if (!self->shutting_down) Accept(self);
       });
 }
@@ -136,7 +140,8 @@
   self->sweep.expires_after(kSweepInterval);
   self->sweep.async_wait([self](const asio::error_code& error) {
     if (error || self->stopped) return;
-    self->CheckConnections();
+    // The next sweep checks what an exception left out.
+    (void)events::RunGuarded("front_sweep", [&] { self->CheckConnections(); });
     Sweep(self);
   });
 }
--- a/src/include/peridotshelf/discovery/record_follower.h
+++ b/src/include/peridotshelf/discovery/record_follower.h
@@ -13,6 +13,7 @@
 
 #include "peridotshelf/base/clock.h"
 #include "peridotshelf/base/error.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/io/io_threads.h"
 
 namespace peridotshelf::discovery {
@@ -281,10 +282,18 @@
     state->last_read_at = SteadyClock().Now();
     state->fresh_at = state->last_read_at;
     ScheduleAgeCheck(state);
-    if (is_full_read) {
-      state->callbacks.on_all(page->records);
-    } else {
-      state->callbacks.on_changes(page->records);
+    const bool is_applied = events::RunGuarded("records", [&] {
+      if (is_full_read) {
+        state->callbacks.on_all(page->records);
+      } else {
+        state->callbacks.on_changes(page->records);
+      }
+    });
+    if (!is_applied) {
+      // Some of the records were applied, so all are read and applied again.
+      state->next_offset.reset();
+      PollAfter(state, timing.max_retry_pause);
+      return;
     }
     PollAfter(state, state->DrawPause());
   }
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -19,6 +19,7 @@
   kSettingsInvalid = 103,
   kSettingsReloaded = 104,
   kEventsSuppressed = 105,
+  kExceptionCaught = 106,
   kRequestAdmitted = 200,
   kRequestFinished = 201,
   kRequestRefused = 202,
--- a/src/io/io_threads.cc
+++ b/src/io/io_threads.cc
@@ -8,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include "peridotshelf/events/guard.h"
+
 namespace peridotshelf::io {
 
 struct IoThreads::Impl {
@@ -15,11 +17,17 @@
   asio::executor_work_guard<asio::io_context::executor_type> guard{
       context.get_executor()};
   std::vector<std::thread> threads;
+
+  /// Runs tasks until the context is stopped. A task that throws ends alone.
+  void Run() {
+    while (!events::RunGuarded("io", [this] { context.run(); })) {
+    }
+  }
 };
 
 IoThreads::IoThreads(size_t threads) : m_impl(std::make_unique<Impl>()) {
   for (size_t i = 0; i < std::max<size_t>(threads, 1); ++i) {
-    m_impl->threads.emplace_back([this] { m_impl->context.run(); });
+    m_impl->threads.emplace_back([this] { m_impl->Run(); });
   }
 }
 
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/http/front_server.h"
@@ -112,6 +113,9 @@
       [this] { return static_cast<double>(gateway->CountQuarantined()); });
   add("peridotshelf_cold_engines", "Engines that are cold.",
       [this] { return static_cast<double>(gateway->CountCold()); });
+  add("peridotshelf_exceptions_caught",
+      "Exceptions that ended one request or task (event 106).",
+      [] { return static_cast<double>(events::CountExceptions()); });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
--- a/src/peridotshelf/store_follower_peers.cc
+++ b/src/peridotshelf/store_follower_peers.cc
@@ -112,6 +112,7 @@
 }
 
 void StoreFollower::AdjustTiming() {
+  m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
   const size_t live = m_peers.CountLiveEntries();
   auto registration_timing = MakeRegistrationTiming(live, m_leave_bound);
   registration_timing.max_retry_pause =
@@ -121,7 +122,6 @@
       m_operator_bound, StoreTopic::kAnswerTimeout, live);
   configuration_timing.max_retry_pause = registration_timing.max_retry_pause;
   m_configuration_follower.SetTiming(configuration_timing);
-  m_threads.RunAfter(kTimingUpdateInterval, [this] { AdjustTiming(); });
 }
 
 void StoreFollower::AnnounceSelf() {
