Accept only what HTTP allows in message heads

A line end in a header of an engine reached the caller as it was, a control character in a record of the store (an engine's id, a team's name) would have become another header of a request, and a request line without a version was served as HTTP/0.9 with headers.

Cause: http_parser accepts names with spaces, targets with any bytes over 127 and lines without a version, libcurl sends headers as they are and passes on what it reads; nothing else checked them.

A caller's request that breaks them gets 400 (event 205, metric peridotshelf_caller_rejections), a request of our own is not sent, an answer counts as broken.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "header_text.h"
 #include "peridotshelf/events/guard.h"
 #include "receive_windows.h"
 
@@ -49,6 +50,8 @@
   size_t body_bytes = 0;
   /// The response exceeded its limits.
   bool is_oversized = false;
+  /// The head has a line that is not a header.
+  bool has_malformed_header = false;
   /// The call was ended since a callback threw.
   bool has_callback_failed = false;
   detail::ReceiveWindows* windows = nullptr;
@@ -113,13 +116,19 @@
     return bytes;
   }
   const size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return bytes;
+  // A line that begins with a space continues the one before (obs-fold).
+  const bool is_continuation = line.front() == ' ' || line.front() == '\t';
+  if (colon == std::string_view::npos && !is_continuation) return bytes;
   std::string_view value = line.substr(colon + 1);
   while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
     value.remove_prefix(1);
   }
-  call->response_headers.push_back(
-      {std::string(line.substr(0, colon)), std::string(value)});
+  const std::string_view name = line.substr(0, colon);
+  if (!IsHeaderName(name) || !IsHeaderValue(value)) {
+    call->has_malformed_header = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  call->response_headers.push_back({std::string(name), std::string(value)});
   return bytes;
 }
 
@@ -264,6 +273,9 @@
                    std::to_string(call.head_bytes) + " bytes of head and " +
                    std::to_string(call.body_bytes) + " bytes of body";
   }
+  if (call.has_malformed_header) {
+    error.detail = "the response has a header that HTTP does not allow";
+  }
   if (call.has_callback_failed) error.detail = "the response was not processed";
   curl_off_t request_bytes = 0;
   CurlLong sent = 0;
@@ -349,6 +361,11 @@
     resumes.swap(to_resume);
   }
   for (auto& call : starts) {
+    if (auto error = FindUnsendable(call->request)) {
+      windows.Close(call->id);
+      ReportOutcome(*call, tl::unexpected<Error>(std::move(*error)));
+      continue;
+    }
     call->handle = curl_easy_init();
     Configure(*call);
     curl_multi_add_handle(multi, call->handle);
--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -59,6 +59,8 @@
 class ClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(Start_SlowConsumer_KeepsWithinTheReceiveWindow);
+  CPPUNIT_TEST(Start_TextsThatHttpDoesNotAllow_AreNotSent);
+  CPPUNIT_TEST(Start_MalformedHeader_IsNotPassedOn);
   CPPUNIT_TEST(Start_CallbackThrows_EndsThatCallOnly);
   CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +102,49 @@
     CPPUNIT_ASSERT_EQUAL(kBody, received.load());
   }
 
+  // Guards against text of one record or caller that becomes another header, or
+  // another request, at an engine.
+  void Start_TextsThatHttpDoesNotAllow_AreNotSent() {
+    const testing::RawServer server(&Answer);
+    Client client;
+    const auto send = [&](std::vector<Header> headers,
+                          const std::string& target) {
+      ClientRequest request;
+      request.url = "http://" + server.Address() + "/";
+      request.target = target;
+      request.headers = std::move(headers);
+      return client.FetchAndWait(std::move(request));
+    };
+    for (const char* value : {"a\r\nX-Other: 1", "a\nb", "\x7F", "\x1B"}) {
+      const auto refused = send({{"X-Name", value}}, "/");
+      CPPUNIT_ASSERT(!refused && refused.error().not_run);
+      CPPUNIT_ASSERT(refused.error().code == ErrorCode::kInvalidField);
+    }
+    CPPUNIT_ASSERT(!send({{"X Name", "a"}}, "/"));
+    CPPUNIT_ASSERT(!send({}, "/a b"));
+    CPPUNIT_ASSERT(!send({}, "/\xE9"));
+    CPPUNIT_ASSERT_EQUAL(0, server.CountConnections());
+    CPPUNIT_ASSERT(send({{"X-Name", "\xE9\ta"}, {"X-Empty", ""}}, "/a"));
+  }
+
+  // Guards against a line end in an engine's header that reaches a caller.
+  void Start_MalformedHeader_IsNotPassedOn() {
+    for (const char* header :
+         {"X-More: a\rb", "X More: a", ": a", " folded: a", "X-More: a\x01"}) {
+      const testing::RawServer server([&](testing::RawConnection& peer) {
+        peer.ReadRequest();
+        peer.Write("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + std::string(header) +
+                   "\r\nContent-Length: 0\r\n\r\n");
+      });
+      Client client;
+      ClientRequest request;
+      request.url = "http://" + server.Address() + "/";
+      const auto response = client.FetchAndWait(std::move(request));
+      CPPUNIT_ASSERT(!response);
+      CPPUNIT_ASSERT(!response.error().not_run);
+    }
+  }
+
   // Guards against an exception that passes through libcurl or ends its thread.
   void Start_CallbackThrows_EndsThatCallOnly() {
     const testing::RawServer server(&Answer);
--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <limits>
 
+#include "header_text.h"
 #include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
@@ -240,7 +241,16 @@
       &m_parser, &ParserSettings(), m_unparsed.data(), m_unparsed.size());
   m_unparsed.erase(0, parsed);
   if (m_message_complete) {
-    Dispatch();
+    // A request line without a version is parsed as HTTP/0.9.
+    const char* reason =
+        m_parser.http_major != 1
+            ? "the version is not HTTP/1"
+            : FindMalformed(m_request.target, m_request.headers);
+    if (reason == nullptr) {
+      Dispatch();
+    } else {
+      Reject(kBadRequest, reason);
+    }
     return;
   }
   const auto failure = static_cast<http_errno>(m_parser.http_errno);
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -116,6 +116,10 @@
   add("peridotshelf_exceptions_caught",
       "Exceptions that ended one request or task (event 106).",
       [] { return static_cast<double>(events::CountExceptions()); });
+  add("peridotshelf_caller_rejections",
+      "Requests rejected before they were read in full (event 205).", [this] {
+        return static_cast<double>(caller_server->counters().rejected);
+      });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
