--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -176,7 +176,7 @@
   }
   if (live->last_event_number) {
     if (*number <= *live->last_event_number) return;
-    if (*number != *live->last_event_number + 1) {
+    if (*number - 1 != *live->last_event_number) {
       Fail(live, FailureCause::kBroken, "an event is missing");
       return;
     }
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -20,6 +20,14 @@
 /// Stands for the age of a statement that the engine never made; 10 years.
 constexpr int64_t kNeverStatedMs = int64_t{10} * 365 * 24 * 3600 * 1000;
 
+/// Longer spans of a report are taken for this one: the clock's arithmetic
+/// would overflow.
+constexpr int64_t kMaxSpanMs = kNeverStatedMs;
+
+std::chrono::milliseconds ReadSpan(int64_t millis) {
+  return std::chrono::milliseconds(std::clamp<int64_t>(millis, 0, kMaxSpanMs));
+}
+
 int32_t MillisUntil(TimePoint now, TimePoint at) {
   return static_cast<int32_t>(std::max<int64_t>(0, ToMilliseconds(at - now)));
 }
@@ -118,8 +126,7 @@
         static_cast<double>(in.per_second_thousandths) / kThousandthsPerUnit;
   }
   if (in.stated_age_ms < kNeverStatedMs) {
-    report.stated_at =
-        now - std::chrono::milliseconds(std::max<int64_t>(in.stated_age_ms, 0));
+    report.stated_at = now - ReadSpan(in.stated_age_ms);
   }
   report.sent = in.sent;
   report.recently_sent = std::max<int64_t>(in.recently_sent, 0);
@@ -174,9 +181,7 @@
 
 quarantine::SuspectRecord FromWire(const wire::CrashSuspect& in,
                                    TimePoint now) {
-  const auto ago = [now](int64_t millis) {
-    return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
-  };
+  const auto ago = [now](int64_t millis) { return now - ReadSpan(millis); };
   quarantine::SuspectRecord record;
   record.id = static_cast<quarantine::SuspectId>(in.id);
   record.service = static_cast<uint64_t>(in.service_hash);
@@ -196,7 +201,8 @@
   if (in.__isset.quarantine_level) {
     record.quarantine = {
         in.quarantine_level, ago(in.quarantine_age_ms),
-        now + std::chrono::milliseconds(in.quarantine_left_ms)};
+        now + std::chrono::milliseconds(
+                  std::clamp(in.quarantine_left_ms, -kMaxSpanMs, kMaxSpanMs))};
   }
   return record;
 }
@@ -241,7 +247,7 @@
   progress.engines_position = {load.engines_epoch, load.engines_offset};
   progress.departed_engines = load.departed_engines;
   const auto before_now = [now](int64_t millis) {
-    return now - std::chrono::milliseconds(std::max<int64_t>(millis, 0));
+    return now - ReadSpan(millis);
   };
   if (load.__isset.operator_read) {
     const wire::TopicRead& read = load.operator_read;
