Answer 400 where http_parser reads a head in another way than it was sent

A request reached its engine without parts of a header, with other bytes in its body or with another target than it was sent with, and one with white space after its id got 502.

Cause: http_parser takes any byte after a carriage return for the line feed, leaves out carriage returns in values, accepts any number of spaces in the request line, joins folded lines, and keeps white space after a value.

Change: HeadScanner checks the lines of the head as they come; a bare carriage return, a folded line or a request line that has not exactly two spaces gets 400 (event 205). White space after a value is removed, as RFC 9112 asks.

--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -6,7 +6,6 @@
 #include <asio/post.hpp>
 #include <limits>
 
-#include "header_text.h"
 #include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
@@ -97,6 +96,7 @@
   http_parser_init(&m_parser, HTTP_REQUEST);
   m_parser.data = this;
   m_request = {};
+  m_head_scanner = {};
   m_head_bytes = 0;
   m_request_begun = false;
   m_head_complete = false;
@@ -239,13 +239,11 @@
   }
   const size_t parsed = http_parser_execute(
       &m_parser, &ParserSettings(), m_unparsed.data(), m_unparsed.size());
+  m_head_scanner.Feed(std::string_view(m_unparsed).substr(0, parsed));
   m_unparsed.erase(0, parsed);
   if (m_message_complete) {
-    // A request line without a version is parsed as HTTP/0.9.
-    const char* reason =
-        m_parser.http_major != 1
-            ? "the version is not HTTP/1"
-            : FindMalformed(m_request.target, m_request.headers);
+    const char* reason = FindMalformed(m_parser.http_major, m_head_scanner,
+                                       m_request.target, m_request.headers);
     if (reason == nullptr) {
       Dispatch();
     } else {
@@ -276,6 +274,7 @@
   if (question != std::string::npos) {
     request.query = request.target.substr(question + 1);
   }
+  TrimValues(m_request.headers);
   request.headers = std::move(m_request.headers);
   request.body = *owner;
   request.owner = std::move(owner);
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "header_text.h"
 #include "peridotshelf/http/front_server.h"
 
 namespace peridotshelf::http {
@@ -164,6 +165,7 @@
   Tcp::socket m_socket;
   http_parser m_parser{};
   ParsedRequest m_request;
+  HeadScanner m_head_scanner;
   std::string m_unparsed;
   static constexpr size_t kReadBytes = size_t{8} * 1024;
   std::array<char, kReadBytes> m_buffer{};
--- a/src/http/front_connection_test.cc
+++ b/src/http/front_connection_test.cc
@@ -27,6 +27,8 @@
 class FrontConnectionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrontConnectionTest);
   CPPUNIT_TEST(Request_WithTrailer_TrailerIsNoHeader);
+  CPPUNIT_TEST(Request_MalformedHead_IsAnswered400);
+  CPPUNIT_TEST(Request_BytesOver127InAValue_AreKept);
   CPPUNIT_TEST(Reject_EarlierAnswerUnread_IsSentOnce);
   CPPUNIT_TEST(Reject_BodyStillArriving_DoesNotResetTheConnection);
   CPPUNIT_TEST(CloseIdle_AnswerBeingSent_IsNotCut);
@@ -72,6 +74,31 @@
     CPPUNIT_ASSERT(caller.ReadAll().ends_with("none"));
   }
 
+  // Guards against a request that is read in another way than it was sent.
+  void Request_MalformedHead_IsAnswered400() {
+    for (const char* head :
+         {"GET / HTTP/1.1\r\nKey: a\r\n\rA", "GET / HTTP/1.1\r\nKey: \r\xFF 0",
+          "GET / HTTP/1.1\r\nKey: a\rb", "GET /  HTTP/1.1\r\nKey: a",
+          "GET /\r\nKey: a", "GET / HTTP/2.0\r\nKey: a",
+          "GET /\xE9 HTTP/1.1\r\nKey: a", "GET /\t HTTP/1.1\r\nKey: a",
+          "GET / HTTP/1.1\r\nKey : a", "GET / HTTP/1.1\r\nKey: a\r\n b"}) {
+      RawCaller caller(m_port);
+      caller.Send(head + std::string("\r\nConnection: close\r\n\r\n"));
+      CPPUNIT_ASSERT(caller.ReadAll().starts_with("HTTP/1.1 400 "));
+    }
+  }
+  void Request_BytesOver127InAValue_AreKept() {
+    m_handler = [](const ServerRequest& request,
+                   const ResponderPtr& responder) {
+      responder->Reply(200, {}, std::string(*request.FindHeader("Key")));
+    };
+    RawCaller caller(m_port);
+    caller.Send(
+        "\r\nGET /%E9 HTTP/1.1\nKey:\t\xE9\t\xFF \r\n"
+        "Connection: close\r\n\r\n");
+    CPPUNIT_ASSERT(caller.ReadAll().ends_with("\r\n\r\n\xE9\t\xFF"));
+  }
+
   // Guards against a second and third rejection of one request while an earlier
   // answer is still being sent.
   void Reject_EarlierAnswerUnread_IsSentOnce() {
--- a/src/http/header_text.cc
+++ b/src/http/header_text.cc
@@ -44,8 +44,43 @@
   return std::all_of(target.begin(), target.end(), &IsVisibleAscii);
 }
 
-const char* FindMalformed(std::string_view target,
+void HeadScanner::Feed(std::string_view bytes) {
+  for (const char byte : bytes) {
+    if (m_is_complete || m_is_malformed) return;
+    if (m_is_after_return && byte != '\n') {
+      m_is_malformed = true;
+    } else if (byte == '\n') {
+      EndLine();
+    } else if (byte != '\r') {
+      const bool is_space = byte == ' ' || byte == '\t';
+      // A header that goes on in the next line (obs-fold).
+      if (m_lines > 0 && m_line_bytes == 0 && is_space) m_is_malformed = true;
+      if (m_lines == 0 && is_space) ++m_spaces_in_first_line;
+      ++m_line_bytes;
+    }
+    m_is_after_return = byte == '\r';
+  }
+}
+
+void HeadScanner::EndLine() {
+  if (m_line_bytes == 0) {
+    // Empty lines before a request are ignored (RFC 9112, 2.2).
+    m_is_complete = m_lines > 0;
+    return;
+  }
+  constexpr size_t kSpacesInRequestLine = 2;
+  if (m_lines == 0 && m_spaces_in_first_line != kSpacesInRequestLine) {
+    m_is_malformed = true;
+  }
+  ++m_lines;
+  m_line_bytes = 0;
+}
+
+const char* FindMalformed(int http_major, const HeadScanner& scanner,
+                          std::string_view target,
                           std::span<const Header> headers) {
+  if (http_major != 1) return "the version is not HTTP/1";
+  if (scanner.is_malformed()) return "a line of the head is malformed";
   if (!IsRequestTarget(target)) return "the target is not visible ASCII";
   for (const Header& header : headers) {
     if (!IsHeaderName(header.name)) return "a header's name is not a token";
@@ -56,6 +91,13 @@
   return nullptr;
 }
 
+void TrimValues(std::vector<Header>& headers) {
+  for (Header& header : headers) {
+    std::string& value = header.value;
+    while (value.ends_with(' ') || value.ends_with('\t')) value.pop_back();
+  }
+}
+
 std::optional<Error> FindUnsendable(const ClientRequest& request) {
   if (!IsRequestTarget(request.url)) {
     return MakeUnsendable("a URL", request.url);
