--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -239,7 +239,7 @@
   }
   const size_t parsed = http_parser_execute(
       &m_parser, &ParserSettings(), m_unparsed.data(), m_unparsed.size());
-  m_head_scanner.Feed(std::string_view(m_unparsed).substr(0, parsed));
+  m_head_scanner.Feed({m_unparsed.data(), parsed});
   m_unparsed.erase(0, parsed);
   if (m_message_complete) {
     const char* reason = FindMalformed(m_parser.http_major, m_head_scanner,
