--- a/src/include/peridotshelf/testing/drawn_inputs.h
+++ b/src/include/peridotshelf/testing/drawn_inputs.h
@@ -15,7 +15,7 @@
 
 /// `bytes`, unchanged in about half of the cases; else with parts cut,
 /// repeated, overwritten or inserted.
-rc::Gen<std::string> DrawChanged(std::string bytes);
+rc::Gen<std::string> DrawChanged(const std::string& bytes);
 
 /// A number as text: small, at the limits of types, negative, fractional or
 /// none at all.
@@ -33,7 +33,7 @@
 
 /// A header line with its CRLF: `name` and one of `values`, or with other
 /// bytes, repeated, or missing.
-rc::Gen<std::string> DrawHeader(std::string name,
+rc::Gen<std::string> DrawHeader(const std::string& name,
                                 std::vector<std::string> values);
 
 }  // namespace peridotshelf::testing
--- a/src/testing/drawn_inputs.cc
+++ b/src/testing/drawn_inputs.cc
@@ -80,7 +80,7 @@
         })}});
 }
 
-rc::Gen<std::string> DrawChanged(std::string bytes) {
+rc::Gen<std::string> DrawChanged(const std::string& bytes) {
   return rc::gen::weightedOneOf<std::string>(
       {{5, rc::gen::just(bytes)},
        {3, DrawOneChange(bytes)},
@@ -115,7 +115,7 @@
   });
 }
 
-rc::Gen<std::string> DrawHeader(std::string name,
+rc::Gen<std::string> DrawHeader(const std::string& name,
                                 std::vector<std::string> values) {
   const auto line = [name](const std::string& value) {
     return name + ": " + value + "\r\n";
--- a/testsuite/bad_input/run.py
+++ b/testsuite/bad_input/run.py
@@ -117,9 +117,12 @@
 
     def check_unknown_names(self):
         self.assert_error(404, "unknown_model", make_completion(model="none"))
+        self.assert_error(400, "bad_field", make_completion(),
+                          headers={"Peridotshelf-Unrepeatable": "k\xe9"})
         self.assert_error(404, "unknown_service", "", path="/services/none/x")
-        self.assert_error(400, "unknown_team", make_completion(),
-                          headers={"Peridotshelf-Team": "none"})
+        for team in ("none", "d\xe9", "\xff\xfe"):
+            self.assert_error(400, "unknown_team", make_completion(),
+                              headers={"Peridotshelf-Team": team})
 
     def check_oversized_input(self):
         big = make_completion(prompt="x" * 2 * MAX_BODY_BYTES)
@@ -187,7 +190,7 @@
             status = json.loads(f.call(port, "GET", "/status")[2])
             assert status["preset"] == "ordinary", status
         _, _, text = f.call(self.entry_port, "GET", "/metrics")
-        assert 'peridotshelf_refusals_total{code="bad_field"} 12\n' in text, \
+        assert 'peridotshelf_refusals_total{code="bad_field"} 13\n' in text, \
             text
         # An answer may arrive before its request is released.
         deadline = time.monotonic() + f.CONDITION_TIMEOUT_S
