--- a/src/gateway/gateway_placement.cc
+++ b/src/gateway/gateway_placement.cc
@@ -202,7 +202,7 @@
   attempt.predicted_answer_ms = plan.first_event_ms;
   if (plan.reserve_tokens > 0) {
     attempt.reservation =
-        live->request.id.value() + "-" + std::to_string(attempt.number);
+        reservation_prefix + "-" + std::to_string(attempt.number);
   }
   for (const size_t index : plan.helpers) {
     attempt.helper_keys.push_back(candidates[index].engine);
@@ -229,6 +229,7 @@
                {"helper_engines", JoinKeys(attempt.helper_keys)},
                {"part_ms", std::lround(plan.prefill_shard_ms)},
                {"reserved_tokens", plan.reserve_tokens},
+               {"reservation", attempt.reservation},
                {"prompt_tokens", live.prompt_tokens},
                {"predicted_ms", std::lround(plan.first_event_ms)},
                {"backlog_ms", std::lround(first.load.backlog_ms)},
@@ -273,19 +274,25 @@
         }
         const auto held = weak.lock();
         if (!held || !held->Select(number)) return;
-        if (!refused_addresses.empty()) {
-          self->Fail(held, FailureCause::kNoMemory,
-                     "a helper engine refused the reservation");
-        } else if (!self->AreEnginesReady(*held)) {
-          self->Fail(held, FailureCause::kEngineLeft,
-                     "an engine started to leave, asked for a pause or was "
-                     "evacuated during the reservation");
-        } else {
-          self->Send(held);
-        }
+        self->RunFor(held, [&] { self->OnReserved(held, refused_addresses); });
       });
 }
 
+void Gateway::Impl::OnReserved(
+    const LiveRequestPtr& live,
+    const std::vector<std::string>& refused_addresses) {
+  if (!refused_addresses.empty()) {
+    Fail(live, FailureCause::kNoMemory,
+         "a helper engine refused the reservation");
+  } else if (!AreEnginesReady(*live)) {
+    Fail(live, FailureCause::kEngineLeft,
+         "an engine started to leave, asked for a pause or was evacuated "
+         "during the reservation");
+  } else {
+    Send(live);
+  }
+}
+
 void Gateway::Impl::AddActiveRequests(
     LiveRequest& live, const scheduling::StreamPlan& plan,
     const std::vector<EngineCandidate>& candidates) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,6 +15,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "header_text.h"
+#include "peridotshelf/events/guard.h"
 #include "receive_windows.h"
 
 namespace peridotshelf::http {
@@ -48,6 +50,10 @@
   size_t body_bytes = 0;
   /// The response exceeded its limits.
   bool is_oversized = false;
+  /// The head has a line that is not a header.
+  bool has_malformed_header = false;
+  /// The call was ended since a callback threw.
+  bool has_callback_failed = false;
   detail::ReceiveWindows* windows = nullptr;
   /// The response has no body, which libcurl does not know.
   bool ends_after_head = false;
@@ -99,9 +105,7 @@
 /// Collects the headers. A new status line starts another response, as after an
 /// informational one. Lines after a final head are trailers, which are not
 /// headers.
-size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
-  auto* call = static_cast<Call*>(user);
-  const size_t bytes = size * count;
+size_t ReadHeaderLine(Call* call, const char* data, size_t bytes) {
   call->head_bytes += bytes;
   if (call->head_bytes > call->request.max_head_bytes) {
     call->is_oversized = true;
@@ -124,19 +128,39 @@
     return is_end ? CURL_WRITEFUNC_ERROR : bytes;
   }
   const size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return bytes;
+  // A line that begins with a space continues the one before (obs-fold).
+  const bool is_continuation = line.front() == ' ' || line.front() == '\t';
+  if (colon == std::string_view::npos && !is_continuation) return bytes;
   std::string_view value = line.substr(colon + 1);
   while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
     value.remove_prefix(1);
   }
-  call->response_headers.push_back(
-      {std::string(line.substr(0, colon)), std::string(value)});
+  const std::string_view name = line.substr(0, colon);
+  if (!IsHeaderName(name) || !IsHeaderValue(value)) {
+    call->has_malformed_header = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  call->response_headers.push_back({std::string(name), std::string(value)});
   return bytes;
 }
 
-size_t OnBytes(char* data, size_t size, size_t count, void* user) {
+/// Runs a callback of libcurl, through which no exception may pass. One that
+/// throws ends its call.
+template <class Work>
+size_t RunCallback(Call* call, Work&& work) {
+  size_t taken = CURL_WRITEFUNC_ERROR;
+  call->has_callback_failed =
+      !events::RunGuarded("http_client", [&] { taken = work(); });
+  return taken;
+}
+
+size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<Call*>(user);
-  const size_t bytes = size * count;
+  return RunCallback(call,
+                     [&] { return ReadHeaderLine(call, data, size * count); });
+}
+
+size_t ReadBytes(Call* call, const char* data, size_t bytes) {
   // libcurl keeps the bytes and delivers them again.
   if (!call->windows->TryDeliver(call->id, bytes)) return CURL_WRITEFUNC_PAUSE;
   call->body_bytes += bytes;
@@ -152,6 +176,11 @@
   return bytes;
 }
 
+size_t OnBytes(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  return RunCallback(call, [&] { return ReadBytes(call, data, size * count); });
+}
+
 /// TCP keep-alive probes detect unresponsive connections: the first probe is
 /// sent after this idle time, later ones at this interval, in seconds.
 constexpr CurlLong kKeepAliveSeconds = 1;
@@ -269,6 +298,10 @@
                    std::to_string(call.head_bytes) + " bytes of head and " +
                    std::to_string(call.body_bytes) + " bytes of body";
   }
+  if (call.has_malformed_header) {
+    error.detail = "the response has a header that HTTP does not allow";
+  }
+  if (call.has_callback_failed) error.detail = "the response was not processed";
   curl_off_t request_bytes = 0;
   CurlLong sent = 0;
   curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &sent);
@@ -277,6 +310,13 @@
   return tl::unexpected<Error>(std::move(error));
 }
 
+void ReportOutcome(const Call& call, const Result<int>& outcome) {
+  if (!call.callbacks.on_done) return;
+  // Nobody is left to tell of it: the line and its counter do.
+  (void)events::RunGuarded("http_client",
+                           [&] { call.callbacks.on_done(outcome); });
+}
+
 /// Returns whether the call has exceeded its idle timeout, if it has one.
 /// libcurl's low-speed limit takes seconds longer, since it uses an average.
 bool HasIdleTimedOut(Call& call, TimePoint now) {
@@ -346,6 +386,11 @@
     resumes.swap(to_resume);
   }
   for (auto& call : starts) {
+    if (auto error = FindUnsendable(call->request)) {
+      windows.Close(call->id);
+      ReportOutcome(*call, tl::unexpected<Error>(std::move(*error)));
+      continue;
+    }
     call->handle = curl_easy_init();
     Configure(*call);
     curl_multi_add_handle(multi, call->handle);
@@ -384,10 +429,14 @@
   Call& call = *node.mapped();
   if (call.ends_after_head && call.is_head_complete) code = CURLE_OK;
   if (code == CURLE_OK && !call.is_head_complete) code = CURLE_PARTIAL_FILE;
-  if (code == CURLE_OK) ReportHead(call);
+  if (code == CURLE_OK &&
+      !events::RunGuarded("http_client", [&] { ReportHead(call); })) {
+    call.has_callback_failed = true;
+    code = CURLE_WRITE_ERROR;
+  }
   const Result<int> outcome = MakeOutcome(call, code);
   Release(multi, call);
-  if (call.callbacks.on_done) call.callbacks.on_done(outcome);
+  ReportOutcome(call, outcome);
 }
 
 void Client::Impl::EndIdleCalls() {
--- a/src/http/front_connection.cc
+++ b/src/http/front_connection.cc
@@ -5,6 +5,8 @@
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 
+#include "header_text.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/http/status.h"
 
@@ -96,7 +98,10 @@
   m_socket.async_read_some(
       asio::buffer(m_buffer),
       [self = shared_from_this()](const asio::error_code& error, size_t bytes) {
-        self->OnRead(error, bytes);
+        if (!events::RunGuarded("front_connection",
+                                [&] { self->OnRead(error, bytes); })) {
+          self->Close();
+        }
       });
 }
 
@@ -153,13 +158,19 @@
   if (question != std::string::npos) {
     request.query = request.target.substr(question + 1);
   }
+  TrimValues(m_request.headers);
   request.headers = std::move(m_request.headers);
   request.body = *owner;
   request.has_body = m_request.has_body;
   request.owner = std::move(owner);
   ResponderPtr responder =
       m_server->make_responder(shared_from_this(), request.method == "HEAD");
-  m_server->handler(std::move(request), std::move(responder));
+  const bool is_handled = events::RunGuarded("front_handler", [&] {
+    m_server->handler(std::move(request), responder);
+  });
+  if (is_handled) return;
+  responder->Reply(kServerError, {}, "");
+  responder->Abort();
 }
 
 void FrontConnection::Reject(const detail::Rejection& rejection) {
@@ -262,8 +273,11 @@
   // The handler may answer synchronously; parsing the next request in a posted
   // task avoids recursion.
   asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-    self->Parse();
-    self->Read();
+    const bool is_read = events::RunGuarded("front_connection", [&] {
+      self->Parse();
+      self->Read();
+    });
+    if (!is_read) self->Close();
   });
 }
 
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peridotshelf/discovery/engine_directory.h"
+#include "peridotshelf/events/guard.h"
 #include "peridotshelf/events/log.h"
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/http/front_server.h"
@@ -136,6 +137,9 @@
   add("peridotshelf_held_body_bytes",
       "Bytes of the bodies and collected answers that are held.",
       [this] { return static_cast<double>(held_bytes->bytes()); });
+  add("peridotshelf_exceptions_caught",
+      "Exceptions that ended one request or task (event 106).",
+      [] { return static_cast<double>(events::CountExceptions()); });
   add("peridotshelf_caller_connections", "Open connections of callers.",
       [this] { return static_cast<double>(caller_server->counters().open); });
 }
