Log each retry with its cause, its wait and what the process knows of the limit

The logs could not tell why the limit on retries was exceeded: whether a process that starts has forgotten what was spent, whether it counts too few entries, or whether retries arrive that are not charged or are charged long before. Event 214 retry_sent says for each send after the first why the attempt before failed, how long the retry waited, how many retries are left, how many entries this one counts and how old the process is.

--- a/src/events/catalogue.cc
+++ b/src/events/catalogue.cc
@@ -29,6 +29,7 @@
     EventInfo{EventId::kHedgeSent, "hedge_sent", Level::kInfo},
     EventInfo{EventId::kHedgeEnded, "hedge_ended", Level::kInfo},
     EventInfo{EventId::kAnswerEndChecked, "answer_end_checked", Level::kInfo},
+    EventInfo{EventId::kRetrySent, "retry_sent", Level::kInfo},
     EventInfo{EventId::kReservationGranted, "reservation_granted",
               Level::kDebug},
     EventInfo{EventId::kReservationRefused, "reservation_refused",
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -59,6 +59,25 @@
   }
 }
 
+void Gateway::Impl::LogRetry(const LiveRequest& live, TimePoint now) {
+  const bool is_hedge = live.attempt->is_hedge && live.other_attempt;
+  const TimePoint since =
+      is_hedge ? live.other_attempt->sent_at : live.failed_at;
+  events::Log(
+      EventId::kRetrySent,
+      {{"request", live.request.id.value()},
+       {"service", live.service},
+       {"engine", live.attempt->engine_key},
+       {"after", std::string(is_hedge || !live.last_failure
+                                 ? "hedge"
+                                 : ToString(*live.last_failure))},
+       {"waited_ms", ToMilliseconds(now - since)},
+       {"left",
+        budgets.at(live.service).Remaining(now, peers.CountLiveEntries())},
+       {"entries", static_cast<int64_t>(peers.CountLiveEntries())},
+       {"age_ms", ToMilliseconds(now - started_at)}});
+}
+
 void Gateway::Impl::SendNow(const LiveRequestPtr& live) {
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
@@ -68,6 +87,7 @@
   attempt.resumed_after = live->last_event_number;
   if (live->sent_attempts++ > 0) {
     retries_sent.WithoutLabel().Add();
+    LogRetry(*live, now);
   } else if (hedging.IsEnabled()) {
     hedging.NoteRequest(live->service, now);
   }
@@ -317,6 +337,8 @@
       break;
   }
   failed_attempts.With(ToString(cause)).Add();
+  live->last_failure = cause;
+  live->failed_at = now;
   const bool not_run = GuaranteesNotRun(cause);
   events::Log(EventId::kAttemptFailed,
               {{"request", live->request.id.value()},
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -345,6 +345,8 @@
   /// Sends the request, after a query if one is needed.
   void Send(const LiveRequestPtr& live);
   void SendNow(const LiveRequestPtr& live);
+  /// Logs that the request is sent again.
+  void LogRetry(const LiveRequest& live, TimePoint now);
   void OnHead(const LiveRequestPtr& live, const http::ClientResponseHead& head);
   void OnData(const LiveRequestPtr& live, const std::string& data);
   void OnEvent(const LiveRequestPtr& live, std::string_view event);
@@ -464,6 +466,7 @@
   std::mt19937_64 random;
   /// Makes the engine preferences differ between entries.
   uint64_t preference_seed;
+  const TimePoint started_at = SteadyClock().Now();
   std::shared_ptr<const routing::Configuration> configuration;
   std::unordered_map<std::string, scheduling::EngineModel> models;
   std::unordered_map<std::string, EngineState> engine_states;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "failure.h"
 #include "peridotshelf/gateway/messages.h"
 #include "peridotshelf/http/client.h"
 #include "peridotshelf/http/held_bytes.h"
@@ -131,6 +132,9 @@
   double longest_pause_ms = 0;
   /// Number of the last event sent to the caller.
   std::optional<int64_t> last_event_number;
+  /// Why the last attempt that ended failed, and when.
+  std::optional<FailureCause> last_failure;
+  TimePoint failed_at{};
   /// The last error response of an engine.
   std::optional<AnswerHead> engine_failure;
   std::string engine_failure_body;
--- a/src/include/peridotshelf/events/catalogue.h
+++ b/src/include/peridotshelf/events/catalogue.h
@@ -34,6 +34,7 @@
   kHedgeSent = 211,
   kHedgeEnded = 212,
   kAnswerEndChecked = 213,
+  kRetrySent = 214,
   kReservationGranted = 300,
   kReservationRefused = 301,
   kAttemptStarted = 302,
