Schedules of restarts and cuts that exceed the limit on retries (failing)

retry_limit_schedules_test plays a fleet in virtual time and counts retries and requests as they are judged at the engines, in any window.

--- /dev/null
+++ b/src/scheduling/retry_limit_schedules_test.cc
@@ -0,0 +1,307 @@
+// Schedules of restarts, cuts and load under which all entries together must
+// keep the limit on retries, as it is judged at the engines.
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <random>
+#include <vector>
+
+#include "peridotshelf/scheduling/sliding_window_retry_budget.h"
+#include "peridotshelf/testing/test.h"
+
+namespace peridotshelf::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kBegin{std::chrono::hours(1)};
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kReportInterval = seconds(1);
+/// A peer that is silent for this long is not counted as live.
+constexpr Duration kPeerTimeout = milliseconds(3500);
+
+/// What happens to the entries for a while.
+enum class Trouble {
+  kRestart,     ///< Processes are killed and start again.
+  kReplace,     ///< They end for good, and others come at new addresses.
+  kCut,         ///< They reach callers and engines, but no other entry.
+  kFreeze,      ///< They stand still.
+  kShift,       ///< The others get no requests.
+  kHoldRetries  ///< Retries wait until the end of the trouble.
+};
+
+struct Event {
+  Trouble trouble = Trouble::kRestart;
+  int64_t at_ms = 0;
+  int64_t for_ms = 0;
+  /// Applies to the entries whose number has one of these bits.
+  uint32_t entries = ~uint32_t{0};
+};
+
+struct Load {
+  size_t entries = 5;
+  /// Of all entries together.
+  double requests_per_second = 70;
+  double failed_share = 0.9;
+  int64_t end_ms = 45000;
+};
+
+/// One process of an entry.
+struct Process {
+  explicit Process(const RetryLimits& limits) : budget(limits) {}
+
+  SlidingWindowRetryBudget budget;
+  TimePoint heard_at{};
+
+  size_t CountLive(size_t entries, TimePoint now) const {
+    return heard_at != TimePoint{} && now - heard_at < kPeerTimeout ? entries
+                                                                    : 1;
+  }
+  void NoteRequest(TimePoint now, size_t /*entries*/) {
+    budget.NoteRequest(now);
+  }
+  bool TryClaim(TimePoint now, size_t entries) {
+    return budget.TrySpend(now, CountLive(entries, now));
+  }
+  static bool TrySend(TimePoint /*now*/, size_t /*entries*/) { return true; }
+};
+
+struct Outcome {
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> retries;
+};
+
+size_t CountIn(const std::vector<TimePoint>& times, TimePoint after,
+               TimePoint until) {
+  return static_cast<size_t>(
+      std::upper_bound(times.begin(), times.end(), until) -
+      std::upper_bound(times.begin(), times.end(), after));
+}
+
+/// Retries that the limit allows in the window that ends at `end`: the requests
+/// are those of that window, of the one before it or of the one half a window
+/// before it, whichever has most.
+double AllowedAt(const Outcome& outcome, const RetryLimits& limits,
+                 TimePoint end) {
+  const auto requests_until = [&](TimePoint until) {
+    return CountIn(outcome.requests, until - limits.window, until);
+  };
+  const size_t requests =
+      std::max({requests_until(end), requests_until(end - limits.window / 2),
+                requests_until(end - limits.window)});
+  return limits.ratio * static_cast<double>(requests) + limits.slack;
+}
+
+/// Returns the largest share of the allowed retries that a window uses.
+double MaxUsedShare(const Outcome& outcome, const RetryLimits& limits) {
+  double share = 0;
+  for (const TimePoint end : outcome.retries) {
+    const auto used =
+        static_cast<double>(CountIn(outcome.retries, end - limits.window, end));
+    share = std::max(share, used / AllowedAt(outcome, limits, end));
+  }
+  return share;
+}
+
+/// Plays a fleet in virtual time.
+class Fleet {
+ public:
+  Fleet(const Load& load, const RetryLimits& limits, uint64_t seed)
+      : m_load(load), m_limits(limits), m_random(seed) {
+    for (size_t i = 0; i < load.entries; ++i) m_members.emplace_back(limits);
+  }
+
+  Outcome Play(const std::vector<Event>& events) {
+    const TimePoint end = kBegin + milliseconds(m_load.end_ms);
+    for (m_now = kBegin; m_now < end; m_now += kStep) {
+      for (const Event& event : events) Begin(event);
+      if ((m_now - kBegin) % kReportInterval == Duration::zero()) {
+        ExchangeReports(events);
+      }
+      for (size_t i = 0; i < m_members.size(); ++i) StepEntry(events, i);
+    }
+    return std::move(m_outcome);
+  }
+
+ private:
+  struct Member {
+    explicit Member(const RetryLimits& limits) : process(limits) {}
+
+    Process process;
+    /// Requests that wait while the process stands still.
+    int64_t unread = 0;
+    int64_t waiting_retries = 0;
+  };
+
+  static bool Concerns(const Event& event, size_t entry) {
+    return ((event.entries >> (entry % 32)) & 1U) != 0;
+  }
+  bool IsIn(const std::vector<Event>& events, Trouble trouble,
+            size_t entry) const {
+    return std::any_of(events.begin(), events.end(), [&](const Event& event) {
+      const TimePoint from = kBegin + milliseconds(event.at_ms);
+      return event.trouble == trouble && Concerns(event, entry) &&
+             m_now >= from && m_now < from + milliseconds(event.for_ms);
+    });
+  }
+  void Begin(const Event& event) {
+    if (m_now != kBegin + event.at_ms / 10 * kStep) return;
+    if (event.trouble == Trouble::kReplace) ++m_replaced;
+    if (event.trouble != Trouble::kRestart &&
+        event.trouble != Trouble::kReplace) {
+      return;
+    }
+    for (size_t i = 0; i < m_members.size(); ++i) {
+      if (Concerns(event, i)) m_members[i] = Member(m_limits);
+    }
+  }
+  void ExchangeReports(const std::vector<Event>& events) {
+    for (size_t i = 0; i < m_members.size(); ++i) {
+      if (IsIn(events, Trouble::kCut, i) || IsIn(events, Trouble::kFreeze, i)) {
+        continue;
+      }
+      m_members[i].process.heard_at = m_now;
+    }
+  }
+  void StepEntry(const std::vector<Event>& events, size_t entry) {
+    Member& member = m_members[entry];
+    const int64_t arrived = DrawRequests(events, entry);
+    m_outcome.requests.insert(m_outcome.requests.end(),
+                              static_cast<size_t>(arrived), m_now);
+    member.unread += arrived;
+    if (IsIn(events, Trouble::kFreeze, entry)) return;
+    for (; member.unread > 0; --member.unread) HandleRequest(member);
+    if (IsIn(events, Trouble::kHoldRetries, entry)) return;
+    for (; member.waiting_retries > 0; --member.waiting_retries) {
+      if (member.process.TrySend(m_now, m_members.size())) {
+        m_outcome.retries.push_back(m_now);
+      }
+    }
+  }
+  int64_t DrawRequests(const std::vector<Event>& events, size_t entry) {
+    const bool is_shifted =
+        std::any_of(events.begin(), events.end(), [&](const Event& event) {
+          const TimePoint from = kBegin + milliseconds(event.at_ms);
+          return event.trouble == Trouble::kShift && !Concerns(event, entry) &&
+                 m_now >= from && m_now < from + milliseconds(event.for_ms);
+        });
+    if (is_shifted) return 0;
+    const double per_step = m_load.requests_per_second /
+                            static_cast<double>(m_members.size()) *
+                            std::chrono::duration<double>(kStep).count();
+    return std::poisson_distribution<int64_t>(per_step)(m_random);
+  }
+  void HandleRequest(Member& member) {
+    member.process.NoteRequest(m_now, m_members.size());
+    if (!std::bernoulli_distribution(m_load.failed_share)(m_random)) return;
+    if (member.process.TryClaim(m_now, m_members.size())) {
+      ++member.waiting_retries;
+    }
+  }
+
+  Load m_load;
+  RetryLimits m_limits;
+  std::mt19937_64 m_random;
+  TimePoint m_now = kBegin;
+  size_t m_replaced = 0;
+  std::vector<Member> m_members;
+  Outcome m_outcome;
+};
+
+std::vector<Event> RestartsOfAll() {
+  return {{Trouble::kRestart, 20000, 0},
+          {Trouble::kRestart, 23000, 0},
+          {Trouble::kRestart, 26000, 0}};
+}
+
+class FleetRetryLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetRetryLimitTest);
+  CPPUNIT_TEST(Retries_NothingHappens_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_AllEntriesRestartInSeries_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_EntriesRestartInTurn_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_EntriesRestartWhileCutOff_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_EntriesCutOffFromEachOther_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_EntriesStandStillAndRestart_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_SentTogetherAfterAWait_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_LoadMovesBetweenEntries_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_AnySchedule_StayWithinTheLimit);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Retries_NothingHappens_StayWithinTheLimit() { Check({}); }
+  void Retries_AllEntriesRestartInSeries_StayWithinTheLimit() {
+    Check(RestartsOfAll());
+  }
+  void Retries_EntriesRestartInTurn_StayWithinTheLimit() {
+    std::vector<Event> events;
+    for (int64_t i = 0; i < 64; ++i) {
+      events.push_back({Trouble::kRestart, 15000 + 300 * i, 0,
+                        uint32_t{1} << static_cast<uint32_t>(i % 5)});
+    }
+    Check(events);
+  }
+  void Retries_EntriesRestartWhileCutOff_StayWithinTheLimit() {
+    auto events = RestartsOfAll();
+    events.push_back({Trouble::kCut, 19000, 12000});
+    Check(events);
+  }
+  void Retries_EntriesCutOffFromEachOther_StayWithinTheLimit() {
+    Check({{Trouble::kCut, 15000, 25000}});
+  }
+  void Retries_EntriesStandStillAndRestart_StayWithinTheLimit() {
+    Check({{Trouble::kFreeze, 16000, 4000},
+           {Trouble::kRestart, 20500, 0, 0b10110},
+           {Trouble::kFreeze, 26000, 4000},
+           {Trouble::kRestart, 30100, 0}});
+  }
+  void Retries_SentTogetherAfterAWait_StayWithinTheLimit() {
+    Check({{Trouble::kHoldRetries, 12000, 9000}});
+  }
+  void Retries_LoadMovesBetweenEntries_StayWithinTheLimit() {
+    Check({{Trouble::kShift, 5000, 10000, 0b00011},
+           {Trouble::kShift, 15000, 10000, 0b11100},
+           {Trouble::kShift, 25000, 10000, 0b00011}});
+  }
+  void Retries_AnySchedule_StayWithinTheLimit() {
+    testing::CheckProperty("fleet limit", [] {
+      Load load;
+      load.entries = *rc::gen::element<size_t>(1, 2, 5, 8, 26, 60);
+      load.requests_per_second = *rc::gen::element(2.0, 70.0, 250.0);
+      load.failed_share = *rc::gen::element(0.2, 0.9, 1.0);
+      const RetryLimits limits{0.2, *rc::gen::element(0.0, 20.0, 106.0, 206.0),
+                               seconds(10)};
+      const auto events = *rc::gen::container<std::vector<Event>>(AnyEvent());
+      const auto seed = *rc::gen::arbitrary<uint64_t>();
+      const Outcome outcome = Fleet(load, limits, seed).Play(events);
+      RC_ASSERT(MaxUsedShare(outcome, limits) <= 1.0);
+    });
+  }
+
+ private:
+  static rc::Gen<Event> AnyEvent() {
+    return rc::gen::build<Event>(
+        rc::gen::set(&Event::trouble,
+                     rc::gen::element(Trouble::kRestart, Trouble::kReplace,
+                                      Trouble::kCut, Trouble::kFreeze,
+                                      Trouble::kShift, Trouble::kHoldRetries)),
+        rc::gen::set(&Event::at_ms, rc::gen::inRange<int64_t>(0, 40000)),
+        rc::gen::set(&Event::for_ms, rc::gen::inRange<int64_t>(10, 12000)),
+        rc::gen::set(&Event::entries, rc::gen::arbitrary<uint32_t>()));
+  }
+  /// Plays `events` with several seeds.
+  static void Check(const std::vector<Event>& events) {
+    const RetryLimits limits{0.2, 106, seconds(10)};
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      const Outcome outcome = Fleet(Load{}, limits, seed).Play(events);
+      const double share = MaxUsedShare(outcome, limits);
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(seed) + " uses " + std::to_string(share),
+          share <= 1.0);
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetRetryLimitTest);
+
+}  // namespace
+}  // namespace peridotshelf::scheduling
