Keep the limit on retries through restarts and cuts

What callers and operators saw: the engines of one service got more arrivals beyond the first of their requests than all gateways together may send (BUDGET).

Cause: the limit was kept by a sliding window in each process's memory. A process that starts has an empty window, so it sends its whole part again, and the requests of a window count twice, for the retries before and after the restart. Each process divided the slack by the gateways that it heard, so one that is cut off took all of it. Retries were charged when an attempt failed, and sent later, together.

Change: a token bucket in each process that starts empty (FleetRetryBudget). Requests and time add one half of the limit, the bucket holds at most the other half of it, so that in any window all buckets together send at most ratio x the requests of that window or of the one before + slack, whichever processes start, stop or stand still. The slack is divided by all gateways that are known, heard or not; a gateway has a part only when all others know it, which it marks in the store's list for the process after it. A retry leaves the bucket as it is sent.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -140,8 +140,7 @@
   }
   live->deadline = live->arrived + timeout;
   live_requests.emplace(live->number, live);
-  budgets.try_emplace(live->service, options.retry_limits)
-      .first->second.NoteRequest(live->arrived);
+  GetRetryBudget(live->service).NoteRequest(live->arrived, peers.LimitPart());
   const std::weak_ptr<LiveRequest> weak = live;
   const auto guard = [self = shared_from_this(), weak](auto end) {
     return [self, weak, end] {
@@ -155,6 +154,13 @@
   if (!live->is_done) PlaceOrQueue(live);
 }
 
+scheduling::FleetRetryBudget& Gateway::Impl::GetRetryBudget(
+    const std::string& service) {
+  const auto [found, is_new] =
+      budgets.try_emplace(service, options.retry_limits, SteadyClock().Now());
+  return found->second;
+}
+
 void Gateway::Impl::GiveUp(const LiveRequestPtr& live,
                            std::string_view reason) {
   if (live->is_head_sent) {
@@ -252,6 +258,9 @@
                            std::string_view outcome) {
   if (std::exchange(live->is_done, true)) return;
   queue.Remove(live->number);
+  if (std::exchange(live->has_retry_claim, false)) {
+    GetRetryBudget(live->service).Release();
+  }
   // If an engine crashed under it, that decides.
   if (!live->has_broken) crash_quarantine->EndTrial(live->number);
   finished.With(outcome).Add();
@@ -354,6 +363,10 @@
 void Gateway::SetConfiguration(
     std::shared_ptr<const routing::Configuration> configuration) {
   m_impl->configuration = std::move(configuration);
+  // Time fills the budgets, so they begin before the first request.
+  for (const auto& [name, service] : m_impl->configuration->services()) {
+    m_impl->GetRetryBudget(name);
+  }
   // The configuration may have changed the engine speeds.
   m_impl->models.clear();
   m_impl->ApplyEarlyRegistrations();
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -60,27 +60,59 @@
 }
 
 void Gateway::Impl::LogRetry(const LiveRequest& live, TimePoint now) {
+  const double part = peers.LimitPart();
   const bool is_hedge = live.attempt->is_hedge && live.other_attempt;
   const TimePoint since =
       is_hedge ? live.other_attempt->sent_at : live.failed_at;
-  events::Log(
-      EventId::kRetrySent,
-      {{"request", live.request.id.value()},
-       {"service", live.service},
-       {"engine", live.attempt->engine_key},
-       {"after", std::string(is_hedge || !live.last_failure
-                                 ? "hedge"
-                                 : ToString(*live.last_failure))},
-       {"waited_ms", ToMilliseconds(now - since)},
-       {"left",
-        budgets.at(live.service).Remaining(now, peers.CountLiveEntries())},
-       {"entries", static_cast<int64_t>(peers.CountLiveEntries())},
-       {"age_ms", ToMilliseconds(now - started_at)}});
+  events::Log(EventId::kRetrySent,
+              {{"request", live.request.id.value()},
+               {"service", live.service},
+               {"engine", live.attempt->engine_key},
+               {"after", std::string(is_hedge || !live.last_failure
+                                         ? "hedge"
+                                         : ToString(*live.last_failure))},
+               {"waited_ms", ToMilliseconds(now - since)},
+               {"left", GetRetryBudget(live.service).Remaining(now, part)},
+               {"part", part},
+               {"entries", static_cast<int64_t>(peers.CountLiveEntries())},
+               {"age_ms", ToMilliseconds(now - started_at)}});
+}
+
+void Gateway::Impl::DropLapsedRetry(const LiveRequestPtr& live) {
+  if (live->hedge && live->hedge->number == live->attempt->number) {
+    EndHedge(*live, "cancelled");
+  }
+  EndAttempt(*live);
+  ScheduleQueueDrain();
+  // The first attempt of a hedged request goes on.
+  if (!live->attempt) DenyRetry(live);
+}
+
+void Gateway::Impl::DenyRetry(const LiveRequestPtr& live) {
+  denied_retries.WithoutLabel().Add();
+  GiveUp(live, "repeat_budget");
+}
+
+bool Gateway::Impl::ClaimRetry(LiveRequest& live) {
+  if (!live.has_retry_claim) {
+    live.has_retry_claim =
+        GetRetryBudget(live.service)
+            .TryClaim(SteadyClock().Now(), peers.LimitPart());
+  }
+  return live.has_retry_claim;
 }
 
 void Gateway::Impl::SendNow(const LiveRequestPtr& live) {
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
+  if (std::exchange(live->has_retry_claim, false)) {
+    attempt.is_retry =
+        GetRetryBudget(live->service).TrySend(now, peers.LimitPart());
+    if (!attempt.is_retry) {
+      DropLapsedRetry(live);
+      return;
+    }
+  }
   attempt.sent_at = now;
   attempt.last_progress = now;
   attempt.own_pause = {};
@@ -359,6 +391,11 @@
     EndHedge(*live, "failed");
   }
   NoteStreamBreak(*live);
+  const bool has_arrived = MayHaveArrived(cause);
+  const bool was_retry = attempt.is_retry;
+  if (was_retry && !has_arrived) {
+    GetRetryBudget(live->service).Return(now, peers.LimitPart());
+  }
   EndAttempt(*live);
   if (live->attempt) {
     // The other attempt of a hedged request goes on; it may still answer.
@@ -379,10 +416,8 @@
     GiveUp(live, ToString(cause));
     return;
   }
-  auto& budget = budgets.at(live->service);
-  if (MayHaveArrived(cause) &&
-      !budget.TrySpend(now, peers.CountLiveEntries())) {
-    GiveUp(live, "repeat_budget");
+  if ((has_arrived || was_retry) && !ClaimRetry(*live)) {
+    DenyRetry(live);
     return;
   }
   PlaceOrQueue(live);
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -213,6 +213,10 @@
 /// Starts a gateway for each test; the tests add the engines.
 class GatewayFixture : public CppUnit::TestFixture {
  public:
+  /// Retries that one request allows. A process that has just started has only
+  /// those that its requests earn.
+  static constexpr double kRetryRatio = 200;
+
   void setUp() override {
     m_threads = std::make_unique<io::IoThreads>(1);
     m_client = std::make_unique<http::Client>();
@@ -229,7 +233,7 @@
     m_peers =
         PeerExchange::Create(*m_threads, *m_active_request_table, exchange)
             .value();
-    m_options.retry_limits.slack = 100;
+    m_options.retry_limits.ratio = kRetryRatio;
     m_gateway = std::make_unique<Gateway>(*m_threads, *m_client, m_codec,
                                           *m_directory, *m_active_request_table,
                                           *m_peers, *m_registry, m_options);
--- a/src/gateway/gateway_hedges.cc
+++ b/src/gateway/gateway_hedges.cc
@@ -127,8 +127,8 @@
                                         TimePoint now) {
   const Attempt& attempt = *live.attempt;
   const std::string request_class = RequestClass(live);
-  auto& budget = budgets.at(live.service);
-  const size_t entries = peers.CountLiveEntries();
+  scheduling::FleetRetryBudget& budget = GetRetryBudget(live.service);
+  const double part = peers.LimitPart();
   scheduling::HedgeQuestion question;
   question.service = live.service;
   question.request_class = request_class;
@@ -146,9 +146,9 @@
       live.suspects.begin(), live.suspects.end(), [this](const auto& suspect) {
         return crash_quarantine->CountCrashes(suspect.id) > 0;
       });
-  question.budget_share_left = budget.RemainingShare(now, entries);
+  question.budget_share_left = budget.RemainingShare(now, part);
   const HedgeVerdict verdict = hedging.Decide(question, now);
-  if (verdict == HedgeVerdict::kSend && !budget.TrySpend(now, entries)) {
+  if (verdict == HedgeVerdict::kSend && !budget.TryClaim(now, part)) {
     return HedgeVerdict::kLimitUsed;
   }
   return verdict;
@@ -161,6 +161,7 @@
   const double first_ms = MillisBetween(live->attempt->sent_at, now);
   const double first_predicted_ms = live->attempt->predicted_answer_ms;
   live->other_attempt = std::exchange(live->attempt, std::nullopt);
+  live->has_retry_claim = true;
   StartAttempt(live, *plan.engine);
   Attempt& attempt = *live->attempt;
   attempt.is_hedge = true;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -120,6 +120,10 @@
              "Tries at engines that failed, by cause.", "cause"})),
         retries_sent(registry.AddCounter(
             {"peridotshelf_repeats_total", "Sends after the first.", ""})),
+        denied_retries(registry.AddCounter(
+            {"peridotshelf_retries_denied_total",
+             "Failed requests that the limit on retries did not let go on.",
+             ""})),
         engine_crashes(registry.AddCounter(
             {"peridotshelf_engine_crashes_total",
              "Engines that ended while they ran requests of this entry.", ""})),
@@ -347,6 +351,14 @@
   void SendNow(const LiveRequestPtr& live);
   /// Logs that the request is sent again.
   void LogRetry(const LiveRequest& live, TimePoint now);
+  scheduling::FleetRetryBudget& GetRetryBudget(const std::string& service);
+  /// Claims a retry for the next attempt of a request that has arrived at an
+  /// engine before. Returns false if the budget allows none.
+  bool ClaimRetry(LiveRequest& live);
+  /// Ends a request that would be retried if the budget allowed it.
+  void DenyRetry(const LiveRequestPtr& live);
+  /// Ends an attempt whose claimed retry has lapsed before it was sent.
+  void DropLapsedRetry(const LiveRequestPtr& live);
   void OnHead(const LiveRequestPtr& live, const http::ClientResponseHead& head);
   void OnData(const LiveRequestPtr& live, const std::string& data);
   void OnEvent(const LiveRequestPtr& live, std::string_view event);
@@ -457,6 +469,7 @@
   metrics::Family<metrics::Counter>& finished;
   metrics::Family<metrics::Counter>& failed_attempts;
   metrics::Family<metrics::Counter>& retries_sent;
+  metrics::Family<metrics::Counter>& denied_retries;
   metrics::Family<metrics::Counter>& engine_crashes;
   metrics::Family<metrics::Counter>& ended_answers;
   metrics::Family<metrics::Histogram>& first_event_seconds;
@@ -480,7 +493,7 @@
   /// Attempts that broke at engines that are being probed, by engine key.
   std::unordered_map<std::string, BrokenAttempts> broken_attempts;
   /// Keyed by service name.
-  std::unordered_map<std::string, scheduling::SlidingWindowRetryBudget> budgets;
+  std::unordered_map<std::string, scheduling::FleetRetryBudget> budgets;
   std::unordered_map<uint64_t, LiveRequestPtr> live_requests;
   scheduling::RequestQueue queue;
   uint64_t next_number = 1;
--- a/src/gateway/gateway_stalls.cc
+++ b/src/gateway/gateway_stalls.cc
@@ -54,7 +54,7 @@
   const size_t needed_engines =
       engines.IsEvacuated(live.attempt->engine_key) ? 1 : 2;
   if (FindReadyEngines(live).size() < needed_engines) return false;
-  return budgets.at(live.service).Remaining(now, peers.CountLiveEntries()) >= 1;
+  return GetRetryBudget(live.service).Remaining(now, peers.LimitPart()) >= 1;
 }
 
 bool Gateway::Impl::IsStalled(const LiveRequest& live, TimePoint now) {
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -45,6 +45,8 @@
   double predicted_answer_ms = 0;
   /// A second attempt, sent while the first one runs.
   bool is_hedge = false;
+  /// It was sent at the expense of the retry budget.
+  bool is_retry = false;
   std::optional<AnswerHead> head;
   std::string content_type;
   /// The answer states the length of its body.
@@ -105,6 +107,8 @@
   /// Of these, the attempts whose engine was not at its address while another
   /// one was left to try.
   int32_t misdirected_attempts = 0;
+  /// Whether the next attempt uses a retry that was claimed for it.
+  bool has_retry_claim = false;
   std::vector<std::string> tried_engines;
   /// The attempt that is being processed.
   std::optional<Attempt> attempt;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -88,6 +88,20 @@
                     [](const auto& item) { return item.second.is_live; }));
 }
 
+void PeerExchange::Impl::UpdateLimitPart() {
+  const TimePoint oldest = SteadyClock().Now() - options.forget_time;
+  scheduling::KnownPeers known;
+  known.is_list_read = are_entries_listed;
+  known.is_known_to_all = is_known_to_all;
+  for (const auto& [address, peer] : peers) {
+    if (peer.known_at < oldest) continue;
+    ++known.known;
+    if (peer.WasHeard()) ++known.heard;
+  }
+  is_known_to_all = is_known_to_all || known.HaveAllBeenHeard();
+  limit_part = scheduling::ComputeLimitPart(known);
+}
+
 void PeerExchange::Impl::SendReport(const std::vector<std::string>& engines,
                                     bool complete, Peer* only_peer) {
   size_t begin = 0;
@@ -161,6 +175,7 @@
   SendReport(active_request_table.EnginesWithLocalRequests(),
              /*complete=*/true);
   MakeSharers();
+  UpdateLimitPart();
   RepeatSuspects();
   if (full_reports++ % kFullReportsPerGreeting == 0) {
     GreetLostPeers();
@@ -204,6 +219,7 @@
   const TimePoint now = SteadyClock().Now();
   Peer& peer = peers[address];
   peer.endpoint = sender;
+  const bool is_first_report = !peer.WasHeard();
   const bool has_restarted = peer.process_id != load->process_id;
   if (has_restarted) {
     active_request_table.RemovePeer(address);
@@ -214,6 +230,8 @@
   if (load->sequence <= peer.last_sequence) return;
   peer.last_sequence = load->sequence;
   peer.last_received_at = now;
+  peer.known_at = now;
+  if (is_first_report) UpdateLimitPart();
   if (!std::exchange(peer.is_live, true)) {
     events::Log(EventId::kPeerConnected, {{"peer", address}});
   }
@@ -292,11 +310,12 @@
   }
   // Datagrams come from the address in its usual form.
   const std::string known = parsed->ToString();
-  if (known == m_impl->options.local_address.ToString() ||
-      m_impl->peers.contains(known)) {
-    return;
-  }
-  Peer& peer = m_impl->peers[known];
+  if (known == m_impl->options.local_address.ToString()) return;
+  const auto [found, is_new] = m_impl->peers.try_emplace(known);
+  Peer& peer = found->second;
+  peer.known_at = SteadyClock().Now();
+  m_impl->UpdateLimitPart();
+  if (!is_new) return;
   peer.endpoint =
       udp::endpoint(asio::ip::make_address(parsed->ip), parsed->port);
   wire::EntryLoad greeting = m_impl->MakeReport();
@@ -304,6 +323,16 @@
   m_impl->SendTo(peer, Encode(greeting));
 }
 
+void PeerExchange::NoteEntriesListed(bool is_known_to_all) {
+  m_impl->are_entries_listed = true;
+  if (is_known_to_all) m_impl->is_known_to_all = true;
+  m_impl->UpdateLimitPart();
+}
+
+bool PeerExchange::IsKnownToAll() const { return m_impl->is_known_to_all; }
+
+double PeerExchange::LimitPart() const { return m_impl->limit_part; }
+
 void PeerExchange::GreetLostPeers() { m_impl->GreetLostPeers(); }
 
 void PeerExchange::NoteStart(const std::string& engine) {
--- a/src/gateway/peer_exchange_impl.h
+++ b/src/gateway/peer_exchange_impl.h
@@ -27,7 +27,12 @@
   std::string process_id;
   int64_t last_sequence = 0;
   TimePoint last_received_at{};
+  /// When it was heard or listed last.
+  TimePoint known_at{};
   bool is_live = false;
+
+  /// Returns whether it was heard since this entry started.
+  bool WasHeard() const { return !process_id.empty(); }
 };
 
 /// Which cold engines a report names: those that this entry has read lately, or
@@ -55,6 +60,10 @@
   bool is_flush_scheduled = false;
   bool is_immediate_flush_scheduled = false;
   bool is_progress_new = false;
+  bool are_entries_listed = false;
+  bool is_known_to_all = false;
+  /// As of the last change of the peers.
+  double limit_part = 0;
   bool are_evacuations_new = false;
   std::set<std::string> changed_engines;
   std::unordered_map<std::string, Peer> peers;
@@ -95,6 +104,7 @@
   void SendTo(Peer& peer, const std::string& bytes);
   void SendToLive(const std::string& bytes);
   size_t CountLivePeers() const;
+  void UpdateLimitPart();
   /// Sends the requests at `engines` to `only_peer`, or to all live peers.
   void SendReport(const std::vector<std::string>& engines, bool complete,
                   Peer* only_peer = nullptr);
--- a/src/gateway/resumed_stream_test.cc
+++ b/src/gateway/resumed_stream_test.cc
@@ -189,7 +189,7 @@
     Configure();
     RunOnLoop([this] {
       scheduling::RetryLimits limits = m_options.retry_limits;
-      limits.slack = kMaxCalls;
+      limits.ratio = 2 * kMaxCalls;
       m_gateway->SetRetryLimits(limits);
     });
   }
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -19,8 +19,8 @@
 #include "peridotshelf/metrics/registry.h"
 #include "peridotshelf/routing/configuration.h"
 #include "peridotshelf/scheduling/active_request_table.h"
+#include "peridotshelf/scheduling/fleet_retry_budget.h"
 #include "peridotshelf/scheduling/hedging.h"
-#include "peridotshelf/scheduling/sliding_window_retry_budget.h"
 
 namespace peridotshelf::gateway {
 
--- a/src/include/peridotshelf/gateway/peer_exchange.h
+++ b/src/include/peridotshelf/gateway/peer_exchange.h
@@ -75,6 +75,9 @@
   /// The requests of a peer that sends nothing for this long, two full reports,
   /// are not known any more.
   Duration silence_time = std::chrono::seconds(2);
+  /// A peer that was neither heard nor listed for this long, more than the
+  /// longest time for which regions lose each other, has no part of limits.
+  Duration forget_time = std::chrono::hours(2);
   /// Time after the start in which peers may not have reported yet.
   Duration start_time = std::chrono::seconds(2);
 };
@@ -99,6 +102,11 @@
   void Start();
   /// Adds a peer by its address, "IP:PORT"; ignores this entry's address.
   void AddPeer(const std::string& address);
+  /// Reports that all entries of the platform's list were added, and that this
+  /// entry is in the list; `is_known_to_all` as in `scheduling::KnownPeers`.
+  void NoteEntriesListed(bool is_known_to_all);
+  /// Returns whether all entries know this one.
+  bool IsKnownToAll() const;
   /// Asks the peers that are considered stopped for a report, for an entry that
   /// may have been cut off from them.
   void GreetLostPeers();
@@ -153,6 +161,10 @@
       std::function<void(const RecordsProgress&)> callback);
   /// Returns the number of live entries, including this one.
   size_t CountLiveEntries() const;
+  /// Returns which part of a limit that all entries share this one may use,
+  /// from 0 to 1. In contrast to `CountLiveEntries`, entries count that are not
+  /// heard.
+  double LimitPart() const;
 
  private:
   struct Impl;
--- a/src/include/peridotshelf/scheduling/fleet_view.h
+++ b/src/include/peridotshelf/scheduling/fleet_view.h
@@ -17,6 +17,27 @@
   size_t addresses = 0;
 };
 
+/// What an entry knows of the others, live or not.
+struct KnownPeers {
+  /// Whether the list of all entries was read since this one is in it.
+  bool is_list_read = false;
+  /// Whether this entry has heard of all others in the list once, be it before
+  /// its process started: all know it then, and later ones by the list.
+  bool is_known_to_all = false;
+  size_t known = 0;
+  /// Of these, the ones that sent a report since this process started.
+  size_t heard = 0;
+
+  bool HaveAllBeenHeard() const { return is_list_read && heard == known; }
+};
+
+/// Returns which part of a limit that all entries share this entry may use,
+/// from 0 to 1. The parts add up to at most one, whichever entries are cut off
+/// from each other or have just started: of two entries that have a part, each
+/// knows the other and counts it, whether it is heard or not. An entry that is
+/// not known to all yet has no part.
+double ComputeLimitPart(const KnownPeers& peers);
+
 /// Estimates how many other entries may send requests, for limits that all
 /// entries share. An entry that hears nobody cannot tell whether the others
 /// have stopped or the network is down, and would otherwise use a whole limit.
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -116,6 +116,9 @@
       [this, to_seconds] { return to_seconds(store_follower->EnginesAge()); });
   add("peridotshelf_live_entries", "Entries heard from, this one included.",
       [this] { return static_cast<double>(peers->CountLiveEntries()); });
+  add("peridotshelf_limit_part",
+      "Which part of the slack of retries this entry may use.",
+      [this] { return peers->LimitPart(); });
   add("peridotshelf_open_requests", "Requests without their final answer.",
       [this] { return static_cast<double>(gateway->CountRunning()); });
   add("peridotshelf_waiting_requests", "Requests that wait for a place.",
--- a/src/peridotshelf/store_follower.cc
+++ b/src/peridotshelf/store_follower.cc
@@ -95,7 +95,6 @@
   m_configuration_follower.Start();
   m_engine_follower.Start();
   FindPeers();
-  AnnounceSelf();
 }
 
 int64_t StoreFollower::Version() const {
@@ -128,7 +127,7 @@
   callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kOperatorTopic, epoch);
     m_evacuations->NoteRestored(epoch, SteadyClock().Now());
-    AnnounceAgain(epoch);
+    FindPeersAgain(epoch);
   };
   callbacks.on_lost = [](const Error& error) {
     events::Log(EventId::kRegistryLost, {{"topic", deployment::kOperatorTopic},
@@ -182,7 +181,7 @@
   };
   callbacks.on_restored = [this](int64_t epoch) {
     LogRestore(deployment::kEngineTopic, epoch);
-    AnnounceAgain(epoch);
+    FindPeersAgain(epoch);
     m_engines.NoteRestored();
   };
   callbacks.on_lost = [](const Error& error) {
--- a/src/peridotshelf/store_follower.h
+++ b/src/peridotshelf/store_follower.h
@@ -117,12 +117,18 @@
   /// Returns `delay` in larger fleets and zero in others.
   Duration CatchUpDelay(Duration delay) const;
   void AdjustTiming();
-  /// Announces this entry in the store, then looks for its peers.
+  /// Writes this entry into the store's list of entries, then reads the list.
   void AnnounceSelf();
-  /// Announces this entry in a store that was restored and has `epoch` now.
-  void AnnounceAgain(int64_t epoch);
+  /// Reads the list of entries, and announces this one if it is not in it.
   void FindPeers();
-  void AddPeers(const std::vector<KeyedRecord>& records);
+  /// Reads it in a store that was restored and has `epoch` now.
+  void FindPeersAgain(int64_t epoch);
+  /// Spreads the calls of a large fleet.
+  Duration DrawAnnounceDelay();
+  void ApplyEntries(const std::vector<KeyedRecord>& records);
+  /// Writes into the list that all entries know this one, for the process that
+  /// follows this one.
+  void MarkKnown();
   void RetryLater(const char* call, const Error& error,
                   std::function<void()> retry);
 
@@ -149,7 +155,10 @@
   bool m_is_configuration_due = false;
   /// The same because of a peer's newer registrations.
   bool m_are_engines_due = false;
-  int64_t m_announced_epoch = 0;
+  int64_t m_listed_epoch = 0;
+  bool m_has_announced = false;
+  /// Whether the list says that all entries know this one.
+  bool m_is_marked_known = false;
   std::mt19937_64 m_random{std::random_device()()};
   /// Keys of the engine entries that are invalid, with the reason that was
   /// logged last.
--- a/src/peridotshelf/store_follower_peers.cc
+++ b/src/peridotshelf/store_follower_peers.cc
@@ -122,11 +122,14 @@
       m_operator_bound, StoreTopic::kAnswerTimeout, live);
   configuration_timing.max_retry_pause = registration_timing.max_retry_pause;
   m_configuration_follower.SetTiming(configuration_timing);
+  MarkKnown();
 }
 
 void StoreFollower::AnnounceSelf() {
+  m_is_marked_known = m_peers.IsKnownToAll();
   const nlohmann::json value = {{"address", m_local_address},
-                                {"host", m_host.value()}};
+                                {"host", m_host.value()},
+                                {"known_to_all", m_is_marked_known}};
   // The callback runs on the client's thread, possibly after this object is
   // destroyed.
   m_entry_topic.Put(m_host.value(), value.dump(),
@@ -144,12 +147,15 @@
                     });
 }
 
-void StoreFollower::AnnounceAgain(int64_t epoch) {
-  if (std::exchange(m_announced_epoch, epoch) == epoch) return;
-  // Spreads the calls of a large fleet.
+void StoreFollower::FindPeersAgain(int64_t epoch) {
+  if (std::exchange(m_listed_epoch, epoch) == epoch) return;
+  m_threads.RunAfter(DrawAnnounceDelay(), [this] { FindPeers(); });
+}
+
+Duration StoreFollower::DrawAnnounceDelay() {
   std::uniform_int_distribution<Duration::rep> delay(
       0, Duration(kAnnounceSpread).count());
-  m_threads.RunAfter(Duration(delay(m_random)), [this] { AnnounceSelf(); });
+  return Duration(delay(m_random));
 }
 
 void StoreFollower::FindPeers() {
@@ -157,7 +163,7 @@
       [this, threads = &m_threads](Result<discovery::RecordPage> page) {
         threads->Post([this, page = std::move(page)] {
           if (page) {
-            AddPeers(page->records);
+            ApplyEntries(page->records);
           } else {
             RetryLater("find_entries", page.error(), [this] { FindPeers(); });
           }
@@ -165,16 +171,37 @@
       });
 }
 
-void StoreFollower::AddPeers(const std::vector<KeyedRecord>& records) {
+void StoreFollower::ApplyEntries(const std::vector<KeyedRecord>& records) {
+  bool is_listed = false;
   for (const KeyedRecord& record : records) {
     if (!record.value) continue;
     const auto entry = nlohmann::json::parse(*record.value, nullptr,
                                              /*allow_exceptions=*/false);
-    if (entry.is_object() && entry.contains("address") &&
-        entry["address"].is_string()) {
-      m_peers.AddPeer(entry["address"].get<std::string>());
+    if (!entry.is_object() || !entry.contains("address") ||
+        !entry["address"].is_string()) {
+      continue;
     }
+    const auto address = entry["address"].get<std::string>();
+    m_peers.AddPeer(address);
+    if (record.key != m_host.value() || address != m_local_address) continue;
+    is_listed = true;
+    const auto mark = entry.find("known_to_all");
+    m_is_marked_known = mark != entry.end() && *mark == true;
+  }
+  if (is_listed) {
+    m_peers.NoteEntriesListed(m_is_marked_known);
+  } else if (std::exchange(m_has_announced, true)) {
+    // A restored store may have lost the announcement.
+    m_threads.RunAfter(kAnnounceSpread, [this] { AnnounceSelf(); });
+  } else {
+    AnnounceSelf();
   }
 }
 
+void StoreFollower::MarkKnown() {
+  if (m_is_marked_known || !m_peers.IsKnownToAll()) return;
+  m_is_marked_known = true;
+  m_threads.RunAfter(DrawAnnounceDelay(), [this] { AnnounceSelf(); });
+}
+
 }  // namespace peridotshelf::program
--- a/src/scheduling/fleet_view.cc
+++ b/src/scheduling/fleet_view.cc
@@ -10,6 +10,13 @@
 
 }  // namespace
 
+double ComputeLimitPart(const KnownPeers& peers) {
+  const bool is_counted_by_all =
+      peers.is_known_to_all || peers.HaveAllBeenHeard();
+  if (!peers.is_list_read || !is_counted_by_all) return 0;
+  return 1 / static_cast<double>(peers.known + 1);
+}
+
 size_t FleetView::CountSilent(const HeardPeers& peers, TimePoint now) {
   const bool is_cut_off = peers.live == 0;
   if (peers.live >= m_peers ||
--- a/src/scheduling/hedging_test.cc
+++ b/src/scheduling/hedging_test.cc
@@ -4,7 +4,7 @@
 #include <random>
 #include <vector>
 
-#include "peridotshelf/scheduling/sliding_window_retry_budget.h"
+#include "peridotshelf/scheduling/fleet_retry_budget.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::scheduling {
@@ -258,8 +258,12 @@
   }
   /// Hedges must leave retries of failures their budget.
   void Decide_HalfOfBudgetSpent_SendsNone() {
-    SlidingWindowRetryBudget budget({.ratio = 0, .slack = 10});
-    while (budget.RemainingShare(kBegin, 1) > 0.5) budget.TrySpend(kBegin, 1);
+    FleetRetryBudget budget({.ratio = 0, .slack = 10},
+                            kBegin - std::chrono::minutes(1));
+    while (budget.RemainingShare(kBegin, 1) > 0.5) {
+      CPPUNIT_ASSERT(budget.TryClaim(kBegin, 1));
+      CPPUNIT_ASSERT(budget.TrySend(kBegin, 1));
+    }
     Schedule schedule(MakeOptions(0.05));
     schedule.Play(500, DrawWithStalls(0.03));
     schedule.question().budget_share_left =
--- a/src/scheduling/retry_limit_schedules_test.cc
+++ b/src/scheduling/retry_limit_schedules_test.cc
@@ -6,7 +6,8 @@
 #include <random>
 #include <vector>
 
-#include "peridotshelf/scheduling/sliding_window_retry_budget.h"
+#include "peridotshelf/scheduling/fleet_retry_budget.h"
+#include "peridotshelf/scheduling/fleet_view.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::scheduling {
@@ -18,17 +19,16 @@
 constexpr TimePoint kBegin{std::chrono::hours(1)};
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kReportInterval = seconds(1);
-/// A peer that is silent for this long is not counted as live.
-constexpr Duration kPeerTimeout = milliseconds(3500);
 
 /// What happens to the entries for a while.
 enum class Trouble {
-  kRestart,     ///< Processes are killed and start again.
-  kReplace,     ///< They end for good, and others come at new addresses.
-  kCut,         ///< They reach callers and engines, but no other entry.
-  kFreeze,      ///< They stand still.
-  kShift,       ///< The others get no requests.
-  kHoldRetries  ///< Retries wait until the end of the trouble.
+  kRestart,      ///< Processes are killed and start again.
+  kReplace,      ///< They end for good, and others come at new addresses.
+  kCut,          ///< They reach callers and engines, but no other entry.
+  kFreeze,       ///< They stand still.
+  kShift,        ///< The others get no requests.
+  kHoldRetries,  ///< Retries wait until the end of the trouble.
+  kNoFailure     ///< Their requests do not fail.
 };
 
 struct Event {
@@ -47,24 +47,38 @@
   int64_t end_ms = 45000;
 };
 
-/// One process of an entry.
+/// One process of an entry. Entries are known by the numbers of their
+/// addresses.
 struct Process {
-  explicit Process(const RetryLimits& limits) : budget(limits) {}
+  Process(const RetryLimits& limits, TimePoint now) : budget(limits, now) {}
 
-  SlidingWindowRetryBudget budget;
-  TimePoint heard_at{};
+  FleetRetryBudget budget;
+  std::vector<bool> known;
+  std::vector<bool> heard;
+  bool is_known_to_all = false;
 
-  size_t CountLive(size_t entries, TimePoint now) const {
-    return heard_at != TimePoint{} && now - heard_at < kPeerTimeout ? entries
-                                                                    : 1;
+  static void Add(std::vector<bool>& addresses, size_t address) {
+    if (addresses.size() <= address) addresses.resize(address + 1);
+    addresses[address] = true;
   }
-  void NoteRequest(TimePoint now, size_t /*entries*/) {
-    budget.NoteRequest(now);
+  void Hear(size_t address) {
+    Add(known, address);
+    Add(heard, address);
   }
-  bool TryClaim(TimePoint now, size_t entries) {
-    return budget.TrySpend(now, CountLive(entries, now));
+  bool Knows(size_t address) const {
+    return address < known.size() && known[address];
+  }
+  double Part() {
+    KnownPeers peers{true, is_known_to_all, Count(known), Count(heard)};
+    is_known_to_all = is_known_to_all || peers.HaveAllBeenHeard();
+    return ComputeLimitPart(peers);
+  }
+
+ private:
+  static size_t Count(const std::vector<bool>& addresses) {
+    return static_cast<size_t>(
+        std::count(addresses.begin(), addresses.end(), true));
   }
-  static bool TrySend(TimePoint /*now*/, size_t /*entries*/) { return true; }
 };
 
 struct Outcome {
@@ -93,13 +107,20 @@
   return limits.ratio * static_cast<double>(requests) + limits.slack;
 }
 
+/// Returns which share of the allowed retries the window that ends at `end`
+/// uses.
+double UsedShare(const Outcome& outcome, const RetryLimits& limits,
+                 TimePoint end) {
+  return static_cast<double>(
+             CountIn(outcome.retries, end - limits.window, end)) /
+         AllowedAt(outcome, limits, end);
+}
+
 /// Returns the largest share of the allowed retries that a window uses.
 double MaxUsedShare(const Outcome& outcome, const RetryLimits& limits) {
   double share = 0;
   for (const TimePoint end : outcome.retries) {
-    const auto used =
-        static_cast<double>(CountIn(outcome.retries, end - limits.window, end));
-    share = std::max(share, used / AllowedAt(outcome, limits, end));
+    share = std::max(share, UsedShare(outcome, limits, end));
   }
   return share;
 }
@@ -109,7 +130,11 @@
  public:
   Fleet(const Load& load, const RetryLimits& limits, uint64_t seed)
       : m_load(load), m_limits(limits), m_random(seed) {
-    for (size_t i = 0; i < load.entries; ++i) m_members.emplace_back(limits);
+    for (size_t i = 0; i < load.entries; ++i) {
+      m_members.emplace_back(limits, kBegin, i);
+      m_listed.push_back({i, false});
+    }
+    for (Member& member : m_members) ReadList(member);
   }
 
   Outcome Play(const std::vector<Event>& events) {
@@ -125,10 +150,18 @@
   }
 
  private:
+  struct Listed {
+    size_t address = 0;
+    bool is_known_to_all = false;
+  };
   struct Member {
-    explicit Member(const RetryLimits& limits) : process(limits) {}
+    Member(const RetryLimits& limits, TimePoint now, size_t own_address)
+        : process(limits, now), address(own_address) {}
 
     Process process;
+    size_t address;
+    /// As of the last change of what the process knows.
+    double part = 0;
     /// Requests that wait while the process stands still.
     int64_t unread = 0;
     int64_t waiting_retries = 0;
@@ -147,22 +180,47 @@
   }
   void Begin(const Event& event) {
     if (m_now != kBegin + event.at_ms / 10 * kStep) return;
-    if (event.trouble == Trouble::kReplace) ++m_replaced;
-    if (event.trouble != Trouble::kRestart &&
-        event.trouble != Trouble::kReplace) {
-      return;
-    }
+    const bool replaces = event.trouble == Trouble::kReplace;
+    if (!replaces && event.trouble != Trouble::kRestart) return;
     for (size_t i = 0; i < m_members.size(); ++i) {
-      if (Concerns(event, i)) m_members[i] = Member(m_limits);
+      if (!Concerns(event, i)) continue;
+      Listed& listed = m_listed[m_members[i].address];
+      listed.is_known_to_all = m_members[i].process.is_known_to_all;
+      size_t address = m_members[i].address;
+      if (replaces) {
+        address = m_listed.size();
+        m_listed.push_back({address, false});
+      }
+      m_members[i] = Member(m_limits, m_now, address);
+      ReadList(m_members[i]);
     }
   }
+  /// The list keeps the addresses of entries that are gone.
+  void ReadList(Member& member) {
+    for (const Listed& listed : m_listed) {
+      if (listed.address != member.address) {
+        Process::Add(member.process.known, listed.address);
+      }
+    }
+    member.process.is_known_to_all = m_listed[member.address].is_known_to_all;
+    member.part = member.process.Part();
+  }
   void ExchangeReports(const std::vector<Event>& events) {
+    std::vector<Member*> reached;
     for (size_t i = 0; i < m_members.size(); ++i) {
-      if (IsIn(events, Trouble::kCut, i) || IsIn(events, Trouble::kFreeze, i)) {
-        continue;
+      if (!IsIn(events, Trouble::kCut, i) &&
+          !IsIn(events, Trouble::kFreeze, i)) {
+        reached.push_back(&m_members[i]);
+      }
+    }
+    for (Member* sender : reached) {
+      for (Member* receiver : reached) {
+        if (sender->process.Knows(receiver->address)) {
+          receiver->process.Hear(sender->address);
+        }
       }
-      m_members[i].process.heard_at = m_now;
     }
+    for (Member* member : reached) member->part = member->process.Part();
   }
   void StepEntry(const std::vector<Event>& events, size_t entry) {
     Member& member = m_members[entry];
@@ -171,10 +229,11 @@
                               static_cast<size_t>(arrived), m_now);
     member.unread += arrived;
     if (IsIn(events, Trouble::kFreeze, entry)) return;
-    for (; member.unread > 0; --member.unread) HandleRequest(member);
+    const bool may_fail = !IsIn(events, Trouble::kNoFailure, entry);
+    for (; member.unread > 0; --member.unread) HandleRequest(member, may_fail);
     if (IsIn(events, Trouble::kHoldRetries, entry)) return;
     for (; member.waiting_retries > 0; --member.waiting_retries) {
-      if (member.process.TrySend(m_now, m_members.size())) {
+      if (member.process.budget.TrySend(m_now, member.part)) {
         m_outcome.retries.push_back(m_now);
       }
     }
@@ -192,10 +251,11 @@
                             std::chrono::duration<double>(kStep).count();
     return std::poisson_distribution<int64_t>(per_step)(m_random);
   }
-  void HandleRequest(Member& member) {
-    member.process.NoteRequest(m_now, m_members.size());
+  void HandleRequest(Member& member, bool may_fail) {
+    member.process.budget.NoteRequest(m_now, member.part);
+    if (!may_fail) return;
     if (!std::bernoulli_distribution(m_load.failed_share)(m_random)) return;
-    if (member.process.TryClaim(m_now, m_members.size())) {
+    if (member.process.budget.TryClaim(m_now, member.part)) {
       ++member.waiting_retries;
     }
   }
@@ -204,7 +264,7 @@
   RetryLimits m_limits;
   std::mt19937_64 m_random;
   TimePoint m_now = kBegin;
-  size_t m_replaced = 0;
+  std::vector<Listed> m_listed;
   std::vector<Member> m_members;
   Outcome m_outcome;
 };
@@ -226,6 +286,9 @@
   CPPUNIT_TEST(Retries_SentTogetherAfterAWait_StayWithinTheLimit);
   CPPUNIT_TEST(Retries_LoadMovesBetweenEntries_StayWithinTheLimit);
   CPPUNIT_TEST(Retries_AnySchedule_StayWithinTheLimit);
+  CPPUNIT_TEST(Retries_FailuresBegin_UseMostOfTheLimit);
+  CPPUNIT_TEST(Retries_FailuresLast_UseThePartThatIsAdded);
+  CPPUNIT_TEST(Retries_AllEntriesRestarted_UseThePartThatIsAdded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -278,7 +341,29 @@
     });
   }
 
+  // Guards against a limit that callers cannot use.
+  void Retries_FailuresBegin_UseMostOfTheLimit() {
+    CPPUNIT_ASSERT(PlayUsedShare({}, seconds(10)) > 0.4);
+    CPPUNIT_ASSERT(PlayUsedShare(QuietBegin(), seconds(30)) > 0.8);
+  }
+  void Retries_FailuresLast_UseThePartThatIsAdded() {
+    CPPUNIT_ASSERT(PlayUsedShare({}, seconds(40)) > 0.4);
+  }
+  void Retries_AllEntriesRestarted_UseThePartThatIsAdded() {
+    CPPUNIT_ASSERT(PlayUsedShare(RestartsOfAll(), seconds(36)) > 0.4);
+  }
+
  private:
+  static constexpr RetryLimits kLimits{0.2, 106, seconds(10)};
+
+  /// No request fails in the first 20 s.
+  static std::vector<Event> QuietBegin() {
+    return {{Trouble::kNoFailure, 0, 20000}};
+  }
+  static double PlayUsedShare(const std::vector<Event>& events, Duration end) {
+    const Outcome outcome = Fleet(Load{}, kLimits, 1).Play(events);
+    return UsedShare(outcome, kLimits, kBegin + end);
+  }
   static rc::Gen<Event> AnyEvent() {
     return rc::gen::build<Event>(
         rc::gen::set(&Event::trouble,
@@ -291,10 +376,9 @@
   }
   /// Plays `events` with several seeds.
   static void Check(const std::vector<Event>& events) {
-    const RetryLimits limits{0.2, 106, seconds(10)};
     for (uint64_t seed = 1; seed <= 10; ++seed) {
-      const Outcome outcome = Fleet(Load{}, limits, seed).Play(events);
-      const double share = MaxUsedShare(outcome, limits);
+      const Outcome outcome = Fleet(Load{}, kLimits, seed).Play(events);
+      const double share = MaxUsedShare(outcome, kLimits);
       CPPUNIT_ASSERT_MESSAGE(
           "seed " + std::to_string(seed) + " uses " + std::to_string(share),
           share <= 1.0);
--- a/src/scheduling/scheduling_test.cc
+++ b/src/scheduling/scheduling_test.cc
@@ -4,7 +4,6 @@
 #include "peridotshelf/scheduling/engine_health.h"
 #include "peridotshelf/scheduling/request_queue.h"
 #include "peridotshelf/scheduling/service_placement.h"
-#include "peridotshelf/scheduling/sliding_window_retry_budget.h"
 #include "peridotshelf/testing/test.h"
 
 namespace peridotshelf::scheduling {
@@ -152,55 +151,6 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineHealthTest);
 
-class SlidingWindowRetryBudgetTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(SlidingWindowRetryBudgetTest);
-  CPPUNIT_TEST(TrySpend_AnyInterleaving_KeepsSharedLimitInEachWindow);
-  CPPUNIT_TEST(TrySpend_WindowPassed_AllowsRetryAgain);
-  CPPUNIT_TEST_SUITE_END();
-
- public:
-  /// For any interleaving of requests and retries at three entries, the retries
-  /// of every window stay within the shared limit.
-  void TrySpend_AnyInterleaving_KeepsSharedLimitInEachWindow() {
-    testing::CheckProperty("shared limit", [] {
-      const RetryLimits limits{0.2, 30, seconds(10)};
-      std::vector<SlidingWindowRetryBudget> entries(
-          3, SlidingWindowRetryBudget(limits));
-      std::vector<std::pair<TimePoint, bool>> history;
-      TimePoint now = kNow;
-      const auto steps =
-          *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 100));
-      for (const int step : steps) {
-        now += milliseconds(step);
-        SlidingWindowRetryBudget& entry =
-            entries[static_cast<size_t>(step) % 3];
-        if (step % 5 < 2) {
-          entry.NoteRequest(now);
-          history.emplace_back(now, false);
-        } else if (entry.TrySpend(now, 3)) {
-          history.emplace_back(now, true);
-        }
-      }
-      for (const auto& [end, unused] : history) {
-        double requests = 0;
-        double retries = 0;
-        for (const auto& [time, is_retry] : history) {
-          if (time > end || time < end - limits.window) continue;
-          (is_retry ? retries : requests) += 1;
-        }
-        RC_ASSERT(retries <= limits.ratio * requests + limits.slack);
-      }
-    });
-  }
-  void TrySpend_WindowPassed_AllowsRetryAgain() {
-    SlidingWindowRetryBudget budget({0, 2, seconds(10)});
-    CPPUNIT_ASSERT(budget.TrySpend(kNow, 1));
-    CPPUNIT_ASSERT(!budget.TrySpend(kNow, 1));
-    CPPUNIT_ASSERT(budget.TrySpend(kNow + seconds(11), 1));
-  }
-};
-CPPUNIT_TEST_SUITE_REGISTRATION(SlidingWindowRetryBudgetTest);
-
 class RequestQueueTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestQueueTest);
   CPPUNIT_TEST(SchedulingOrder_MixedRequests_PriorityThenOnTimeThenDensity);
