Refuse calls that may outlast a planned stop

Cause: from 2.7 s after SIGTERM on, streams were refused, but calls were taken until 1.6 s before the kill, whatever time their callers give them. A call of 1.6 s that came a second before that ran at its engine and got 504.

Change: from 2.7 s on, a call is refused with 503 and Retry-After, which promises that it has not run, if its own time limit ends after running requests are ended.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,6 +40,14 @@
       request.expected_output_tokens.value_or(max_tokens / 2), 1, max_tokens);
 }
 
+/// Returns how long the caller of `request` waits.
+Duration FindTimeout(const CallerRequest& request,
+                     const routing::Route& route) {
+  const Duration timeout = request.time_left.value_or(kDefaultTimeout);
+  if (route.time_limit <= Duration::zero()) return timeout;
+  return std::min(timeout, route.time_limit);
+}
+
 }  // namespace
 
 http::Header MakeRetryAfterHeader(Duration wait) {
@@ -87,8 +95,10 @@
     Reject(responder, request->id, http::kNotFound, "no_route");
     return;
   }
-  if (is_refusing_streams &&
-      route->retry_safety == routing::RetrySafety::kStream) {
+  const bool is_stream = route->retry_safety == routing::RetrySafety::kStream;
+  if (exit_at &&
+      (is_stream ||
+       SteadyClock().Now() + FindTimeout(*request, *route) > *exit_at)) {
     Reject(responder, request->id, http::kUnavailable, "stopping");
     return;
   }
@@ -134,10 +144,7 @@
   live->value = 1 + static_cast<double>(live->prompt_tokens) / kTokensPerValue;
   live->last_event_number = request.resume_after;
   SetSuspects(*live);
-  Duration timeout = request.time_left.value_or(kDefaultTimeout);
-  if (live->route->time_limit > Duration::zero()) {
-    timeout = std::min(timeout, live->route->time_limit);
-  }
+  const Duration timeout = FindTimeout(request, *live->route);
   live->deadline = live->arrived + timeout;
   live_requests.emplace(live->number, live);
   GetRetryBudget(live->service).NoteRequest(live->arrived, peers.LimitPart());
@@ -401,7 +408,7 @@
   m_impl->Handle(request, responder);
 }
 
-void Gateway::RefuseNewStreams() { m_impl->is_refusing_streams = true; }
+void Gateway::RefuseLongRequests(TimePoint end) { m_impl->exit_at = end; }
 
 void Gateway::RefuseNewRequests() { m_impl->is_refusing_requests = true; }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -499,7 +499,8 @@
   uint64_t next_number = 1;
   /// Whether some request was restricted to regions.
   bool has_homes = false;
-  bool is_refusing_streams = false;
+  /// When the process has to exit, once it stops.
+  std::optional<TimePoint> exit_at;
   bool is_refusing_requests = false;
   TimePoint tick_due{};
   bool is_tick_scheduled = false;
--- a/src/include/peridotshelf/gateway/gateway.h
+++ b/src/include/peridotshelf/gateway/gateway.h
@@ -82,9 +82,10 @@
   /// Handles one request; the response goes to `responder`.
   void Handle(const http::ServerRequest& request,
               const http::ResponderPtr& responder);
-  /// Refuses new streams from now on, because they might not finish before the
-  /// process has to exit. Short calls are still served.
-  void RefuseNewStreams();
+  /// Refuses new streams from now on, and calls whose callers would wait longer
+  /// than until `end`, when the process has to exit: they might not finish.
+  /// Other calls are still served.
+  void RefuseLongRequests(TimePoint end);
   /// Refuses all new requests from now on, since the process is about to exit.
   void RefuseNewRequests();
   /// Returns the number of requests without a final response.
--- a/src/peridotshelf/command_gateway.cc
+++ b/src/peridotshelf/command_gateway.cc
@@ -23,8 +23,8 @@
 /// a fraction of a second.
 constexpr Duration kKillMargin = std::chrono::milliseconds(800);
 
-/// Short calls are refused, too, for this long before running requests are
-/// aborted, so that those accepted last are not among them.
+/// All calls are refused for this long before running requests are aborted, so
+/// that those accepted last are not among them.
 constexpr Duration kLastCallTime = std::chrono::milliseconds(800);
 /// How long the last answers may take to reach their callers, within
 /// `kKillMargin`.
@@ -50,7 +50,7 @@
   daemon.StartLeaving();
   std::this_thread::sleep_until(
       std::min(start + kBalancerRemovalDelay, deadline - kLastCallTime));
-  daemon.RefuseNewWork();
+  daemon.RefuseLongWork(deadline);
   if (!WaitUntilIdle(daemon, deadline - kLastCallTime)) {
     daemon.RefuseAllNewWork();
     WaitUntilIdle(daemon, deadline);
--- a/src/peridotshelf/gateway_daemon.cc
+++ b/src/peridotshelf/gateway_daemon.cc
@@ -265,9 +265,9 @@
   });
 }
 
-void GatewayDaemon::RefuseNewWork() {
-  m_impl->threads.Post([impl = m_impl.get()] {
-    impl->gateway->RefuseNewStreams();
+void GatewayDaemon::RefuseLongWork(TimePoint end) {
+  m_impl->threads.Post([impl = m_impl.get(), end] {
+    impl->gateway->RefuseLongRequests(end);
     impl->caller_server->CloseIdle();
   });
 }
--- a/src/peridotshelf/gateway_daemon.h
+++ b/src/peridotshelf/gateway_daemon.h
@@ -25,9 +25,9 @@
   void ApplySettings(const deployment::ProcessSettings& settings);
   /// Reports not ready from now on, but continues to serve all requests.
   void StartLeaving();
-  /// Refuses new streams, which might not end before the process does, and
-  /// closes idle connections of callers.
-  void RefuseNewWork();
+  /// Refuses new streams, and calls that might last until after `end`, when the
+  /// process has to exit; closes idle connections of callers.
+  void RefuseLongWork(TimePoint end);
   /// Number of requests without a final answer and of callers' connections.
   struct OpenCounts {
     size_t requests = 0;
