Lend the room of the retry bucket to failures that last

Cause: while failures last, the bucket is empty and only the half of the limit that is added is used.

Change: a bucket that had room at each moment of the last window lends it. The smallest room of the window bounds what is lent in it, so that what the bucket held as any window began, what was added and what was lent is still within the limit. A process lends nothing in its first window.

--- a/src/scheduling/fleet_retry_budget.cc
+++ b/src/scheduling/fleet_retry_budget.cc
@@ -39,6 +39,20 @@
   m_tokens += DivideSlack(part).per_window * std::max(windows, 0.0);
   m_updated_at = std::max(m_updated_at, now);
   Shrink(part);
+  NoteRoom(now, part);
+}
+
+void FleetRetryBudget::NoteRoom(TimePoint now, double part) {
+  const double room = Capacity(part) - m_tokens - static_cast<double>(m_claims);
+  while (!m_rooms.empty() && m_rooms.back().room_and_lent >= room + m_lent) {
+    m_rooms.pop_back();
+  }
+  m_rooms.push_back({now, room + m_lent});
+  while (m_rooms.front().at <= now - m_limits.window) m_rooms.pop_front();
+}
+
+double FleetRetryBudget::Lendable() const {
+  return std::max(m_rooms.front().room_and_lent - m_lent, 0.0);
 }
 
 void FleetRetryBudget::Shrink(double part) {
@@ -57,12 +71,18 @@
   m_requests.push_back(now);
   m_tokens += (1 - kHeldFraction) * kUsableShare * m_limits.ratio;
   Shrink(part);
+  NoteRoom(now, part);
 }
 
 bool FleetRetryBudget::TryClaim(TimePoint now, double part) {
   Advance(now, part);
-  if (m_tokens < 1) return false;
-  m_tokens -= 1;
+  if (m_tokens >= 1) {
+    m_tokens -= 1;
+  } else if (Lendable() >= 1) {
+    m_lent += 1;
+  } else {
+    return false;
+  }
   ++m_claims;
   return true;
 }
@@ -92,13 +112,13 @@
 
 double FleetRetryBudget::Remaining(TimePoint now, double part) {
   Advance(now, part);
-  return m_tokens;
+  return m_tokens + Lendable();
 }
 
 double FleetRetryBudget::RemainingShare(TimePoint now, double part) {
+  Advance(now, part);
   const double capacity = Capacity(part);
-  const double remaining = Remaining(now, part);
-  return capacity > 0 ? remaining / capacity : 0;
+  return capacity > 0 ? m_tokens / capacity : 0;
 }
 
 }  // namespace peridotshelf::scheduling
--- a/src/scheduling/fleet_retry_budget_test.cc
+++ b/src/scheduling/fleet_retry_budget_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(TryClaim_NoPartOfTheSlack_AllowsRetriesOfRequests);
   CPPUNIT_TEST(TryClaim_SlackOfOneRetry_AllowsIt);
   CPPUNIT_TEST(TryClaim_WindowWithoutRequests_ForgetsThem);
+  CPPUNIT_TEST(TryClaim_BucketEmptyForAWindow_LendsItsRoom);
+  CPPUNIT_TEST(TryClaim_BucketFullInTheWindow_LendsNothing);
   CPPUNIT_TEST(TrySend_RequestsTooOldMeanwhile_IsRefused);
   CPPUNIT_TEST(Release_ClaimNotSent_MayBeClaimedAgain);
   CPPUNIT_TEST(Return_RetryReachedNoEngine_MayBeClaimedAgain);
@@ -64,6 +66,24 @@
     for (int i = 0; i < 100; ++i) budget.NoteRequest(kNow, kAll);
     CPPUNIT_ASSERT_EQUAL(0, ClaimAll(budget, kNow + seconds(10), kAll));
   }
+  void TryClaim_BucketEmptyForAWindow_LendsItsRoom() {
+    FleetRetryBudget budget({0, 40, seconds(10)}, kNow);
+    int added = 0;
+    for (int i = 1; i < 10; ++i) {
+      added += ClaimAll(budget, kNow + seconds(i), kAll);
+    }
+    CPPUNIT_ASSERT(added <= 20);
+    const int lent = ClaimAll(budget, kNow + seconds(10), kAll);
+    CPPUNIT_ASSERT(lent > 10 && lent <= 20);
+  }
+  void TryClaim_BucketFullInTheWindow_LendsNothing() {
+    FleetRetryBudget budget({0, 40, seconds(10)}, kNow);
+    const TimePoint full = kNow + seconds(60);
+    const int held = ClaimAll(budget, full, kAll);
+    CPPUNIT_ASSERT(held >= 16 && held <= 20);
+    CPPUNIT_ASSERT(ClaimAll(budget, full + seconds(9), kAll) <= 20);
+    CPPUNIT_ASSERT_EQUAL(0, ClaimAll(budget, full + seconds(9), kAll));
+  }
   void TrySend_RequestsTooOldMeanwhile_IsRefused() {
     FleetRetryBudget budget({0.2, 0, seconds(10)}, kNow);
     for (int i = 0; i < 100; ++i) budget.NoteRequest(kNow, kAll);
--- a/src/scheduling/retry_limit_schedules_test.cc
+++ b/src/scheduling/retry_limit_schedules_test.cc
@@ -287,7 +287,7 @@
   CPPUNIT_TEST(Retries_LoadMovesBetweenEntries_StayWithinTheLimit);
   CPPUNIT_TEST(Retries_AnySchedule_StayWithinTheLimit);
   CPPUNIT_TEST(Retries_FailuresBegin_UseMostOfTheLimit);
-  CPPUNIT_TEST(Retries_FailuresLast_UseThePartThatIsAdded);
+  CPPUNIT_TEST(Retries_FailuresLast_UseMostOfTheLimit);
   CPPUNIT_TEST(Retries_AllEntriesRestarted_UseThePartThatIsAdded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -346,8 +346,8 @@
     CPPUNIT_ASSERT(PlayUsedShare({}, seconds(10)) > 0.4);
     CPPUNIT_ASSERT(PlayUsedShare(QuietBegin(), seconds(30)) > 0.8);
   }
-  void Retries_FailuresLast_UseThePartThatIsAdded() {
-    CPPUNIT_ASSERT(PlayUsedShare({}, seconds(40)) > 0.4);
+  void Retries_FailuresLast_UseMostOfTheLimit() {
+    CPPUNIT_ASSERT(PlayUsedShare({}, seconds(40)) > 0.8);
   }
   void Retries_AllEntriesRestarted_UseThePartThatIsAdded() {
     CPPUNIT_ASSERT(PlayUsedShare(RestartsOfAll(), seconds(36)) > 0.4);
