Ask which process answers before the first calls of a gateway

What callers saw: after each start of a gateway, the first answers without length of a service whose engines state no start were taken for cut, since nothing was known of the process that sent them. They were repeated, and answered 502 where they may not be. Since a process starts without retries, the repeatable ones got 502, too.

Change: before the first answer of a service, calls ask as well. Streams don't: most engines of models state their start, and there are many more of them.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -13,9 +13,6 @@
 
 /// Timeout of a request if neither its caller nor its route sets one.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
-constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-/// A tick that is later than this shows that this process did not run.
-constexpr Duration kMaxTickDelay = std::chrono::milliseconds(300);
 /// Number of prompt tokens that add as much value as the fixed value of a
 /// request. The response to a long prompt is worth more, because it represents
 /// more of the caller's work.
@@ -161,13 +158,6 @@
   if (!live->is_done) PlaceOrQueue(live);
 }
 
-scheduling::FleetRetryBudget& Gateway::Impl::GetRetryBudget(
-    const std::string& service) {
-  const auto [found, is_new] =
-      budgets.try_emplace(service, options.retry_limits, SteadyClock().Now());
-  return found->second;
-}
-
 void Gateway::Impl::GiveUp(const LiveRequestPtr& live,
                            std::string_view reason) {
   if (live->is_head_sent) {
@@ -291,49 +281,6 @@
   ScheduleQueueDrain();
 }
 
-void Gateway::Impl::ScheduleTick() {
-  if (std::exchange(is_tick_scheduled, true)) return;
-  tick_due = SteadyClock().Now() + kTickInterval;
-  threads.RunAfter(kTickInterval, [self = shared_from_this()] {
-    if (events::RunGuarded("tick", [&] { self->Tick(); })) {
-      return;
-    }
-    self->ScheduleTick();
-  });
-}
-
-void Gateway::Impl::Tick() {
-  is_tick_scheduled = false;
-  const TimePoint now = SteadyClock().Now();
-  if (now - tick_due > kMaxTickDelay) {
-    ExcludeOwnPause(now - tick_due);
-    ScheduleTick();
-    return;
-  }
-  std::vector<LiveRequestPtr> stalled;
-  for (const auto& [number, live] : live_requests) {
-    if (!live->attempt) continue;
-    if (IsStalled(*live, now) || HoldsStaleReservation(*live, now)) {
-      stalled.push_back(live);
-    }
-  }
-  for (const LiveRequestPtr& live : stalled) {
-    // An earlier request in this loop may have used the last free slot or the
-    // last retry in the budget.
-    if (!live->attempt) continue;
-    if (HoldsStaleReservation(*live, now) ||
-        (IsStalled(*live, now) && CanMoveToAnotherEngine(*live))) {
-      RunFor(live, [&] {
-        Fail(live, FailureCause::kSilent,
-             "no data received within the stall timeout");
-      });
-    }
-  }
-  KeepQueryConnections(now);
-  DrainQueue();
-  if (!live_requests.empty()) ScheduleTick();
-}
-
 Gateway::Gateway(io::IoThreads& threads, http::Client& client,
                  MessageCodec codec, discovery::EngineDirectory& engines,
                  scheduling::ActiveRequestTable& active_request_table,
--- a/src/gateway/gateway_answer_end.cc
+++ b/src/gateway/gateway_answer_end.cc
@@ -23,17 +23,25 @@
 
 }  // namespace
 
-void Gateway::Impl::NoteWithoutLength(const LiveRequest& live) {
-  without_length[live.service] = SteadyClock().Now();
+void Gateway::Impl::NoteFraming(const LiveRequest& live,
+                                const AnswerHead& head) {
+  TimePoint& last = last_without_length.try_emplace(live.service).first->second;
+  if (head.ends_with_connection) last = SteadyClock().Now();
+}
+
+bool Gateway::Impl::MayHaveNoLength(const LiveRequest& live,
+                                    TimePoint now) const {
+  const auto found = last_without_length.find(live.service);
+  // Of the first calls of a process nothing is known yet. Streams come from
+  // engines that state their start, mostly, and would cost more queries.
+  if (found == last_without_length.end()) return !live.IsStream();
+  return found->second != TimePoint{} &&
+         now - found->second <= kWithoutLengthMemory;
 }
 
 bool Gateway::Impl::HasToAskFirst(const LiveRequest& live) const {
   const TimePoint now = SteadyClock().Now();
-  const auto found = without_length.find(live.service);
-  if (found == without_length.end() ||
-      now - found->second > kWithoutLengthMemory) {
-    return false;
-  }
+  if (!MayHaveNoLength(live, now)) return false;
   const QueriedEngine known = engine_queries.Find(live.attempt->engine_key);
   // The start of the process will show as much as a connection.
   if (known.started_unix_ms) return false;
--- a/src/gateway/gateway_attempt.cc
+++ b/src/gateway/gateway_attempt.cc
@@ -59,49 +59,6 @@
   }
 }
 
-void Gateway::Impl::LogRetry(const LiveRequest& live, TimePoint now) {
-  const double part = peers.LimitPart();
-  const bool is_hedge = live.attempt->is_hedge && live.other_attempt;
-  const TimePoint since =
-      is_hedge ? live.other_attempt->sent_at : live.failed_at;
-  events::Log(EventId::kRetrySent,
-              {{"request", live.request.id.value()},
-               {"service", live.service},
-               {"engine", live.attempt->engine_key},
-               {"after", std::string(is_hedge || !live.last_failure
-                                         ? "hedge"
-                                         : ToString(*live.last_failure))},
-               {"waited_ms", ToMilliseconds(now - since)},
-               {"left", GetRetryBudget(live.service).Remaining(now, part)},
-               {"part", part},
-               {"entries", static_cast<int64_t>(peers.CountLiveEntries())},
-               {"age_ms", ToMilliseconds(now - started_at)}});
-}
-
-void Gateway::Impl::DropLapsedRetry(const LiveRequestPtr& live) {
-  if (live->hedge && live->hedge->number == live->attempt->number) {
-    EndHedge(*live, "cancelled");
-  }
-  EndAttempt(*live);
-  ScheduleQueueDrain();
-  // The first attempt of a hedged request goes on.
-  if (!live->attempt) DenyRetry(live);
-}
-
-void Gateway::Impl::DenyRetry(const LiveRequestPtr& live) {
-  denied_retries.WithoutLabel().Add();
-  GiveUp(live, "repeat_budget");
-}
-
-bool Gateway::Impl::ClaimRetry(LiveRequest& live) {
-  if (!live.has_retry_claim) {
-    live.has_retry_claim =
-        GetRetryBudget(live.service)
-            .TryClaim(SteadyClock().Now(), peers.LimitPart());
-  }
-  return live.has_retry_claim;
-}
-
 void Gateway::Impl::SendNow(const LiveRequestPtr& live) {
   const TimePoint now = SteadyClock().Now();
   Attempt& attempt = *live->attempt;
@@ -211,7 +168,7 @@
          "body or contradicting lengths");
     return;
   }
-  if (head.ends_with_connection) NoteWithoutLength(*live);
+  NoteFraming(*live, head);
   live->attempt->head = std::move(head);
   NoteStreamHead(*live, response_head);
   if (!CanContinueStream(*live)) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -1,13 +1,14 @@
-/// State and operations of the gateway, implemented in fourteen files: arrival
+/// State and operations of the gateway, implemented in fifteen files: arrival
 /// and end of a request (gateway.cc), whole answers (gateway_answers.cc),
 /// placement of streams (gateway_placement.cc) and of calls (gateway_calls.cc),
 /// the queue (gateway_queue.cc), one attempt at an engine (gateway_attempt.cc),
-/// second attempts of slow requests (gateway_hedges.cc), attempts with progress
-/// (gateway_progress.cc) and without (gateway_stalls.cc), engines that limit
-/// their requests (gateway_limits.cc), that are cold (gateway_cold_engines.cc),
-/// that leave, ask for a pause or may not receive a request
-/// (gateway_engines.cc) and that crash (gateway_crashes.cc), and answers that
-/// end with their connection (gateway_answer_end.cc).
+/// further attempts (gateway_retries.cc), second attempts of slow requests
+/// (gateway_hedges.cc), attempts with progress (gateway_progress.cc) and
+/// without (gateway_stalls.cc), engines that limit their requests
+/// (gateway_limits.cc), that are cold (gateway_cold_engines.cc), that leave,
+/// ask for a pause or may not receive a request (gateway_engines.cc) and that
+/// crash (gateway_crashes.cc), and answers that end with their connection
+/// (gateway_answer_end.cc).
 #pragma once
 
 #include <memory>
@@ -323,8 +324,9 @@
   void ScheduleReview();
 
   // Answers that end with their connection.
-  /// Records that the service sends answers without length.
-  void NoteWithoutLength(const LiveRequest& live);
+  /// Records whether the service sends answers without length.
+  void NoteFraming(const LiveRequest& live, const AnswerHead& head);
+  bool MayHaveNoLength(const LiveRequest& live, TimePoint now) const;
   /// Returns whether the engine of the current attempt has to be asked which
   /// process answers before the request is sent, so that this can be compared
   /// after the answer.
@@ -488,8 +490,9 @@
   /// Keyed by engine address.
   std::unordered_map<std::string, TimePoint> memory_full_until;
   EngineQueries engine_queries;
-  /// When services last sent an answer without length, by name.
-  std::unordered_map<std::string, TimePoint> without_length;
+  /// When services last sent an answer without length, by name; zero for those
+  /// that have sent only others.
+  std::unordered_map<std::string, TimePoint> last_without_length;
   /// Attempts that broke at engines that are being probed, by engine key.
   std::unordered_map<std::string, BrokenAttempts> broken_attempts;
   /// Keyed by service name.
--- a/src/gateway/gateway_stalls.cc
+++ b/src/gateway/gateway_stalls.cc
@@ -6,6 +6,9 @@
 namespace peridotshelf::gateway {
 namespace {
 
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/// A tick that is later than this shows that this process did not run.
+constexpr Duration kMaxTickDelay = std::chrono::milliseconds(300);
 /// A stream that has sent events and may be retried moves to another engine
 /// after a gap of this fraction of the caller timeout. The gap can be caused by
 /// a long prefill at the engine as well as by its failure.
@@ -88,4 +91,47 @@
          ComputeStallTimeout(live, attempt, attempt.uncontended_first_event_ms);
 }
 
+void Gateway::Impl::ScheduleTick() {
+  if (std::exchange(is_tick_scheduled, true)) return;
+  tick_due = SteadyClock().Now() + kTickInterval;
+  threads.RunAfter(kTickInterval, [self = shared_from_this()] {
+    if (events::RunGuarded("tick", [&] { self->Tick(); })) {
+      return;
+    }
+    self->ScheduleTick();
+  });
+}
+
+void Gateway::Impl::Tick() {
+  is_tick_scheduled = false;
+  const TimePoint now = SteadyClock().Now();
+  if (now - tick_due > kMaxTickDelay) {
+    ExcludeOwnPause(now - tick_due);
+    ScheduleTick();
+    return;
+  }
+  std::vector<LiveRequestPtr> stalled;
+  for (const auto& [number, live] : live_requests) {
+    if (!live->attempt) continue;
+    if (IsStalled(*live, now) || HoldsStaleReservation(*live, now)) {
+      stalled.push_back(live);
+    }
+  }
+  for (const LiveRequestPtr& live : stalled) {
+    // An earlier request in this loop may have used the last free slot or the
+    // last retry in the budget.
+    if (!live->attempt) continue;
+    if (HoldsStaleReservation(*live, now) ||
+        (IsStalled(*live, now) && CanMoveToAnotherEngine(*live))) {
+      RunFor(live, [&] {
+        Fail(live, FailureCause::kSilent,
+             "no data received within the stall timeout");
+      });
+    }
+  }
+  KeepQueryConnections(now);
+  DrainQueue();
+  if (!live_requests.empty()) ScheduleTick();
+}
+
 }  // namespace peridotshelf::gateway
