Try engines of calls again that were slow once

What callers saw: a gateway that had one slow call at an engine sent it no other call as long as another engine was there, however idle and fast the engine was.

Cause: calls go to the engine with the least expected time, which is its mean times what runs there. The mean is renewed by calls only, so the engine that is not chosen keeps the mean that keeps it from being chosen.

Change: CallTimes holds the mean and when it was measured and used. An engine's mean counts half as much in the choice for each 2 s without a call, and as much less beside a new call. A call that starts restores it, so that one call tells, also if it hangs.

--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -26,7 +26,7 @@
     GiveUp(live, "refused_without_proof");
     return;
   } else {
-    state.NoteCallTime(MillisBetween(attempt.sent_at, now));
+    state.calls.NoteDuration(MillisBetween(attempt.sent_at, now), now);
     AnswerHead head = std::move(*attempt.head);
     std::string body = std::move(attempt.body);
     EndAttempts(*live);
--- a/src/gateway/gateway_calls.cc
+++ b/src/gateway/gateway_calls.cc
@@ -26,7 +26,8 @@
     scheduling::ServiceCandidate server;
     server.running = active_request_table.ComputeLoad(key, now).running;
     server.slots = std::max(record->slots, 1);
-    server.call_ms = state.call_ms;
+    server.call_ms = state.calls.mean();
+    server.unused_for = state.calls.UnusedFor(now);
     server.success_rate = state.health.SuccessRate(now);
     server.is_same_domain = record->failure_domain == options.failure_domain;
     servers.push_back(server);
@@ -69,6 +70,7 @@
   active_request.is_prefilling = false;
   active_request.end = now + FromMillis(std::max(server.call_ms, 1.0) * 2);
   active_request_table.Put(attempt.engine_key, active_request);
+  GetEngineState(attempt.engine_key).calls.NoteStart(now);
   CountAgainstLimit(attempt.engine_key);
   peers.NoteStart(attempt.engine_key);
   events::Log(EventId::kRequestPlaced,
--- a/src/gateway/gateway_hedges.cc
+++ b/src/gateway/gateway_hedges.cc
@@ -213,8 +213,8 @@
   EngineState& state = GetEngineState(loser.engine_key);
   if (loser.predicted_first_event_ms > 0) {
     state.health.NoteSlowdown(ratio, now);
-  } else if (elapsed_ms > state.call_ms) {
-    state.NoteCallTime(elapsed_ms);
+  } else if (elapsed_ms > state.calls.mean()) {
+    state.calls.NoteDuration(elapsed_ms, now);
   }
 }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -28,6 +28,7 @@
 #include "peridotshelf/events/guard.h"
 #include "peridotshelf/gateway/gateway.h"
 #include "peridotshelf/quarantine/crash_quarantine.h"
+#include "peridotshelf/scheduling/call_times.h"
 #include "peridotshelf/scheduling/engine_health.h"
 #include "peridotshelf/scheduling/hedging.h"
 #include "peridotshelf/scheduling/request_queue.h"
@@ -55,20 +56,13 @@
 /// State of one incarnation of an engine; a restarted engine gets a new state.
 struct EngineState {
   scheduling::EngineHealth health;
-  /// Moving average of the durations of calls; 0 if none has ended.
-  double call_ms = 0;
+  scheduling::CallTimes calls;
   /// The engine wants no requests from this entry until then.
   TimePoint paused_until{};
   /// When this entry learned that the engine is cold, and when the engine last
   /// answered it.
   TimePoint cold_since{};
   TimePoint answered_at{};
-
-  void NoteCallTime(double duration_ms) {
-    constexpr double kNewestWeight = 0.2;
-    call_ms = call_ms == 0 ? duration_ms
-                           : call_ms + kNewestWeight * (duration_ms - call_ms);
-  }
 };
 
 /// An attempt whose connection broke before its response was complete.
--- a/src/include/peridotshelf/scheduling/service_placement.h
+++ b/src/include/peridotshelf/scheduling/service_placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 
+#include "peridotshelf/base/clock.h"
 #include "peridotshelf/scheduling/engine_model.h"
 
 namespace peridotshelf::scheduling {
@@ -22,6 +23,9 @@
   Millis call_ms = 0;
   double success_rate = 1;
   bool is_same_domain = false;
+  /// For how long no call has begun or ended. `call_ms` counts less with it, so
+  /// that a server that was slow is tried again.
+  Duration unused_for{};
 };
 
 /// Returns the index of the server with the shortest expected time; none if
--- a/src/scheduling/service_placement.cc
+++ b/src/scheduling/service_placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "call_age.h"
+
 namespace peridotshelf::scheduling {
 namespace {
 
@@ -17,7 +19,8 @@
   const double rounds =
       1.0 + static_cast<double>(server.running) / std::max(server.slots, 1);
   const double failures = 1 - std::clamp(server.success_rate, 0.0, 1.0);
-  return call * (rounds + kFailureCost * failures) +
+  return call * detail::WeightAtAge(server.unused_for) *
+             (rounds + kFailureCost * failures) +
          (server.is_same_domain ? 0 : kRemoteDomainPenaltyMs);
 }
 
