--- a/src/gateway/callers_bytes_test.cc
+++ b/src/gateway/callers_bytes_test.cc
@@ -71,13 +71,15 @@
 
   // Guards against a queue that stands still after an exception.
   void Stream_QueuedRequestThrows_OthersLeaveTheQueue() {
+    std::promise<void> all_held;
     AddEngine(
-        [this](const ServerRequest& request, const ResponderPtr& responder) {
+        [&, this](const ServerRequest& request, const ResponderPtr& responder) {
           if (request.target == "/model/queued") {
             StreamOneEvent(request, responder);
           } else {
             responder->BeginStream(200, SignedHeaders(request));
             m_open_responders.push_back(responder);
+            if (m_open_responders.size() == kSlots) all_held.set_value();
           }
         },
         "models");
@@ -92,6 +94,9 @@
     WaitForRunning(kSlots + 1);
     auto good = StartCall("/model/queued", prompt);
     WaitForRunning(kSlots + 2);
+    // A request runs at the gateway before it is at its engine.
+    CPPUNIT_ASSERT(all_held.get_future().wait_for(seconds(2)) ==
+                   std::future_status::ready);
     RunOnLoop([this] {
       CPPUNIT_ASSERT_EQUAL(size_t{2}, m_gateway->CountQueued());
       for (const ResponderPtr& responder : m_open_responders) {
